--- /dev/null
+++ b/crates/daemon/src/body.rs
@@ -0,0 +1,155 @@
+//! Message bodies that report how they ended.
+
+use std::pin::Pin;
+use std::task::{Context, Poll, ready};
+
+use bytes::Bytes;
+use http_body::{Body as HttpBody, Frame, SizeHint};
+use http_body_util::combinators::UnsyncBoxBody;
+use http_body_util::{BodyExt, Full};
+use tokio::sync::watch;
+use tokio::time::Instant;
+
+/// Error of a body; ends the message without a clean end, so that a cut body is never mistaken for
+/// a whole one.
+pub(crate) type BodyError = Box<dyn std::error::Error + Send + Sync>;
+
+/// Body of any message that passes through the daemon.
+pub(crate) type Body = UnsyncBoxBody<Bytes, BodyError>;
+
+/// Creates a body that is complete in memory.
+pub(crate) fn full(bytes: impl Into<Bytes>) -> Body {
+    Full::new(bytes.into()).map_err(|e| match e {}).boxed_unsync()
+}
+
+/// Creates an empty body.
+pub(crate) fn empty() -> Body {
+    full(Bytes::new())
+}
+
+/// How a body ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum BodyEnd {
+    /// All of it was passed on.
+    Complete,
+    /// The sender failed or cut it short.
+    Failed,
+    /// The receiver stopped reading.
+    Dropped,
+}
+
+/// Receives the end of an observed body.
+pub(crate) trait BodyObserver: Send + Unpin + 'static {
+    /// Takes note of a data frame.
+    fn data(&mut self, _data: &Bytes) {}
+
+    /// Takes note of the end; called exactly once.
+    fn end(&mut self, end: BodyEnd);
+}
+
+/// Body that tells an observer about its data and its end.
+pub(crate) struct Observed<B, O: BodyObserver> {
+    inner: B,
+    observer: O,
+    ended: bool,
+}
+
+impl<B: HttpBody, O: BodyObserver> Observed<B, O> {
+    /// Wraps a body.
+    pub(crate) fn new(inner: B, observer: O) -> Self {
+        let mut body = Self {
+            inner,
+            observer,
+            ended: false,
+        };
+        // A server never polls a body that is empty from the start.
+        if body.inner.is_end_stream() {
+            body.finish(BodyEnd::Complete);
+        }
+        body
+    }
+}
+
+impl<B, O: BodyObserver> Observed<B, O> {
+    fn finish(&mut self, end: BodyEnd) {
+        if !self.ended {
+            self.ended = true;
+            self.observer.end(end);
+        }
+    }
+}
+
+impl<B, O> HttpBody for Observed<B, O>
+where
+    B: HttpBody<Data = Bytes> + Unpin,
+    B::Error: Into<BodyError>,
+    O: BodyObserver,
+{
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        match ready!(Pin::new(&mut self.inner).poll_frame(cx)) {
+            Some(Ok(frame)) => {
+                if let Some(data) = frame.data_ref() {
+                    self.observer.data(data);
+                }
+                // A server does not poll again after the last frame of a body of known length.
+                if self.inner.is_end_stream() {
+                    self.finish(BodyEnd::Complete);
+                }
+                Poll::Ready(Some(Ok(frame)))
+            }
+            Some(Err(e)) => {
+                self.finish(BodyEnd::Failed);
+                Poll::Ready(Some(Err(e.into())))
+            }
+            None => {
+                self.finish(BodyEnd::Complete);
+                Poll::Ready(None)
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.inner.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.inner.size_hint()
+    }
+}
+
+impl<B, O: BodyObserver> Drop for Observed<B, O> {
+    fn drop(&mut self) {
+        self.finish(BodyEnd::Dropped);
+    }
+}
+
+/// Observer that publishes when a request body last made progress.
+///
+/// A long upload must not run into the time-out for the response head while data still flows.
+pub(crate) struct ProgressObserver {
+    last: watch::Sender<Instant>,
+}
+
+impl ProgressObserver {
+    /// Creates the observer and the receiver that sees its progress.
+    pub(crate) fn new() -> (Self, watch::Receiver<Instant>) {
+        let (last, progress) = watch::channel(Instant::now());
+        (Self { last }, progress)
+    }
+}
+
+impl BodyObserver for ProgressObserver {
+    fn data(&mut self, _data: &Bytes) {
+        self.last.send_replace(Instant::now());
+    }
+
+    fn end(&mut self, _end: BodyEnd) {
+        self.last.send_replace(Instant::now());
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/exchange.rs
@@ -0,0 +1,184 @@
+//! One request and its response over one connection.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use cornelvalve_kernel::Mailbox;
+use cornelvalve_model::{Outcome, Reason, Refusal};
+use derive_more::{Display, Error};
+use http::{Request, Response};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use tokio::sync::watch;
+use tokio::time::Instant;
+
+use crate::body::{Body, BodyEnd, BodyObserver, Observed};
+use crate::pool::{Connection, PoolMessage};
+
+/// Time that a reused connection gets to finish its previous exchange.
+const READY_WAIT: Duration = Duration::from_millis(5);
+
+/// Result alias of this module.
+pub(crate) type Result<T> = std::result::Result<T, ExchangeError>;
+
+/// Reports how far a failed exchange got.
+#[derive(Debug, Display, Error)]
+pub(crate) enum ExchangeError {
+    /// The request was not handed to a connection, so the server did not see it.
+    #[display("request was not sent: {_0}; it may be sent to another server")]
+    NotSent(#[error(not(source))] String),
+    /// The connection failed after the request was handed to it.
+    #[display("connection failed during the exchange: {_0}; the outcome is unknown")]
+    Lost(#[error(not(source))] String),
+    /// No response head arrived in time.
+    #[display("no response in time; the outcome is unknown")]
+    TimedOut,
+}
+
+impl ExchangeError {
+    /// Returns what the failure means for the request.
+    pub(crate) fn refusal(&self) -> Refusal {
+        match self {
+            Self::NotSent(_) => Refusal::not_run(Reason::Connection),
+            Self::Lost(_) => Refusal::unknown(Reason::Connection),
+            Self::TimedOut => Refusal::unknown(Reason::Deadline),
+        }
+    }
+
+    /// Tells whether the server may have seen the request.
+    pub(crate) fn outcome(&self) -> Outcome {
+        self.refusal().outcome
+    }
+}
+
+/// Time allowed for the response head.
+#[derive(Debug)]
+pub(crate) struct HeadTimeout {
+    /// Time by which the head must arrive.
+    pub(crate) deadline: Instant,
+    /// Progress of a streamed request body with the time allowed after its last data; extends the
+    /// deadline.
+    pub(crate) upload: Option<(watch::Receiver<Instant>, Duration)>,
+}
+
+impl HeadTimeout {
+    /// Waits until the time is over.
+    async fn elapsed(&self) {
+        let mut until = self.deadline;
+        loop {
+            tokio::time::sleep_until(until).await;
+            let Some((progress, allowance)) = &self.upload else {
+                return;
+            };
+            until = *progress.borrow() + *allowance;
+            if until <= Instant::now() {
+                return;
+            }
+        }
+    }
+}
+
+/// Client side of exchanges; cheap to clone into each task.
+#[derive(Clone, Debug)]
+pub(crate) struct Exchanger {
+    pool: Mailbox<PoolMessage>,
+}
+
+impl Exchanger {
+    /// Creates the client side over a pool.
+    pub(crate) fn new(pool: Mailbox<PoolMessage>) -> Self {
+        Self { pool }
+    }
+
+    /// Sends a request and returns the response with a body that hands the connection back at its
+    /// end.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ExchangeError`], which tells whether the server may have seen the request.
+    pub(crate) async fn send(
+        &self,
+        addr: SocketAddr,
+        request: Request<Body>,
+        timeout: &HeadTimeout,
+    ) -> Result<Response<Body>> {
+        let mut request = request;
+        loop {
+            let (mut connection, reused) = self.connect(addr, timeout).await?;
+            let sent = tokio::select! {
+                sent = connection.sender().try_send_request(request) => sent,
+                () = timeout.elapsed() => return Err(ExchangeError::TimedOut),
+            };
+            match sent {
+                Ok(response) => return Ok(self.keep_connection(addr, connection, response)),
+                Err(mut e) => match e.take_message() {
+                    // The server closed an idle connection before the request was written to it.
+                    Some(unsent) if reused => request = unsent,
+                    Some(_) => return Err(ExchangeError::NotSent(e.into_error().to_string())),
+                    None => return Err(ExchangeError::Lost(e.into_error().to_string())),
+                },
+            }
+        }
+    }
+
+    async fn connect(
+        &self,
+        addr: SocketAddr,
+        timeout: &HeadTimeout,
+    ) -> Result<(Connection, bool)> {
+        let checkout = self.pool.ask(|reply| PoolMessage::Checkout { addr, reply });
+        // Without the pool, as during its restart, each exchange opens a connection of its own.
+        if let Ok(Some(mut connection)) = checkout.await
+            && let Ok(Ok(())) = tokio::time::timeout(READY_WAIT, connection.sender().ready()).await
+        {
+            return Ok((connection, true));
+        }
+        tokio::select! {
+            opened = Connection::open(addr) => match opened {
+                Ok(connection) => Ok((connection, false)),
+                Err(e) => Err(ExchangeError::NotSent(e.to_string())),
+            },
+            () = timeout.elapsed() => Err(ExchangeError::NotSent("connect timed out".to_owned())),
+        }
+    }
+
+    fn keep_connection(
+        &self,
+        addr: SocketAddr,
+        connection: Connection,
+        response: Response<Incoming>,
+    ) -> Response<Body> {
+        let returning = ReturnConnection {
+            addr,
+            connection: Some(connection),
+            pool: self.pool.clone(),
+        };
+        response.map(|body| Observed::new(body, returning).boxed_unsync())
+    }
+
+    /// Closes idle connections to an address.
+    pub(crate) fn forget(&self, addr: SocketAddr) {
+        // A pool that is full or restarting closes them by time-out instead.
+        let _ = self.pool.try_send(PoolMessage::Forget { addr });
+    }
+}
+
+/// Hands a connection back after a complete response and closes it after any other end.
+struct ReturnConnection {
+    addr: SocketAddr,
+    connection: Option<Connection>,
+    pool: Mailbox<PoolMessage>,
+}
+
+impl BodyObserver for ReturnConnection {
+    fn end(&mut self, end: BodyEnd) {
+        let Some(connection) = self.connection.take() else {
+            return;
+        };
+        if end == BodyEnd::Complete {
+            let addr = self.addr;
+            // If the pool has no room, dropping the message closes the connection.
+            let _ = self.pool.try_send(PoolMessage::Return { addr, connection });
+        }
+    }
+}
--- /dev/null
+++ b/crates/wire/src/problem.rs
@@ -0,0 +1,84 @@
+//! Problem documents (RFC 9457) for refusals.
+
+use cornelvalve_model::{Outcome, Reason, Refusal};
+use http::StatusCode;
+use serde::{Deserialize, Serialize};
+
+/// Media type of problem documents.
+pub const MEDIA_TYPE: &str = "application/problem+json";
+
+/// Body of a refusal.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Problem {
+    /// Kind of the problem, a relative reference.
+    #[serde(rename = "type")]
+    pub kind: String,
+    /// Short summary of the kind.
+    pub title: String,
+    /// HTTP status.
+    pub status: u16,
+    /// What is known about the execution.
+    pub outcome: Outcome,
+    /// Why there is no answer from an upstream.
+    pub reason: Reason,
+    /// What the caller can do.
+    pub remedy: String,
+    /// Particulars of this occurrence, such as addresses in a home region.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub detail: Option<String>,
+}
+
+impl Problem {
+    /// Creates the document for a refusal.
+    #[must_use]
+    pub fn new(refusal: Refusal, detail: Option<String>) -> Self {
+        let Refusal { outcome, reason } = refusal;
+        let title = match outcome {
+            Outcome::NotRun => "The request was not run",
+            Outcome::Completed => "The request was completed",
+            Outcome::Unknown => "The outcome of the request is unknown",
+        };
+        Self {
+            kind: format!("/problems/{reason}"),
+            title: title.to_owned(),
+            status: status(reason).as_u16(),
+            outcome,
+            reason,
+            remedy: reason.remedy().to_owned(),
+            detail,
+        }
+    }
+
+    /// Encodes the document as JSON.
+    ///
+    /// # Panics
+    ///
+    /// Never panics: all fields are strings and numbers.
+    #[must_use]
+    pub fn encode(&self) -> Vec<u8> {
+        serde_json::to_vec(self).expect("strings and numbers encode")
+    }
+}
+
+/// Returns the HTTP status that goes with a reason.
+#[must_use]
+pub fn status(reason: Reason) -> StatusCode {
+    match reason {
+        Reason::UnknownService => StatusCode::NOT_FOUND,
+        Reason::UnknownTeam => StatusCode::FORBIDDEN,
+        Reason::HomeRegion => StatusCode::MISDIRECTED_REQUEST,
+        Reason::BadRequest => StatusCode::BAD_REQUEST,
+        Reason::BadTicket | Reason::CrashSuspect => StatusCode::UNPROCESSABLE_ENTITY,
+        Reason::TicketGone => StatusCode::CONFLICT,
+        Reason::TooDeep => StatusCode::LOOP_DETECTED,
+        Reason::Deadline => StatusCode::GATEWAY_TIMEOUT,
+        Reason::Connection => StatusCode::BAD_GATEWAY,
+        Reason::NoConfiguration
+        | Reason::NoUpstream
+        | Reason::DomainOut
+        | Reason::Draining
+        | Reason::Overloaded
+        | Reason::StaleConfiguration
+        | Reason::Internal => StatusCode::SERVICE_UNAVAILABLE,
+    }
+}
