Add choice, retry, admission and breaker state machines

Cause: entries and guards need decisions that run without sockets and clocks.

Change: Balancer with pickers, rendezvous subset, locality order and bounded ejection; retry decision with retry and hedge budgets; Admission with a cold limit for each incarnation; a small circuit breaker as a candidate.

--- /dev/null
+++ b/crates/policy/src/admission.rs
@@ -0,0 +1,314 @@
+//! Admission beside the upstream: an exact count of running requests, a limit that is learned for
+//! each incarnation, and a bounded queue.
+
+use std::collections::{HashMap, VecDeque};
+use std::time::Duration;
+
+use cornelvalve_model::{Incarnation, LoadHint, Moment, Reason};
+use smallvec::SmallVec;
+
+mod limit;
+
+use limit::Limit;
+
+/// Identifies a request at one guard.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct RequestId(pub u64);
+
+/// How a started request ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FinishResult {
+    /// The upstream answered.
+    Success,
+    /// The upstream answered with a failure of its own.
+    Failure,
+    /// The connection was refused or reset, a sign of a restarted upstream.
+    ConnectionLost,
+    /// The caller cancelled; says nothing about the upstream.
+    Cancelled,
+}
+
+/// What happened.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AdmissionEvent {
+    /// A request asks for admission.
+    Arrived {
+        /// The request; must not be in use.
+        id: RequestId,
+        /// Moment at which its caller stops waiting.
+        deadline: Moment,
+    },
+    /// The caller of a queued request has gone.
+    Cancelled {
+        /// The request.
+        id: RequestId,
+    },
+    /// A started request ended, in whatever way.
+    Finished {
+        /// The request.
+        id: RequestId,
+        /// How it ended.
+        result: FinishResult,
+        /// Time from its start to its end.
+        service_time: Duration,
+    },
+    /// The upstream announced itself; repeats of the same incarnation change only the slots.
+    UpstreamStarted {
+        /// Start of the upstream process.
+        incarnation: Incarnation,
+        /// Requests that it runs at once when warm.
+        slots: u16,
+    },
+    /// The upstream left, let its lease lapse or died.
+    UpstreamLost,
+    /// The upstream drains: no new work until a new incarnation starts.
+    Draining,
+    /// The daemon leaves: no new work for the rest of its life.
+    Leaving,
+    /// Time passed.
+    Tick,
+}
+
+/// What the caller has to do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AdmissionAction {
+    /// Send the request to the upstream now.
+    Start(RequestId),
+    /// Answer that the request was not run.
+    Refuse(RequestId, Reason),
+}
+
+/// Actions that follow from one event.
+pub type AdmissionActions = SmallVec<[AdmissionAction; 2]>;
+
+/// Queue places for each slot; four service times is about what a deadline leaves.
+const QUEUE_PER_SLOT: usize = 4;
+
+/// Weight of a new service time in the estimate.
+const ESTIMATE_WEIGHT: f64 = 0.1;
+
+struct Queued {
+    id: RequestId,
+    deadline: Moment,
+}
+
+struct CurrentUpstream {
+    incarnation: Incarnation,
+    limit: Limit,
+    running: u32,
+    draining: bool,
+}
+
+/// Admission to one upstream.
+///
+/// The queue is first in, first out: arrivals that cannot be served in time are refused, so the
+/// queue never holds requests that a later one could overtake with profit.
+#[derive(Default)]
+pub struct Admission {
+    upstream: Option<CurrentUpstream>,
+    /// Last incarnation seen, so that a delayed announcement of an earlier one is ignored.
+    newest: Option<Incarnation>,
+    running: HashMap<RequestId, Incarnation>,
+    queue: VecDeque<Queued>,
+    estimate: Option<Duration>,
+    leaving: bool,
+}
+
+impl std::fmt::Debug for Admission {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Admission")
+            .field("hint", &self.hint())
+            .finish_non_exhaustive()
+    }
+}
+
+impl Admission {
+    /// Creates admission without an upstream.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Applies an event and returns what follows from it.
+    pub fn on(&mut self, event: AdmissionEvent, now: Moment) -> AdmissionActions {
+        let mut actions = AdmissionActions::new();
+        match event {
+            AdmissionEvent::Arrived { id, deadline } => {
+                self.arrive(id, deadline, now, &mut actions);
+            }
+            AdmissionEvent::Cancelled { id } => self.queue.retain(|q| q.id != id),
+            AdmissionEvent::Finished {
+                id,
+                result,
+                service_time,
+            } => self.finish(id, result, service_time, now),
+            AdmissionEvent::UpstreamStarted { incarnation, slots } => {
+                self.start_upstream(incarnation, slots);
+            }
+            AdmissionEvent::UpstreamLost => {
+                self.upstream = None;
+                self.refuse_queue(Reason::NoUpstream, &mut actions);
+            }
+            AdmissionEvent::Draining => {
+                if let Some(upstream) = &mut self.upstream {
+                    upstream.draining = true;
+                }
+                self.refuse_queue(Reason::Draining, &mut actions);
+            }
+            AdmissionEvent::Leaving => {
+                self.leaving = true;
+                self.refuse_queue(Reason::Draining, &mut actions);
+            }
+            AdmissionEvent::Tick => {}
+        }
+        self.refuse_expired(now, &mut actions);
+        self.dispatch(&mut actions);
+        actions
+    }
+
+    /// Returns the load to report to entries.
+    #[must_use]
+    pub fn hint(&self) -> LoadHint {
+        let clamp = |n: usize| u16::try_from(n).unwrap_or(u16::MAX);
+        LoadHint {
+            running: clamp(self.running.len()),
+            queued: clamp(self.queue.len()),
+            limit: self.limit(),
+        }
+    }
+
+    /// Returns the requests that run, including those of earlier incarnations.
+    #[must_use]
+    pub fn running(&self) -> usize {
+        self.running.len()
+    }
+
+    /// Returns the number of requests that may run at once; zero without an upstream.
+    #[must_use]
+    pub fn limit(&self) -> u16 {
+        self.upstream.as_ref().map_or(0, |u| u.limit.current())
+    }
+
+    fn closed_reason(&self) -> Option<Reason> {
+        if self.leaving {
+            return Some(Reason::Draining);
+        }
+        match &self.upstream {
+            None => Some(Reason::NoUpstream),
+            Some(upstream) if upstream.draining => Some(Reason::Draining),
+            Some(_) => None,
+        }
+    }
+
+    fn arrive(
+        &mut self,
+        id: RequestId,
+        deadline: Moment,
+        now: Moment,
+        actions: &mut AdmissionActions,
+    ) {
+        if let Some(reason) = self.closed_reason() {
+            actions.push(AdmissionAction::Refuse(id, reason));
+        } else if deadline <= now {
+            actions.push(AdmissionAction::Refuse(id, Reason::Deadline));
+        } else if self.is_overloaded(deadline.since(now)) {
+            actions.push(AdmissionAction::Refuse(id, Reason::Overloaded));
+        } else {
+            self.queue.push_back(Queued { id, deadline });
+        }
+    }
+
+    /// Tells whether a request that joins the queue now would be served too late.
+    fn is_overloaded(&self, time_left: Duration) -> bool {
+        let Some(upstream) = &self.upstream else {
+            return true;
+        };
+        let limit = u32::from(upstream.limit.current());
+        let ahead = u32::try_from(self.queue.len()).unwrap_or(u32::MAX);
+        let free = limit.saturating_sub(upstream.running);
+        if ahead < free {
+            return false;
+        }
+        let capacity = QUEUE_PER_SLOT * usize::from(upstream.limit.slots());
+        if self.queue.len() >= capacity {
+            return true;
+        }
+        // The requests in front leave `limit` at a time, and this one takes one service time.
+        let rounds = f64::from(ahead + 1) / f64::from(limit.max(1)) + 1.0;
+        self.estimate
+            .is_some_and(|estimate| estimate.mul_f64(rounds) > time_left)
+    }
+
+    fn finish(&mut self, id: RequestId, result: FinishResult, service_time: Duration, now: Moment) {
+        let Some(incarnation) = self.running.remove(&id) else {
+            return;
+        };
+        if result == FinishResult::Success {
+            self.estimate = Some(match self.estimate {
+                None => service_time,
+                Some(old) => {
+                    old.mul_f64(1.0 - ESTIMATE_WEIGHT) + service_time.mul_f64(ESTIMATE_WEIGHT)
+                }
+            });
+        }
+        let upstream = self.upstream.as_mut();
+        if let Some(upstream) = upstream.filter(|u| u.incarnation == incarnation) {
+            upstream
+                .limit
+                .on_finished(result, service_time, upstream.running, now);
+            upstream.running -= 1;
+        }
+    }
+
+    fn start_upstream(&mut self, incarnation: Incarnation, slots: u16) {
+        if self.newest.is_some_and(|newest| incarnation < newest) {
+            return;
+        }
+        self.newest = Some(incarnation);
+        match &mut self.upstream {
+            Some(upstream) if upstream.incarnation == incarnation => {
+                upstream.limit.set_slots(slots);
+            }
+            current => {
+                let running = self.running.values().filter(|i| **i == incarnation).count();
+                *current = Some(CurrentUpstream {
+                    incarnation,
+                    limit: Limit::new(slots),
+                    running: u32::try_from(running).unwrap_or(u32::MAX),
+                    draining: false,
+                });
+                self.estimate = None;
+            }
+        }
+    }
+
+    fn refuse_queue(&mut self, reason: Reason, actions: &mut AdmissionActions) {
+        let refused = self.queue.drain(..);
+        actions.extend(refused.map(|q| AdmissionAction::Refuse(q.id, reason)));
+    }
+
+    /// Refuses queued requests whose deadline passed, for example during a pause of the process.
+    fn refuse_expired(&mut self, now: Moment, actions: &mut AdmissionActions) {
+        self.queue.retain(|q| {
+            let expired = q.deadline <= now;
+            if expired {
+                actions.push(AdmissionAction::Refuse(q.id, Reason::Deadline));
+            }
+            !expired
+        });
+    }
+
+    fn dispatch(&mut self, actions: &mut AdmissionActions) {
+        let Some(upstream) = &mut self.upstream else {
+            return;
+        };
+        while upstream.running < u32::from(upstream.limit.current()) {
+            let Some(next) = self.queue.pop_front() else {
+                return;
+            };
+            upstream.running += 1;
+            self.running.insert(next.id, upstream.incarnation);
+            actions.push(AdmissionAction::Start(next.id));
+        }
+    }
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -1,1 +1,21 @@
 //! Decisions on the request path: choice, admission, retries and deduplication.
+//!
+//! Each decision is a state machine without I/O and without a clock: the caller passes the current
+//! [`Moment`](cornelvalve_model::Moment) and carries out the result.
+
+mod admission;
+mod balancer;
+mod breaker;
+mod picker;
+mod retry;
+
+pub use admission::{
+    Admission, AdmissionAction, AdmissionActions, AdmissionEvent, FinishResult, RequestId,
+};
+pub use balancer::{
+    AttemptEnd, AttemptId, AttemptReport, Balancer, BalancerSettings, Choice, ChoiceRequest,
+    Endpoint, EndpointIncarnation, EndpointView, Locality,
+};
+pub use breaker::{BreakerState, CircuitBreaker, ConsecutiveBreaker, NeverBreaks};
+pub use picker::{Candidate, LeastOutstanding, Picker, PowerOfTwo, RoundRobin};
+pub use retry::{HedgeBudget, RetryBudget, RetryDecision, retry_decision};
--- /dev/null
+++ b/crates/policy/tests/all/main.rs
@@ -0,0 +1,1 @@
+//! Tests of the decisions on the request path.
