--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -8,6 +8,8 @@
 mod breaker;
 mod picker;
 mod retry;
+mod suspect;
+mod ticket;
 
 pub use admission::{
     Admission, AdmissionAction, AdmissionActions, AdmissionEvent, FinishResult, RequestId,
@@ -19,3 +21,8 @@
 pub use breaker::{BreakerState, CircuitBreaker, ConsecutiveBreaker, NeverBreaks};
 pub use picker::{Candidate, LeastOutstanding, Picker, PowerOfTwo, RoundRobin};
 pub use retry::{HedgeBudget, RetryBudget, RetryDecision, retry_decision};
+pub use suspect::{HomeRegions, SharedSuspect, Start, SuspectList, SuspectSettings};
+pub use ticket::{
+    Arrival, CallId, Cancelled, StoredAnswer, Ticket, TicketError, TicketList, TicketSettings,
+    TicketTable, Waiter,
+};
