--- /dev/null
+++ b/crates/budget/src/bucket.rs
@@ -0,0 +1,46 @@
+//! Token bucket under an explicit clock.
+
+use cornelvalve_model::Moment;
+
+use crate::Rate;
+
+const NANOS_PER_SECOND: u128 = 1_000_000_000;
+
+/// Token bucket that counts in nanobytes, so that no fraction of a byte is lost or gained.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Bucket {
+    rate: Rate,
+    tokens: u128,
+    refilled: Option<Moment>,
+}
+
+impl Bucket {
+    /// Creates an empty bucket: a daemon that restarts in a loop must not gain a burst each time.
+    pub(crate) fn new(rate: Rate) -> Self {
+        Self {
+            rate,
+            tokens: 0,
+            refilled: None,
+        }
+    }
+
+    pub(crate) fn refill(&mut self, now: Moment) {
+        let last = self.refilled.unwrap_or(now);
+        let gained = now.since(last).as_nanos() * u128::from(self.rate.bytes_per_second);
+        let full = u128::from(self.rate.burst_bytes) * NANOS_PER_SECOND;
+        self.tokens = (self.tokens + gained).min(full);
+        // A moment that lies before the last one must not be credited twice.
+        self.refilled = Some(last.max(now));
+    }
+
+    pub(crate) fn holds(&self, bytes: u32) -> bool {
+        self.tokens >= u128::from(bytes) * NANOS_PER_SECOND
+    }
+
+    /// Takes tokens that [`Bucket::holds`] has confirmed.
+    pub(crate) fn take(&mut self, bytes: u32) {
+        self.tokens = self
+            .tokens
+            .saturating_sub(u128::from(bytes) * NANOS_PER_SECOND);
+    }
+}
--- /dev/null
+++ b/crates/budget/src/budget.rs
@@ -0,0 +1,134 @@
+//! Budget of one daemon.
+
+use cornelvalve_model::Moment;
+use derive_more::Display;
+
+use crate::BudgetSettings;
+use crate::bucket::Bucket;
+
+/// Class of control traffic.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum TrafficClass {
+    /// Probes and their replies, with piggybacked news.
+    #[display("probe")]
+    Probe,
+    /// Updates of member records outside of probes: joins and anti-entropy.
+    #[display("news")]
+    News,
+    /// Configuration pulls, notices and queries.
+    #[display("configuration")]
+    Configuration,
+    /// Polls of the upstream's load.
+    #[display("load")]
+    Load,
+}
+
+impl TrafficClass {
+    /// All classes.
+    pub const ALL: [Self; 4] = [Self::Probe, Self::News, Self::Configuration, Self::Load];
+}
+
+/// Whether a message may be sent.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum Verdict {
+    /// The message was charged and may be sent.
+    #[display("send")]
+    Send,
+    /// The message is over budget and must not be sent.
+    #[display("drop")]
+    Drop,
+}
+
+/// Messages and their bytes.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Count {
+    /// Number of messages.
+    pub messages: u64,
+    /// Sum of their bytes.
+    pub bytes: u64,
+}
+
+impl Count {
+    fn add(&mut self, bytes: u32) {
+        self.messages += 1;
+        self.bytes += u64::from(bytes);
+    }
+}
+
+/// What was sent and dropped.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counters {
+    /// Messages within the budget.
+    pub sent: Count,
+    /// Messages over budget.
+    pub dropped: Count,
+}
+
+impl Counters {
+    fn add(&mut self, verdict: Verdict, bytes: u32) {
+        match verdict {
+            Verdict::Send => self.sent.add(bytes),
+            Verdict::Drop => self.dropped.add(bytes),
+        }
+    }
+}
+
+/// Token buckets and counters of one daemon.
+#[derive(Clone, Debug)]
+pub struct Budget {
+    classes: [(Bucket, Counters); TrafficClass::ALL.len()],
+    link: (Bucket, Counters),
+}
+
+impl Budget {
+    /// Creates a budget with empty buckets.
+    #[must_use]
+    pub fn new(settings: BudgetSettings) -> Self {
+        let start = |rate| (Bucket::new(rate), Counters::default());
+        Self {
+            classes: TrafficClass::ALL.map(|class| start(settings.rate(class))),
+            link: start(settings.link),
+        }
+    }
+
+    /// Charges a message to its class, and to the region link if it crosses.
+    ///
+    /// A message that one of the two buckets cannot pay is dropped and costs neither.
+    pub fn charge(
+        &mut self,
+        class: TrafficClass,
+        bytes: u32,
+        crosses_region: bool,
+        now: Moment,
+    ) -> Verdict {
+        let (bucket, counters) = &mut self.classes[class as usize];
+        let (link, link_counters) = &mut self.link;
+        bucket.refill(now);
+        link.refill(now);
+        let paid = bucket.holds(bytes) && (!crosses_region || link.holds(bytes));
+        let verdict = if paid { Verdict::Send } else { Verdict::Drop };
+        if paid {
+            bucket.take(bytes);
+        }
+        counters.add(verdict, bytes);
+        if crosses_region {
+            if paid {
+                link.take(bytes);
+            }
+            link_counters.add(verdict, bytes);
+        }
+        verdict
+    }
+
+    /// Returns the counters of a class.
+    #[must_use]
+    pub fn counters(&self, class: TrafficClass) -> Counters {
+        self.classes[class as usize].1
+    }
+
+    /// Returns the counters of the region link.
+    #[must_use]
+    pub fn link(&self) -> Counters {
+        self.link.1
+    }
+}
--- a/crates/budget/src/lib.rs
+++ b/crates/budget/src/lib.rs
@@ -1,1 +1,13 @@
 //! Byte accounting and token buckets for control traffic.
+//!
+//! Every datagram of control traffic is charged before it is sent. A class that has used up its
+//! bucket loses its own messages and takes nothing from the others.
+
+mod bucket;
+mod budget;
+mod settings;
+
+pub use budget::{Budget, Count, Counters, TrafficClass, Verdict};
+pub use settings::{
+    BudgetSettings, LINK_BYTES_PER_SECOND, LINK_DAEMONS, Rate, TOTAL_BYTES_PER_SECOND,
+};
--- /dev/null
+++ b/crates/budget/src/settings.rs
@@ -0,0 +1,80 @@
+//! Rates of the classes and of the region link.
+
+use crate::TrafficClass;
+
+/// Rate of a token bucket.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Rate {
+    /// Sustained rate in bytes a second.
+    pub bytes_per_second: u32,
+    /// Bytes that may be sent at once. The bytes of any window of `t` seconds are at most
+    /// `burst_bytes + t * bytes_per_second`.
+    pub burst_bytes: u32,
+}
+
+impl Rate {
+    /// Creates a rate whose burst is two seconds of it, enough for several datagrams of 1400
+    /// bytes.
+    #[must_use]
+    pub const fn new(bytes_per_second: u32) -> Self {
+        Self {
+            bytes_per_second,
+            burst_bytes: 2 * bytes_per_second,
+        }
+    }
+}
+
+/// Rates of the control traffic that one daemon sends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct BudgetSettings {
+    /// Probes and their replies.
+    pub probe: Rate,
+    /// Updates of member records outside of probes.
+    pub news: Rate,
+    /// Configuration pulls and notices.
+    pub configuration: Rate,
+    /// Polls of the upstream's load.
+    pub load: Rate,
+    /// All classes together across the region link.
+    pub link: Rate,
+}
+
+/// Control traffic allowed per daemon, in bytes a second.
+pub const TOTAL_BYTES_PER_SECOND: u32 = 16_000;
+
+/// Share of the region link for control traffic in one direction, in bytes a second: 1% of
+/// 30 Mbit/s is 37,500 bytes a second.
+pub const LINK_BYTES_PER_SECOND: u32 = 37_500;
+
+/// Daemons by which the share of the link is divided. The larger of the two present meshes has 14
+/// targets in two regions; the divisor leaves room for one region to hold all of them and more.
+pub const LINK_DAEMONS: u32 = 20;
+
+/// Rate of the link for one daemon: 37,500 / 20 daemons, less a quarter for packet headers of 28
+/// bytes on datagrams of about 100 bytes.
+const LINK_RATE: u32 = LINK_BYTES_PER_SECOND / LINK_DAEMONS * 3 / 4;
+
+impl Default for BudgetSettings {
+    fn default() -> Self {
+        Self {
+            probe: Rate::new(5_000),
+            news: Rate::new(5_000),
+            configuration: Rate::new(4_000),
+            load: Rate::new(2_000),
+            link: Rate::new(LINK_RATE),
+        }
+    }
+}
+
+impl BudgetSettings {
+    /// Returns the rate of a class.
+    #[must_use]
+    pub fn rate(&self, class: TrafficClass) -> Rate {
+        match class {
+            TrafficClass::Probe => self.probe,
+            TrafficClass::News => self.news,
+            TrafficClass::Configuration => self.configuration,
+            TrafficClass::Load => self.load,
+        }
+    }
+}
