--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -3,5 +3,6 @@
 //! Decisions never see an encoding. A second front end may use the same decisions with codecs of
 //! its own.
 
+pub mod datagram;
 pub mod hop;
 pub mod problem;
