Add the configuration state machine and the publisher

Every daemon needs the same verdict on each log record. Catalog is a pure function of the records in offset order; Publisher determines the outcome of an append whose answer was lost.

--- a/crates/catalog/src/lib.rs
+++ b/crates/catalog/src/lib.rs
@@ -1,1 +1,20 @@
 //! Configuration state machine fed by log records in offset order.
+//!
+//! The order of the log is the only agreement mechanism: every [`Catalog`] that applies the same
+//! records in the same order holds the same state and gives every record the same [`Verdict`].
+//! Nothing here performs I/O or reads a clock.
+
+mod catalog;
+mod history;
+mod host;
+mod lookup;
+mod publisher;
+mod tables;
+mod verdict;
+
+pub use catalog::Catalog;
+pub use history::{BadRecord, MAX_BAD_RECORDS, MAX_RECENT_CHANGES};
+pub use lookup::{Residency, Resolved};
+pub use publisher::{Action, Actions, Event, PublishOutcome, Publisher, SeenChange};
+pub use tables::{Domain, Entry};
+pub use verdict::{GapError, PastVerdict, Rejection, Result, Verdict};
