Add operators' call types, settings reader and Config builder

The daemon's services need the call types and the checked configuration before they can be written. crates/api has the jsonrpsee trait with typed parameters, results and errors; the settings reader refuses unknown, missing and duplicate keys with file, line, key and remedy.

--- /dev/null
+++ b/crates/api/src/lib.rs
@@ -0,0 +1,27 @@
+//! Remote calls of the operators' listener: the JSON-RPC trait with its parameters and results.
+//!
+//! The crate holds types only. The daemon implements [`OperatorsServer`], the operators' client
+//! and other daemons use [`OperatorsClient`]. `schema/operators.openrpc.json` describes the same
+//! calls for other languages.
+
+mod error;
+mod event;
+mod explain;
+mod in_force;
+mod publish;
+mod records;
+mod rpc;
+mod status;
+mod timeline;
+
+pub use error::{ApiError, ErrorKind, Result};
+pub use event::Event;
+pub use explain::{Candidate, Explanation};
+pub use in_force::{InForceReport, LeaveReport};
+pub use publish::{PublishReport, Verdict, WaitFor};
+pub use records::{PeerRecord, PeerRecords};
+pub use rpc::{OperatorsClient, OperatorsServer};
+pub use status::{
+    BadRecord, EntryKind, LogStoreState, MemberCounts, MemberReport, Status, UpstreamStatus,
+};
+pub use timeline::{TimelineEvent, TimelinePage, Timestamp};
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,1 +1,4 @@
 //! The load balancer as a library: services, settings and assembly.
+
+pub mod config;
+pub mod settings;
