--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -4,3 +4,6 @@
 mod completion;
 mod exchange;
 mod pool;
+
+pub mod config;
+pub mod settings;
