--- /dev/null
+++ b/crates/standins/src/log.rs
@@ -0,0 +1,118 @@
+//! Stand-in for the platform's append-only log service.
+//!
+//! One task owns the streams and the waiting readers. HTTP handlers talk to it by messages.
+
+mod faults;
+mod http;
+mod owner;
+mod stream;
+
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, oneshot};
+use tokio::task::JoinHandle;
+
+pub use faults::{LogFaults, LoseBy};
+
+/// Messages that the owner has not handled yet; handlers wait for room.
+const MAILBOX_SLOTS: usize = 256;
+
+/// Limits of the stand-in.
+#[derive(Clone, Copy, Debug)]
+pub struct LogOptions {
+    /// Records kept in each stream.
+    pub retain_records: usize,
+    /// Time for which a record is kept.
+    pub retain_age: Duration,
+    /// Append calls accepted per second; more get status 429.
+    pub appends_per_second: u32,
+}
+
+impl Default for LogOptions {
+    fn default() -> Self {
+        Self {
+            retain_records: 1_000_000,
+            retain_age: Duration::from_secs(24 * 60 * 60),
+            appends_per_second: 500,
+        }
+    }
+}
+
+/// Stand-in of the log service.
+#[derive(Debug)]
+pub struct LogStandIn;
+
+impl LogStandIn {
+    /// Starts the stand-in with default limits; port 0 selects a free port.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of binding the address.
+    pub async fn start(addr: SocketAddr) -> io::Result<(SocketAddr, LogHandle)> {
+        Self::start_with(addr, LogOptions::default()).await
+    }
+
+    /// Starts the stand-in with the given limits; port 0 selects a free port.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of binding the address.
+    pub async fn start_with(
+        addr: SocketAddr,
+        options: LogOptions,
+    ) -> io::Result<(SocketAddr, LogHandle)> {
+        let listener = TcpListener::bind(addr).await?;
+        let addr = listener.local_addr()?;
+        let (mailbox, inbox) = mpsc::channel(MAILBOX_SLOTS);
+        let owner = tokio::spawn(owner::run(inbox, options));
+        let (stop, stopped) = oneshot::channel();
+        let server = tokio::spawn(http::serve(listener, mailbox.clone(), stopped));
+        let handle = LogHandle {
+            mailbox,
+            owner,
+            server,
+            stop,
+        };
+        Ok((addr, handle))
+    }
+}
+
+/// Handle of a running stand-in; dropping it closes the listener.
+#[derive(Debug)]
+pub struct LogHandle {
+    mailbox: mpsc::Sender<owner::Message>,
+    owner: JoinHandle<()>,
+    server: JoinHandle<io::Result<()>>,
+    stop: oneshot::Sender<()>,
+}
+
+impl LogHandle {
+    /// Replaces the faults, like `PUT /faults`.
+    pub async fn set_faults(&self, faults: LogFaults) {
+        let (reply, done) = oneshot::channel();
+        let message = owner::Message::SetFaults { faults, reply };
+        if self.mailbox.send(message).await.is_ok() {
+            let _ = done.await;
+        }
+    }
+
+    /// Stops the stand-in and waits until its listener is closed; all records are lost.
+    pub async fn stop(self) {
+        let _ = self.stop.send(());
+        // Ending the owner drops the waiting readers, whose handlers would delay the server.
+        self.owner.abort();
+        let _ = self.server.await;
+    }
+
+    /// Waits until the server fails.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the server.
+    pub async fn wait(self) -> io::Result<()> {
+        self.server.await.map_err(io::Error::other)?
+    }
+}
--- /dev/null
+++ b/crates/standins/src/log/http.rs
@@ -0,0 +1,196 @@
+//! HTTP side of the stand-in.
+
+use std::io;
+use std::time::Duration;
+
+use axum::body::Body;
+use axum::extract::{DefaultBodyLimit, Path, Query, State};
+use axum::http::StatusCode;
+use axum::response::{IntoResponse, Response};
+use axum::routing::{post, put};
+use axum::{Json, Router};
+use bytes::Bytes;
+use cornelvalve_model::{Offset, WallTime};
+use data_encoding::BASE64;
+use serde::{Deserialize, Serialize};
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, oneshot};
+
+use super::owner::{Answer, CallOutcome, Message, ReadCall};
+use super::stream::Stored;
+use super::{LogFaults, LoseBy};
+
+/// Largest body of an append in bytes: a few records of 1 MiB each in base64.
+const MAX_BODY_BYTES: usize = 8 * 1024 * 1024;
+
+/// Most records in one page.
+const MAX_PAGE_RECORDS: usize = 10_000;
+
+/// Longest time in milliseconds for which a read may wait.
+const MAX_WAIT_MS: u64 = 60_000;
+
+type Mailbox = mpsc::Sender<Message>;
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct AppendBody {
+    records: Vec<String>,
+}
+
+#[derive(Deserialize)]
+struct ReadQuery {
+    from: Offset,
+    #[serde(default = "default_max")]
+    max: usize,
+    #[serde(default)]
+    wait_ms: u64,
+}
+
+fn default_max() -> usize {
+    MAX_PAGE_RECORDS
+}
+
+#[derive(Serialize)]
+struct AppendAnswer {
+    first: Offset,
+}
+
+#[derive(Serialize)]
+struct GoneAnswer {
+    first_retained: Offset,
+}
+
+#[derive(Serialize)]
+struct PageAnswer {
+    first_retained: Offset,
+    next: Offset,
+    records: Vec<RecordAnswer>,
+}
+
+#[derive(Serialize)]
+struct RecordAnswer {
+    offset: Offset,
+    at_ms: WallTime,
+    data: String,
+}
+
+impl From<Stored> for RecordAnswer {
+    fn from(record: Stored) -> Self {
+        Self {
+            offset: record.offset,
+            at_ms: record.at,
+            data: record.data,
+        }
+    }
+}
+
+/// Serves the protocol until `stopped` fires or its sender is dropped.
+pub(super) async fn serve(
+    listener: TcpListener,
+    mailbox: Mailbox,
+    stopped: oneshot::Receiver<()>,
+) -> io::Result<()> {
+    let router = Router::new()
+        .route("/streams/{name}/records", post(append).get(read))
+        .route("/faults", put(set_faults))
+        .layer(DefaultBodyLimit::max(MAX_BODY_BYTES))
+        .with_state(mailbox);
+    axum::serve(listener, router)
+        .with_graceful_shutdown(async {
+            let _ = stopped.await;
+        })
+        .await
+}
+
+async fn append(
+    State(mailbox): State<Mailbox>,
+    Path(stream): Path<String>,
+    Json(body): Json<AppendBody>,
+) -> Response {
+    let valid = |data: &String| BASE64.decode(data.as_bytes()).is_ok();
+    if body.records.is_empty() || !body.records.iter().all(valid) {
+        return (StatusCode::BAD_REQUEST, "give one or more base64 records").into_response();
+    }
+    let (reply, answer) = oneshot::channel();
+    let message = Message::Append {
+        stream,
+        records: body.records,
+        reply,
+    };
+    respond(&mailbox, message, answer).await
+}
+
+async fn read(
+    State(mailbox): State<Mailbox>,
+    Path(stream): Path<String>,
+    Query(query): Query<ReadQuery>,
+) -> Response {
+    let (reply, answer) = oneshot::channel();
+    let message = Message::Read {
+        read: ReadCall {
+            stream,
+            from: query.from,
+            max: query.max.min(MAX_PAGE_RECORDS),
+        },
+        wait: Duration::from_millis(query.wait_ms.min(MAX_WAIT_MS)),
+        reply,
+    };
+    respond(&mailbox, message, answer).await
+}
+
+async fn set_faults(State(mailbox): State<Mailbox>, Json(faults): Json<LogFaults>) -> StatusCode {
+    let (reply, done) = oneshot::channel();
+    let sent = mailbox.send(Message::SetFaults { faults, reply }).await;
+    if sent.is_err() || done.await.is_err() {
+        return StatusCode::SERVICE_UNAVAILABLE;
+    }
+    StatusCode::NO_CONTENT
+}
+
+async fn respond(
+    mailbox: &Mailbox,
+    message: Message,
+    answer: oneshot::Receiver<Answer>,
+) -> Response {
+    if mailbox.send(message).await.is_err() {
+        return StatusCode::SERVICE_UNAVAILABLE.into_response();
+    }
+    let Ok(answer) = answer.await else {
+        return StatusCode::SERVICE_UNAVAILABLE.into_response();
+    };
+    if !answer.delay.is_zero() {
+        tokio::time::sleep(answer.delay).await;
+    }
+    encode(answer.outcome)
+}
+
+fn encode(outcome: CallOutcome) -> Response {
+    match outcome {
+        CallOutcome::Appended(first) => Json(AppendAnswer { first }).into_response(),
+        CallOutcome::Lost(LoseBy::Drop) => broken_response(),
+        CallOutcome::Lost(LoseBy::Status) | CallOutcome::Down => {
+            StatusCode::SERVICE_UNAVAILABLE.into_response()
+        }
+        CallOutcome::TooMany => StatusCode::TOO_MANY_REQUESTS.into_response(),
+        CallOutcome::Gone(first_retained) => {
+            (StatusCode::GONE, Json(GoneAnswer { first_retained })).into_response()
+        }
+        CallOutcome::Page {
+            first_retained,
+            next,
+            records,
+        } => Json(PageAnswer {
+            first_retained,
+            next,
+            records: records.into_iter().map(RecordAnswer::from).collect(),
+        })
+        .into_response(),
+    }
+}
+
+/// Creates a response whose body fails, upon which the server closes the connection.
+fn broken_response() -> Response {
+    let failure: io::Result<Bytes> = Err(io::ErrorKind::ConnectionAborted.into());
+    let body = futures_util::stream::once(std::future::ready(failure));
+    Response::new(Body::from_stream(body))
+}
