--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -5,4 +5,5 @@
 
 pub mod datagram;
 pub mod hop;
+pub mod log;
 pub mod problem;
