Implement membership protocol as a state machine

Probes, suspicion, refutation, piggybacked news, anti-entropy by digest, readers and verdicts about regions. Members of another region are never suspected from outside of it, so a region that is cut off keeps its members. Action::RegionChanged is new, because users of the table need to learn of a verdict that changes no member record. Untested so far.

--- a/crates/membership/src/event.rs
+++ b/crates/membership/src/event.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 pub use cornelvalve_budget::TrafficClass;
-use cornelvalve_model::{Revision, Upstream, VmName};
+use cornelvalve_model::{Region, Revision, Upstream, VmName};
 use smallvec::SmallVec;
 
 use crate::Message;
@@ -51,6 +51,8 @@
     },
     /// The record or the state of a member changed, or the member was removed.
     MemberChanged(VmName),
+    /// The answer of [`crate::Membership::is_region_reachable`] for a region changed.
+    RegionChanged(Region),
     /// A peer has a higher configuration revision than this daemon.
     PeerRevision {
         /// VM of the peer.
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -11,8 +11,18 @@
 
 mod event;
 mod membership;
+mod merge;
 mod message;
+mod news;
+mod outgoing;
+mod probes;
+mod probing;
+mod reach;
+mod regions;
 mod settings;
+mod size;
+mod sync;
+mod table;
 
 pub use event::{Action, Event, TrafficClass};
 pub use membership::Membership;
