--- /dev/null
+++ b/crates/membership/tests/all/rules.rs
@@ -0,0 +1,136 @@
+//! Single rules of the state machine and of its views.
+
+use std::time::Duration;
+
+use cornelvalve_membership::{Action, Event, Membership, MembershipSettings, Message, News};
+use cornelvalve_model::{Incarnation, MemberKey, MemberState, Moment, Revision};
+
+use crate::mesh::{Mesh, member};
+
+fn machine() -> Membership {
+    Membership::new(
+        MembershipSettings::default(),
+        member("own", "east", "a", 100),
+        1,
+    )
+}
+
+fn learn(machine: &mut Membership, record: cornelvalve_model::Member, now: Moment) {
+    let message = Message::Updates {
+        news: vec![News::Record(Box::new(record))],
+    };
+    let from = member("other", "east", "a", 200).peer_addr;
+    machine.on(Event::Received { from, message }, now);
+}
+
+/// Guards against a daemon that accepts its own death, and against an incarnation that observers
+/// take for an earlier start.
+#[test]
+fn raises_its_key_above_any_that_others_hold() {
+    let mut machine = machine();
+    let mut stale = machine.own().clone();
+    stale.state = MemberState::Dead;
+    stale.key = MemberKey {
+        incarnation: Incarnation(9),
+        version: 4,
+    };
+    learn(&mut machine, stale, Moment::default());
+    assert_eq!(machine.own().state, MemberState::Alive);
+    assert_eq!(machine.own().key.incarnation, Incarnation(10));
+}
+
+/// Guards against stale news that revives a member, in whatever order updates arrive.
+#[test]
+fn keeps_a_tombstone_against_stale_news_until_it_expires() {
+    let mut machine = machine();
+    let alive = member("other", "east", "a", 200);
+    let mut left = alive.clone();
+    left.state = MemberState::Left;
+    left.key.version = 3;
+    learn(&mut machine, alive.clone(), Moment::default());
+    learn(&mut machine, left, Moment::default());
+    learn(&mut machine, alive.clone(), Moment::default());
+    assert_eq!(
+        machine.get(&alive.vm).map(|m| m.state),
+        Some(MemberState::Left)
+    );
+    let mut now = Moment::default();
+    for _ in 0..3700 {
+        now = now + Duration::from_secs(1);
+        machine.on(Event::Tick, now);
+    }
+    assert_eq!(machine.get(&alive.vm), None);
+}
+
+/// Guards against readers that differ between daemons with the same table.
+#[test]
+fn readers_are_two_alive_members_of_the_domain() {
+    let mut mesh = Mesh::new(3);
+    for index in 0..8 {
+        let daemon = mesh.add(&format!("vm-{index}"), "east", "a");
+        mesh.start(daemon);
+    }
+    mesh.run(Duration::from_secs(70));
+    let domain = mesh.daemons[0].record.domain.clone();
+    let names = |i: usize| -> Vec<_> {
+        let readers = mesh.machine(i).readers(&domain);
+        readers.iter().map(|m| m.vm.clone()).collect()
+    };
+    let expected = names(0);
+    assert_eq!(expected.len(), 2);
+    for index in 0..8 {
+        assert_eq!(names(index), expected);
+        let is_reader = expected.contains(mesh.vm(index));
+        assert_eq!(mesh.machine(index).is_own_reader(), is_reader);
+    }
+}
+
+/// Guards against an operator's query that misses members.
+#[test]
+fn a_revision_query_reaches_every_member() {
+    let mut mesh = Mesh::new(5);
+    for index in 0..6 {
+        let region = if index < 3 { "east" } else { "west" };
+        let daemon = mesh.add(&format!("vm-{index}"), region, region);
+        mesh.start(daemon);
+        mesh.event(daemon, Event::SetRevision(Revision(index)));
+    }
+    mesh.run(Duration::from_secs(70));
+    mesh.actions.clear();
+    mesh.event(5, Event::QueryRevisions);
+    mesh.run(Duration::from_secs(2));
+    let mut reported: Vec<u64> = mesh
+        .actions
+        .iter()
+        .filter_map(|(index, action)| match action {
+            Action::RevisionReported { revision, .. } if *index == 5 => Some(revision.0),
+            _ => None,
+        })
+        .collect();
+    reported.sort_unstable();
+    assert_eq!(reported, [0, 1, 2, 3, 4]);
+}
+
+/// Guards against messages from unknown or damaged peers that change the table or stop the
+/// process.
+#[test]
+fn ignores_an_exchange_of_the_wrong_shape() {
+    let mut machine = machine();
+    let from = member("other", "east", "a", 200).peer_addr;
+    for message in [
+        Message::SyncBuckets {
+            buckets: vec![1; 7],
+        },
+        Message::SyncSummaries {
+            buckets: vec![0, 0, 255],
+            summaries: Vec::new(),
+        },
+        Message::SyncRequest {
+            wanted: vec![u32::MAX],
+        },
+        Message::PingRelay { sequence: 0 },
+    ] {
+        machine.on(Event::Received { from, message }, Moment::default());
+    }
+    assert_eq!(machine.members().count(), 1);
+}
