Test choice and admission by scenarios and stateful fuzzing

Cause: the state machines had no tests.

The scenarios showed three faults, now fixed: three slow answers in a row raised the baseline so far that the third no longer counted as a sign of a cold upstream; a failed probe could eject beyond the bounded share; an endpoint kept the latency from before its ejection and was not probed.

--- a/crates/policy/src/admission/limit.rs
+++ b/crates/policy/src/admission/limit.rs
@@ -17,7 +17,7 @@
 const LATENCY_BOUND: f64 = 3.0;
 
 /// A latency beyond this multiple of the baseline counts towards a cold restart.
-const JUMP_BOUND: f64 = 8.0;
+const JUMP_BOUND: f64 = 5.0;
 
 /// Jumps in a row after which the upstream counts as cold; one slow request is no sign.
 const JUMPS_TO_COLD: u32 = 3;
@@ -102,8 +102,8 @@
             self.turn_cold(now);
         } else if ratio > LATENCY_BOUND {
             self.decrease(SLOW_DECREASE, now);
-        } else if running >= u32::from(self.current()) {
-            // An unused limit is not evidence that a larger one would hold.
+        } else if running * 2 >= u32::from(self.current()) {
+            // A limit that is mostly unused is no evidence that a larger one would hold.
             self.value = (self.value + 1.0 / self.value).min(f64::from(self.slots()));
         }
     }
@@ -114,6 +114,8 @@
         } else {
             BASELINE_RISE
         };
+        // A few answers of a cold upstream must not pass for a new baseline.
+        let sample = sample.min(baseline.mul_f64(LATENCY_BOUND));
         self.baseline = Some(baseline.mul_f64(1.0 - weight) + sample.mul_f64(weight));
     }
 
--- a/crates/policy/src/balancer/endpoint.rs
+++ b/crates/policy/src/balancer/endpoint.rs
@@ -273,33 +273,39 @@
                     self.eject(settings, now);
                 }
             }
-            Health::Probing(answers) => self.judge_probe(answers, report, median, settings, now),
+            Health::Probing(answers) => {
+                let failed = self.judge_probe(answers, report, median);
+                if failed && may_eject {
+                    self.eject(settings, now);
+                }
+            }
             Health::Normal | Health::Ejected(_) => {}
         }
     }
 
+    /// Advances the probing; returns whether the probe failed.
     fn judge_probe(
         &mut self,
         answers: u32,
         report: &AttemptReport,
         median: Option<Duration>,
-        settings: &BalancerSettings,
-        now: Moment,
-    ) {
+    ) -> bool {
         match report.ended {
             AttemptEnd::Answered if !self.straggles(report.latency, median) => {
-                if answers + 1 >= PROBES {
-                    self.health = Health::Normal;
-                    self.ejections = 0;
-                    // The old average is that of the time before the ejection.
-                    self.latency = Some(report.latency);
-                    self.samples = 0;
-                } else {
+                if answers + 1 < PROBES {
                     self.health = Health::Probing(answers + 1);
+                    return false;
                 }
+                self.health = Health::Normal;
+                self.ejections = 0;
+                false
             }
-            AttemptEnd::Cancelled | AttemptEnd::Refused(Reason::Overloaded) => {}
-            _ => self.eject(settings, now),
+            AttemptEnd::Answered | AttemptEnd::Failed => {
+                self.health = Health::Probing(0);
+                true
+            }
+            AttemptEnd::Refused(Reason::Connection | Reason::Internal) => true,
+            AttemptEnd::Refused(_) | AttemptEnd::Cancelled => false,
         }
     }
 
@@ -310,5 +316,10 @@
             .min(MAX_EJECTION_FACTOR);
         self.ejections = self.ejections.saturating_add(1);
         self.health = Health::Ejected(now + settings.ejection_time * factor);
+        // Probes decide whether it returns; a penalty for the past would only keep them away.
+        self.latency = None;
+        self.samples = 0;
+        self.failures = 0.0;
+        self.failures_in_row = 0;
     }
 }
--- a/crates/policy/tests/all/main.rs
+++ b/crates/policy/tests/all/main.rs
@@ -1,1 +1,9 @@
-//! Tests of the decisions on the request path.
+//! Tests of the decisions on the request path, one module a topic.
+
+mod admission;
+mod admission_fuzz;
+mod balancer;
+mod balancer_fuzz;
+mod breaker;
+mod retry;
+mod script;
