Test tickets and suspects by scenarios and single rules

A second dispatch of a ticket reported Unknown with the remedy "try again"; it now names the ticket as gone, whose remedy is to check with the service. Crash counts are kept wider than the shared byte, so that a count at its maximum cannot be excused for ever.

--- a/crates/policy/src/suspect.rs
+++ b/crates/policy/src/suspect.rs
@@ -42,7 +42,7 @@
 }
 
 /// Crashes after which a suspect is refused.
-const REFUSED_AT: u8 = 2;
+const REFUSED_AT: u32 = 2;
 
 /// Bounds of a [`SuspectList`].
 #[derive(Clone, Copy, Debug)]
@@ -89,15 +89,15 @@
 #[derive(Clone, Debug)]
 struct Suspect {
     /// Crashes, over all daemons as far as known.
-    count: u8,
+    count: u32,
     /// Crashes that a later success has excused.
-    excused: u8,
+    excused: u32,
     expires: Moment,
     regions: HomeRegions,
 }
 
 impl Suspect {
-    fn level(&self) -> u8 {
+    fn level(&self) -> u32 {
         self.count.saturating_sub(self.excused)
     }
 }
@@ -127,6 +127,9 @@
 
     /// Decides on a request that would start now beside `running` others.
     ///
+    /// A suspect that is held needs the upstream to become idle, so the caller starts no request
+    /// behind it in the queue, or refuses it `NotRun`.
+    ///
     /// After [`Start::Run`] the caller reports the end with [`Self::succeeded`],
     /// [`Self::released`] or [`Self::crashed`].
     pub fn start(&mut self, fingerprint: Fingerprint, running: usize, now: Moment) -> Start {
@@ -227,7 +230,7 @@
         self.suspects.is_empty()
     }
 
-    fn level(&self, fingerprint: Fingerprint, now: Moment) -> u8 {
+    fn level(&self, fingerprint: Fingerprint, now: Moment) -> u32 {
         match self.suspects.get(&fingerprint) {
             Some(suspect) if suspect.expires > now => suspect.level(),
             _ => 0,
@@ -239,7 +242,7 @@
         let age_s = age.as_millis().div_ceil(1000);
         SharedSuspect {
             fingerprint,
-            count: suspect.level(),
+            count: u8::try_from(suspect.level()).unwrap_or(u8::MAX),
             age_s: u32::try_from(age_s).unwrap_or(u32::MAX),
             regions: suspect.regions.clone(),
         }
@@ -258,8 +261,9 @@
             regions: shared.regions.clone(),
         });
         // Only news prolongs the record; otherwise two daemons could keep it alive between them.
-        if shared.count > suspect.count {
-            suspect.count = shared.count;
+        let count = u32::from(shared.count);
+        if count > suspect.count {
+            suspect.count = count;
             suspect.expires = suspect.expires.max(now + left);
         }
         suspect.regions.restrict(&shared.regions);
--- a/crates/policy/src/ticket/answer.rs
+++ b/crates/policy/src/ticket/answer.rs
@@ -48,8 +48,8 @@
         self.bytes += size;
     }
 
-    /// Removes and returns the oldest answer if the total exceeds the bound or the answer was
-    /// stored at `oldest` or before.
+    /// Removes and returns the oldest answer if the total exceeds the bound or `expired` holds for
+    /// the moment at which it was stored.
     pub(super) fn pop_excess(
         &mut self,
         max_bytes: usize,
--- a/crates/policy/src/ticket/table.rs
+++ b/crates/policy/src/ticket/table.rs
@@ -157,7 +157,7 @@
                 entry.state = State::Running;
                 Ok(())
             }
-            _ => Err(Refusal::unknown(Reason::Internal)),
+            _ => Err(Refusal::unknown(Reason::TicketGone)),
         }
     }
 
--- /dev/null
+++ b/crates/policy/tests/ticket/suspects.rs
@@ -0,0 +1,213 @@
+//! Runs the scenario files under `tests/scenarios/suspect`.
+
+use std::collections::BTreeMap;
+use std::error::Error;
+use std::fmt::Write;
+use std::time::Duration;
+
+use cornelvalve_model::{Fingerprint, Moment, Region};
+use cornelvalve_policy::{HomeRegions, SharedSuspect, Start, SuspectList, SuspectSettings};
+use goldenscript::{Command, Context, Runner};
+
+/// Commands of the scenarios; requests are named.
+#[derive(Command)]
+enum Step {
+    /// Creates the list of a daemon.
+    List {
+        daemon: String,
+        #[arg(key)]
+        region: String,
+        #[arg(key)]
+        max: Option<usize>,
+    },
+    /// Asks to start a request beside a number of others.
+    Start {
+        daemon: String,
+        request: String,
+        running: usize,
+    },
+    /// The upstream dies while up to two requests run.
+    Crash {
+        daemon: String,
+        request: String,
+        second: Option<String>,
+        #[arg(key)]
+        home: Option<String>,
+    },
+    /// The upstream answers.
+    Succeed { daemon: String, request: String },
+    /// The request ends without an answer.
+    Release { daemon: String, request: String },
+    /// Prints what a daemon may tell a region.
+    Export {
+        daemon: String,
+        region: String,
+        limit: usize,
+    },
+    /// Sends an export for a region to another daemon.
+    Forward {
+        daemon: String,
+        region: String,
+        to: String,
+    },
+    /// Advances the clock by milliseconds.
+    Advance(u64),
+    /// Removes expired suspects.
+    Tick(String),
+}
+
+struct Scenario {
+    lists: BTreeMap<String, SuspectList>,
+    names: BTreeMap<Fingerprint, String>,
+    now: Moment,
+}
+
+impl Scenario {
+    fn list(&mut self, daemon: &str) -> &mut SuspectList {
+        self.lists.get_mut(daemon).expect("listed daemon")
+    }
+
+    fn fingerprint(&mut self, request: &str) -> Fingerprint {
+        let fingerprint = Fingerprint::of(&[request.as_bytes()]);
+        self.names.insert(fingerprint, request.to_owned());
+        fingerprint
+    }
+
+    fn describe(&self, suspect: &SharedSuspect) -> String {
+        let name = &self.names[&suspect.fingerprint];
+        let regions = match &suspect.regions {
+            HomeRegions::Any => "any".to_owned(),
+            HomeRegions::Only(regions) => format!("{regions:?}"),
+        };
+        let SharedSuspect { count, age_s, .. } = suspect;
+        format!("{name} count {count} age {age_s} s regions {regions}")
+    }
+
+    fn export(&mut self, daemon: &str, to: &str, limit: usize) -> Vec<SharedSuspect> {
+        let now = self.now;
+        self.list(daemon).export(&region(to), limit, now)
+    }
+
+    fn apply(&mut self, step: &Step) -> String {
+        let now = self.now;
+        match step {
+            Step::List {
+                daemon,
+                region: home,
+                max,
+            } => {
+                let settings = SuspectSettings {
+                    max_suspects: max.unwrap_or(16),
+                    ..SuspectSettings::default()
+                };
+                let list = SuspectList::new(settings, region(home));
+                self.lists.insert(daemon.clone(), list);
+            }
+            Step::Start {
+                daemon,
+                request,
+                running,
+            } => {
+                let fingerprint = self.fingerprint(request);
+                return match self.list(daemon).start(fingerprint, *running, now) {
+                    Start::Run => format!("{request}: run"),
+                    Start::Hold => format!("{request}: hold"),
+                    Start::Refuse(refusal) => format!("{request}: refuse {refusal}"),
+                };
+            }
+            Step::Crash {
+                daemon,
+                request,
+                second,
+                home,
+            } => {
+                let regions = match home {
+                    Some(home) => HomeRegions::Only([region(home)].into_iter().collect()),
+                    None => HomeRegions::Any,
+                };
+                let running: Vec<(Fingerprint, HomeRegions)> = std::iter::once(request)
+                    .chain(second)
+                    .map(|request| (self.fingerprint(request), regions.clone()))
+                    .collect();
+                self.list(daemon).crashed(&running, now);
+            }
+            Step::Succeed { daemon, request } => {
+                let fingerprint = self.fingerprint(request);
+                self.list(daemon).succeeded(fingerprint);
+            }
+            Step::Release { daemon, request } => {
+                let fingerprint = self.fingerprint(request);
+                self.list(daemon).released(fingerprint);
+            }
+            Step::Export {
+                daemon,
+                region: to,
+                limit,
+            } => {
+                let found = self.export(daemon, to, *limit);
+                let lines: Vec<String> = found.iter().map(|s| self.describe(s)).collect();
+                return format!("{daemon} tells {to}: [{}]", lines.join("; "));
+            }
+            Step::Forward {
+                daemon,
+                region: to,
+                to: receiver,
+            } => {
+                let found = self.export(daemon, to, usize::MAX);
+                self.list(receiver).merge(&found, now);
+                return format!("{receiver} holds {}", self.list(receiver).len());
+            }
+            Step::Advance(millis) => self.now = now + Duration::from_millis(*millis),
+            Step::Tick(daemon) => {
+                self.list(daemon).tick(now);
+                return format!("{daemon} holds {}", self.list(daemon).len());
+            }
+        }
+        String::new()
+    }
+}
+
+fn region(name: &str) -> Region {
+    Region::new(name).expect("valid name")
+}
+
+impl Runner for Scenario {
+    type Command = Step;
+
+    fn run(&mut self, step: &Step, _: &Context) -> Result<String, Box<dyn Error>> {
+        let mut output = self.apply(step);
+        if !output.is_empty() {
+            writeln!(output)?;
+        }
+        Ok(output)
+    }
+}
+
+fn run(name: &str) {
+    let mut scenario = Scenario {
+        lists: BTreeMap::new(),
+        names: BTreeMap::new(),
+        now: Moment::from_millis(1_000),
+    };
+    goldenscript::run(&mut scenario, format!("tests/scenarios/suspect/{name}"))
+        .expect("readable scenario");
+}
+
+/// Guards against a request that crashes upstream after upstream.
+#[test]
+fn second_crash() {
+    run("second-crash");
+}
+
+/// Guards against suspects told to regions that the residency rules exclude, and against counts
+/// and ages that grow by sharing alone.
+#[test]
+fn shared() {
+    run("shared");
+}
+
+/// Guards against a list that grows without bound or drops its strongest suspects.
+#[test]
+fn bounded() {
+    run("bounded");
+}
--- /dev/null
+++ b/crates/policy/tests/ticket/text.rs
@@ -0,0 +1,58 @@
+//! Text form of tickets.
+
+use cornelvalve_model::{Incarnation, ServiceName, VmName};
+use cornelvalve_policy::{Ticket, TicketError};
+
+fn ticket(name: &str) -> Ticket {
+    Ticket {
+        vm: VmName::new(name).expect("valid name"),
+        incarnation: Incarnation(u64::MAX),
+        issued_ms: u64::MAX,
+        nonce: u64::MAX,
+        service: ServiceName::new(name).expect("valid name"),
+    }
+}
+
+/// Guards against a length bound that refuses the longest ticket the system can issue.
+#[test]
+fn longest_ticket_survives_the_round_trip() {
+    let longest = ticket(&"a".repeat(64));
+    assert_eq!(Ticket::parse(&longest.to_string()), Ok(longest));
+}
+
+/// Guards against a damaged key that is taken for another ticket, and against panics.
+#[test]
+fn every_changed_or_cut_character_is_noticed() {
+    let text = ticket("vm-1").to_string();
+    for at in 0..text.len() {
+        assert!(Ticket::parse(&text[..at]).is_err());
+        for replacement in ["A", "z", "-", "=", " ", "é"] {
+            let mut changed = text.clone();
+            changed.replace_range(at..=at, replacement);
+            assert!(
+                changed == text || Ticket::parse(&changed).is_err(),
+                "{changed}"
+            );
+        }
+    }
+}
+
+/// Guards against errors that do not tell a foreign key from a damaged ticket.
+#[test]
+fn errors_are_typed() {
+    let text = ticket("vm-1").to_string();
+    let parse = |text: &str| Ticket::parse(text).unwrap_err();
+    assert_eq!(parse(""), TicketError::NotTicket);
+    assert_eq!(parse("5f1c6a3e"), TicketError::NotTicket);
+    assert_eq!(parse("cv1."), TicketError::BadEncoding);
+    assert_eq!(parse("cv1.%%%%"), TicketError::BadEncoding);
+    assert_eq!(parse("cv1.AAAAAAAAAAAA"), TicketError::BadChecksum);
+    assert_eq!(
+        parse(&text.replacen("cv1.", "cv1.AAAA", 1)),
+        TicketError::BadChecksum
+    );
+    assert_eq!(
+        parse(&format!("cv1.{}", "A".repeat(400))),
+        TicketError::TooLong
+    );
+}
