--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,4 +1,7 @@
 //! The load balancer as a library: services, settings and assembly.
 
 pub mod config;
+pub mod logging;
+pub mod metrics;
 pub mod settings;
+pub mod timeline;
