Add operators' client

Operators control the system by remote calls only. cornelctl publishes changes with one change id over all repeats, merges timelines by hybrid logical clock and empties a failure domain without the log store. The exit code tells the kind of error.

--- /dev/null
+++ b/crates/ctl/src/cli/edit.rs
@@ -0,0 +1,153 @@
+//! Commands that list and change the configuration.
+
+use std::path::PathBuf;
+
+use clap::{Arg, ArgAction, Command, value_parser};
+use cornelvalve_model::{FailureDomain, Region, Route, RouteName, RuleName, ServiceName, TeamName};
+
+use super::{parse, publish_args};
+
+pub(super) fn commands() -> [Command; 5] {
+    [service(), domain(), region(), team(), rule()]
+}
+
+fn group(name: &'static str, about: &'static str) -> Command {
+    Command::new(name)
+        .about(about)
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .subcommand(Command::new("list").about("Lists the entries with their revisions"))
+}
+
+fn edit(name: &'static str, about: &'static str) -> Command {
+    Command::new(name).about(about).args(publish_args())
+}
+
+fn name_arg() -> Arg {
+    Arg::new("name").value_name("NAME").required(true)
+}
+
+fn service() -> Command {
+    let name = || name_arg().value_parser(value_parser!(ServiceName));
+    let put = edit("put", "Creates or replaces a service")
+        .arg(
+            Arg::new("file")
+                .value_name("FILE")
+                .help("Service in JSON with comments")
+                .required_unless_present("name")
+                .conflicts_with_all(["name", "host", "route", "timeout-ms"])
+                .value_parser(value_parser!(PathBuf)),
+        )
+        .arg(
+            name()
+                .long("name")
+                .required(false)
+                .requires("host")
+                .help("Name of the service"),
+        )
+        .arg(
+            Arg::new("host")
+                .long("host")
+                .value_name("HOST")
+                .help("Host under which callers reach it; may be repeated")
+                .action(ArgAction::Append),
+        )
+        .arg(
+            Arg::new("route")
+                .long("route")
+                .value_name("NAME=PREFIX[:CLASS]")
+                .help("Route; the class is by-method, idempotent or at-most-once")
+                .action(ArgAction::Append)
+                .value_parser(parse::route as fn(&str) -> Result<Route, String>),
+        )
+        .arg(
+            Arg::new("timeout-ms")
+                .long("timeout-ms")
+                .value_name("MS")
+                .help("Deadline for requests that carry none")
+                .default_value("10000")
+                .value_parser(value_parser!(u32)),
+        );
+    group("service", "Services")
+        .subcommand(put)
+        .subcommand(edit("remove", "Removes a service").arg(name()))
+}
+
+fn domain() -> Command {
+    let name = || name_arg().value_parser(value_parser!(FailureDomain));
+    let put = edit("put", "Creates a failure domain in service")
+        .arg(name())
+        .arg(
+            Arg::new("region")
+                .long("region")
+                .value_name("REGION")
+                .help("Region in which it stands")
+                .required(true)
+                .value_parser(value_parser!(Region)),
+        );
+    group("domain", "Failure domains")
+        .subcommand(put)
+        .subcommand(
+            edit(
+                "out",
+                "Takes a failure domain out of service (needs the log store)",
+            )
+            .arg(name()),
+        )
+        .subcommand(edit("in", "Returns a failure domain to service").arg(name()))
+        .subcommand(edit("remove", "Removes a failure domain").arg(name()))
+}
+
+fn region() -> Command {
+    let name = || name_arg().value_parser(value_parser!(Region));
+    group("region", "Regions")
+        .subcommand(edit("put", "Creates a region").arg(name()))
+        .subcommand(edit("remove", "Removes a region").arg(name()))
+}
+
+fn team() -> Command {
+    let name = || name_arg().value_parser(value_parser!(TeamName));
+    group("team", "Teams")
+        .subcommand(edit("put", "Creates a team").arg(name()))
+        .subcommand(edit("remove", "Removes a team").arg(name()))
+}
+
+fn rule() -> Command {
+    let name = || name_arg().value_parser(value_parser!(RuleName));
+    let put = edit("put", "Creates or replaces a residency rule")
+        .arg(name())
+        .arg(
+            Arg::new("team")
+                .long("team")
+                .value_name("TEAM")
+                .help("Team that the rule is about; all if absent")
+                .value_parser(value_parser!(TeamName)),
+        )
+        .arg(
+            Arg::new("service")
+                .long("service")
+                .value_name("SERVICE")
+                .help("Service that the rule is about; all if absent")
+                .value_parser(value_parser!(ServiceName)),
+        )
+        .arg(
+            Arg::new("route")
+                .long("route")
+                .value_name("ROUTE")
+                .help("Route of that service")
+                .requires("service")
+                .value_parser(value_parser!(RouteName)),
+        )
+        .arg(
+            Arg::new("region")
+                .long("region")
+                .value_name("REGION")
+                .help("Home region; may be repeated")
+                .required(true)
+                .action(ArgAction::Append)
+                .value_parser(value_parser!(Region)),
+        );
+    group("rule", "Residency rules")
+        .subcommand(put)
+        .subcommand(edit("remove", "Removes a residency rule").arg(name()))
+}
--- /dev/null
+++ b/crates/ctl/src/cli/parse.rs
@@ -0,0 +1,51 @@
+//! Values of arguments.
+
+use cornelvalve_api::{Timestamp, WaitFor};
+use cornelvalve_model::{RequestClass, Route};
+
+/// Reads how long to wait.
+pub(crate) fn wait_for(text: &str) -> Result<WaitFor, String> {
+    match text {
+        "published" => Ok(WaitFor::Published),
+        "accepted" => Ok(WaitFor::Accepted),
+        "in-force" => Ok(WaitFor::InForce),
+        _ => Err("use published, accepted or in-force".to_owned()),
+    }
+}
+
+/// Reads a route as `name=prefix` or `name=prefix:class`.
+pub(crate) fn route(text: &str) -> Result<Route, String> {
+    let (name, rest) = text
+        .split_once('=')
+        .ok_or("write it as name=prefix:class, such as file=/file:at-most-once")?;
+    let (prefix, class) = match rest.rsplit_once(':') {
+        Some((prefix, class)) => (prefix, request_class(class)?),
+        None => (rest, RequestClass::ByMethod),
+    };
+    if !prefix.starts_with('/') {
+        return Err("the prefix must start with '/'".to_owned());
+    }
+    Ok(Route {
+        name: name.parse().map_err(|e| format!("{e}"))?,
+        prefix: prefix.to_owned(),
+        class,
+    })
+}
+
+fn request_class(text: &str) -> Result<RequestClass, String> {
+    match text {
+        "by-method" => Ok(RequestClass::ByMethod),
+        "idempotent" => Ok(RequestClass::Idempotent),
+        "at-most-once" => Ok(RequestClass::AtMostOnce),
+        _ => Err("the class is by-method, idempotent or at-most-once".to_owned()),
+    }
+}
+
+/// Reads a timestamp as the timeline prints it: milliseconds, a dot and a counter.
+pub(crate) fn timestamp(text: &str) -> Result<Timestamp, String> {
+    let (wall_ms, logical) = text.split_once('.').unwrap_or((text, "0"));
+    match (wall_ms.parse(), logical.parse()) {
+        (Ok(wall_ms), Ok(logical)) => Ok(Timestamp { wall_ms, logical }),
+        _ => Err("write it as the timeline prints it, such as 1790000000000.3".to_owned()),
+    }
+}
--- /dev/null
+++ b/crates/ctl/src/cli/view.rs
@@ -0,0 +1,94 @@
+//! Commands that look at daemons, and `leave`.
+
+use clap::{Arg, ArgAction, Command, value_parser};
+use cornelvalve_api::Timestamp;
+use cornelvalve_model::{FailureDomain, TeamName};
+
+use super::timestamp;
+
+const LEAVE_HELP: &str = "\
+`leave` asks each daemon of the failure domain directly and works while the log store is down. It is \
+not remembered: a daemon that starts in the failure domain afterwards takes work. `domain out` is \
+recorded in the log, holds for daemons that start later, and needs the log store.";
+
+pub(super) fn commands() -> [Command; 6] {
+    [
+        Command::new("status").about("Describes the daemon that answers"),
+        Command::new("members").about("Lists the members"),
+        in_force(),
+        timeline(),
+        leave(),
+        explain(),
+    ]
+}
+
+fn in_force() -> Command {
+    Command::new("in-force")
+        .about("Lists members that have not applied a revision")
+        .arg(
+            Arg::new("revision")
+                .value_name("REVISION")
+                .required(true)
+                .value_parser(value_parser!(u64)),
+        )
+}
+
+fn timeline() -> Command {
+    Command::new("timeline")
+        .about("Merges the events of several daemons into one order")
+        .arg(
+            Arg::new("members")
+                .long("members")
+                .help("Asks all members, not only the daemons that --daemon names")
+                .action(ArgAction::SetTrue),
+        )
+        .arg(
+            Arg::new("after")
+                .long("after")
+                .value_name("TIMESTAMP")
+                .help("Shows events later than this one")
+                .value_parser(timestamp as fn(&str) -> Result<Timestamp, String>),
+        )
+        .arg(
+            Arg::new("limit")
+                .long("limit")
+                .value_name("EVENTS")
+                .help("Largest number of events of each daemon")
+                .default_value("100")
+                .value_parser(value_parser!(u32).range(1..)),
+        )
+}
+
+fn leave() -> Command {
+    Command::new("leave")
+        .about("Empties a failure domain without the log store")
+        .after_help(LEAVE_HELP)
+        .arg(
+            Arg::new("domain")
+                .long("domain")
+                .value_name("DOMAIN")
+                .required(true)
+                .value_parser(value_parser!(FailureDomain)),
+        )
+}
+
+fn explain() -> Command {
+    let text = |name: &'static str, value: &'static str| {
+        Arg::new(name).long(name).value_name(value).required(true)
+    };
+    Command::new("explain")
+        .about("Tells how a request would be routed now, without sending it")
+        .arg(text("host", "HOST"))
+        .arg(text("path", "PATH"))
+        .arg(
+            text("method", "METHOD")
+                .required(false)
+                .default_value("GET"),
+        )
+        .arg(
+            Arg::new("team")
+                .long("team")
+                .value_name("TEAM")
+                .value_parser(value_parser!(TeamName)),
+        )
+}
--- /dev/null
+++ b/crates/ctl/src/file.rs
@@ -0,0 +1,33 @@
+//! Service files: JSON with comments.
+
+use std::path::Path;
+
+use cornelvalve_model::Service;
+
+use crate::{CtlError, Exit, Result};
+
+/// Reads the description of a service.
+pub(crate) fn read_service(path: &Path) -> Result<Service> {
+    let text = std::fs::read_to_string(path).map_err(|e| {
+        CtlError::new(
+            Exit::Usage,
+            format!("{}: cannot read the file: {e}", path.display()),
+            "check the path and its permissions",
+        )
+    })?;
+    let value: serde_json::Value = parse(path, &text)?;
+    serde_json::from_value(value).map_err(|e| syntax(path, &e.to_string()))
+}
+
+fn parse(path: &Path, text: &str) -> Result<serde_json::Value> {
+    jsonc_parser::parse_to_serde_value(text, &jsonc_parser::ParseOptions::default())
+        .map_err(|e| syntax(path, &e.to_string()))
+}
+
+fn syntax(path: &Path, problem: &str) -> CtlError {
+    CtlError::new(
+        Exit::Usage,
+        format!("{}: not a service: {problem}", path.display()),
+        "write it as docs/operators.md shows",
+    )
+}
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -1,1 +1,100 @@
-//! Operators' client.
+//! Operators' client: commands, output and merging of timelines.
+//!
+//! [`run`] is the whole program without a process, so that tests call it directly.
+
+mod cli;
+mod client;
+mod edit;
+mod error;
+mod explain;
+mod file;
+mod leave;
+mod merge;
+mod output;
+mod publish;
+mod view;
+
+use std::ffi::OsString;
+use std::io::Write;
+use std::process::ExitCode;
+
+pub use cli::command;
+pub use error::{CtlError, Exit, Result};
+pub use merge::merge;
+
+use client::Daemons;
+use output::Output;
+
+/// Runs one command line, program name first, and returns how it ended.
+///
+/// Results go to `out`, errors and notes to `err`.
+pub async fn run<I, T>(args: I, out: &mut dyn Write, err: &mut dyn Write) -> Exit
+where
+    I: IntoIterator<Item = T>,
+    T: Into<OsString> + Clone,
+{
+    let matches = match cli::command().try_get_matches_from(args) {
+        Ok(matches) => matches,
+        Err(e) => return print_usage(&e, out, err),
+    };
+    let mut output = Output::new(&matches, out, err);
+    let outcome = match Daemons::new(&matches) {
+        Ok(daemons) => dispatch(&matches, &daemons, &mut output).await,
+        Err(e) => Err(e),
+    };
+    match outcome {
+        Ok(exit) => exit,
+        Err(e) => output.fail(&e),
+    }
+}
+
+/// Runs the command line of this process.
+#[must_use]
+pub fn main() -> ExitCode {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build();
+    let exit = match runtime {
+        Ok(runtime) => runtime.block_on(run(
+            std::env::args_os(),
+            &mut std::io::stdout(),
+            &mut std::io::stderr(),
+        )),
+        Err(e) => {
+            eprintln!("error: cannot start the runtime: {e}; check the limits of the process");
+            Exit::Failure
+        }
+    };
+    ExitCode::from(exit.code())
+}
+
+/// Prints help to `out` and usage errors to `err`.
+fn print_usage<'a>(error: &clap::Error, out: &'a mut dyn Write, err: &'a mut dyn Write) -> Exit {
+    let stream = if error.use_stderr() { err } else { out };
+    let written = write!(stream, "{}", error.render());
+    match (written, error.use_stderr()) {
+        (Err(_), _) => Exit::Failure,
+        (Ok(()), true) => Exit::Usage,
+        (Ok(()), false) => Exit::Success,
+    }
+}
+
+async fn dispatch(
+    matches: &clap::ArgMatches,
+    daemons: &Daemons,
+    output: &mut Output<'_>,
+) -> Result<Exit> {
+    match matches.subcommand() {
+        Some((group @ ("service" | "domain" | "region" | "team" | "rule"), sub)) => {
+            edit::run(group, sub, daemons, output).await
+        }
+        Some(("status", _)) => view::status(daemons, output).await,
+        Some(("members", _)) => view::members(daemons, output).await,
+        Some(("in-force", sub)) => view::in_force(sub, daemons, output).await,
+        Some(("timeline", sub)) => view::timeline(sub, daemons, output).await,
+        Some(("leave", sub)) => leave::run(sub, daemons, output).await,
+        Some(("explain", sub)) => explain::run(sub, daemons, output).await,
+        Some(("completion", sub)) => cli::completion(sub, output),
+        _ => Err(CtlError::usage("no command was given")),
+    }
+}
--- /dev/null
+++ b/crates/ctl/src/merge.rs
@@ -0,0 +1,16 @@
+//! Merging of timelines.
+
+use cornelvalve_api::TimelineEvent;
+
+/// Merges the timelines of several daemons into one order.
+///
+/// The hybrid logical timestamp decides, so a cause precedes its effect even if the wall clocks of
+/// their VMs differ. The VM's name decides between equal timestamps, so that every merge of the
+/// same events gives the same order. An event that occurs twice is kept once.
+#[must_use]
+pub fn merge(timelines: Vec<Vec<TimelineEvent>>) -> Vec<TimelineEvent> {
+    let mut events: Vec<TimelineEvent> = timelines.into_iter().flatten().collect();
+    events.sort_by(|a, b| (a.at, &a.vm).cmp(&(b.at, &b.vm)));
+    events.dedup_by(|a, b| (a.at, &a.vm) == (b.at, &b.vm));
+    events
+}
--- a/src/bin/cornelctl.rs
+++ b/src/bin/cornelctl.rs
@@ -1,5 +1,5 @@
 //! The operators' client.
 
 fn main() -> std::process::ExitCode {
-    std::process::ExitCode::SUCCESS
+    cornelvalve_ctl::main()
 }
