--- /dev/null
+++ b/crates/api/tests/all/main.rs
@@ -0,0 +1,4 @@
+//! Holds `schema/operators.openrpc.json` against the calls.
+
+mod fake;
+mod schema;
--- /dev/null
+++ b/crates/api/tests/all/schema.rs
@@ -0,0 +1,185 @@
+//! Guards against a schema file that describes other calls than the server answers.
+
+use std::collections::BTreeSet;
+use std::future::Future;
+
+use cornelvalve_api::{
+    ApiError, EntryKind, ErrorKind, OperatorsClient, OperatorsServer, Timestamp, WaitFor,
+};
+use cornelvalve_model::{Offset, Revision};
+use jsonrpsee::RpcModule;
+use jsonrpsee::core::ClientError;
+use jsonrpsee::core::client::{BatchResponse, ClientT};
+use jsonrpsee::core::params::BatchRequestBuilder;
+use jsonrpsee::core::traits::ToRpcParams;
+use jsonrpsee::types::ErrorObjectOwned;
+use serde::de::DeserializeOwned;
+use serde_json::{Value, json};
+
+use crate::fake::{Fake, change, id};
+
+const SCHEMA: &str = include_str!("../../../../schema/operators.openrpc.json");
+
+fn document() -> Value {
+    serde_json::from_str(SCHEMA).expect("schema file is JSON")
+}
+
+/// Client that passes each call to the server's module as the text that would be sent.
+struct Direct {
+    module: RpcModule<Fake>,
+    document: Value,
+}
+
+impl Direct {
+    fn method(&self, name: &str) -> &Value {
+        let methods = self.document["methods"].as_array().expect("methods");
+        methods
+            .iter()
+            .find(|method| method["name"] == name)
+            .unwrap_or_else(|| panic!("{name} is not described"))
+    }
+
+    fn assert_valid(&self, schema: &Value, value: &Value) {
+        let schema = json!({ "components": self.document["components"], "allOf": [schema] });
+        let validator = jsonschema::validator_for(&schema).expect("schema is valid");
+        let errors: Vec<String> = validator
+            .iter_errors(value)
+            .map(|e| e.to_string())
+            .collect();
+        assert!(errors.is_empty(), "{value} does not match: {errors:?}");
+    }
+
+    fn assert_params(&self, method: &Value, params: &Value) {
+        let described = method["params"].as_array().expect("params");
+        let described_names: BTreeSet<&str> = described
+            .iter()
+            .filter_map(|param| param["name"].as_str())
+            .collect();
+        let sent: BTreeSet<&str> = match params {
+            Value::Object(map) => map.keys().map(String::as_str).collect(),
+            _ => BTreeSet::new(),
+        };
+        assert_eq!(described_names, sent, "parameters of {}", method["name"]);
+        for param in described {
+            let name = param["name"].as_str().expect("name");
+            self.assert_valid(&param["schema"], &params[name]);
+        }
+    }
+}
+
+impl ClientT for Direct {
+    async fn notification<P: ToRpcParams + Send>(&self, _: &str, _: P) -> Result<(), ClientError> {
+        unreachable!("no call is a notification")
+    }
+
+    async fn request<R: DeserializeOwned, P: ToRpcParams + Send>(
+        &self,
+        name: &str,
+        params: P,
+    ) -> Result<R, ClientError> {
+        let params = params.to_rpc_params()?;
+        let params: Value = match &params {
+            Some(raw) => serde_json::from_str(raw.get())?,
+            None => json!({}),
+        };
+        let method = self.method(name);
+        self.assert_params(method, &params);
+        let request = json!({ "jsonrpc": "2.0", "id": 1, "method": name, "params": params });
+        let (response, _) = self
+            .module
+            .raw_json_request(&request.to_string(), 1)
+            .await?;
+        let response: Value = serde_json::from_str(response.get())?;
+        if let Some(error) = response.get("error") {
+            let object: ErrorObjectOwned = serde_json::from_value(error.clone())?;
+            return Err(ClientError::Call(object));
+        }
+        self.assert_valid(&method["result"]["schema"], &response["result"]);
+        Ok(serde_json::from_value(response["result"].clone())?)
+    }
+
+    fn batch_request<'a, R: DeserializeOwned + std::fmt::Debug + 'a>(
+        &self,
+        _: BatchRequestBuilder<'a>,
+    ) -> impl Future<Output = Result<BatchResponse<'a, R>, ClientError>> + Send {
+        async { unreachable!("no call is a batch") }
+    }
+}
+
+fn direct() -> Direct {
+    Direct {
+        module: Fake::new("vm-1", "est-a").into_rpc(),
+        document: document(),
+    }
+}
+
+#[test]
+fn methods_are_those_of_the_server() {
+    let direct = direct();
+    let methods = direct.document["methods"].as_array().expect("methods");
+    let described: BTreeSet<&str> = methods
+        .iter()
+        .filter_map(|method| method["name"].as_str())
+        .collect();
+    let served: BTreeSet<&str> = direct.module.method_names().collect();
+    assert_eq!(described, served);
+}
+
+/// Each call fails unless its parameters and its result are as described.
+#[tokio::test]
+async fn calls_match_their_description() -> Result<(), ClientError> {
+    let direct = direct();
+    for wait in [WaitFor::Published, WaitFor::Accepted, WaitFor::InForce] {
+        direct.publish(change(), wait, 1_000).await?;
+    }
+    for kind in [None, Some(EntryKind::Service), Some(EntryKind::Rule)] {
+        direct.entries(kind).await?;
+    }
+    direct.status().await?;
+    direct.members().await?;
+    direct.in_force(Revision(8)).await?;
+    direct.timeline(None, 10).await?;
+    direct.timeline(Some(Timestamp::default()), 10).await?;
+    direct.leave(id("est-a")).await?;
+    let text = str::to_owned;
+    let team = Some(id("paie"));
+    direct
+        .explain(text("remise.test"), text("/file"), text("POST"), team)
+        .await?;
+    direct
+        .explain(text("remise.test"), text("/file"), text("GET"), None)
+        .await?;
+    direct.peer_records(Offset(4), 10).await?;
+    Ok(())
+}
+
+/// Guards against error objects without the kind on which clients decide.
+#[tokio::test]
+async fn errors_carry_kind_and_remedy() {
+    let direct = direct();
+    let error = direct
+        .leave(id("ouest-a"))
+        .await
+        .expect_err("other failure domain");
+    let ClientError::Call(object) = error else {
+        panic!("not an error object: {error}");
+    };
+    let read = ApiError::from_object(&object).map(|e| e.kind);
+    assert_eq!(read, Some(ErrorKind::WrongDomain));
+    let data = serde_json::to_value(object.data()).expect("data is JSON");
+    direct.assert_valid(&json!({ "$ref": "#/components/schemas/ErrorData" }), &data);
+}
+
+#[test]
+fn error_codes_are_those_of_the_server() {
+    let document = document();
+    let errors = document["components"]["errors"]
+        .as_object()
+        .expect("errors");
+    assert_eq!(errors.len(), ErrorKind::ALL.len());
+    for kind in ErrorKind::ALL {
+        let error = &errors[&kind.to_string()];
+        assert_eq!(error["code"], json!(kind.code()), "code of {kind}");
+        assert_eq!(error["data"]["kind"], json!(kind), "kind of {kind}");
+    }
+}
