--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -6,4 +6,7 @@
 mod pool;
 
 pub mod config;
+pub mod logging;
+pub mod metrics;
 pub mod settings;
+pub mod timeline;
