Test settings errors, metrics text and timeline

Settings errors must name file, line, key and remedy, and the documented sample must show the real defaults. Integer type names of Rust are replaced in messages because operators do not know them.

--- a/crates/api/tests/all/schema.rs
+++ b/crates/api/tests/all/schema.rs
@@ -1,7 +1,6 @@
 //! Guards against a schema file that describes other calls than the server answers.
 
 use std::collections::BTreeSet;
-use std::future::Future;
 
 use cornelvalve_api::{
     ApiError, EntryKind, ErrorKind, OperatorsClient, OperatorsServer, Timestamp, WaitFor,
@@ -98,11 +97,11 @@
         Ok(serde_json::from_value(response["result"].clone())?)
     }
 
-    fn batch_request<'a, R: DeserializeOwned + std::fmt::Debug + 'a>(
+    async fn batch_request<'a, R: DeserializeOwned + std::fmt::Debug + 'a>(
         &self,
         _: BatchRequestBuilder<'a>,
-    ) -> impl Future<Output = Result<BatchResponse<'a, R>, ClientError>> + Send {
-        async { unreachable!("no call is a batch") }
+    ) -> Result<BatchResponse<'a, R>, ClientError> {
+        unreachable!("no call is a batch")
     }
 }
 
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -61,6 +61,7 @@
         let exporter = opentelemetry_prometheus::exporter()
             .with_registry(registry.clone())
             .without_target_info()
+            .scope_info_enabled(false)
             .build()
             .map_err(MetricsError::Exporter)?;
         let provider = SdkMeterProvider::builder().with_reader(exporter).build();
--- a/crates/daemon/src/settings/document.rs
+++ b/crates/daemon/src/settings/document.rs
@@ -60,7 +60,7 @@
         serde_path_to_error::deserialize(value).map_err(|e| {
             let path = e.path().to_string();
             let key = if path == "." { "" } else { &path };
-            let problem = e.inner().to_string();
+            let problem = without_type_names(&e.inner().to_string());
             let (key, remedy) = locate(key, &problem);
             self.error(&key, &problem, remedy)
         })
@@ -142,6 +142,23 @@
     }
 }
 
+/// Replaces the names of Rust's integer types, which mean nothing to operators.
+fn without_type_names(problem: &str) -> String {
+    let ranges = [
+        ("usize", "a whole number"),
+        ("u64", "a whole number"),
+        ("u32", "a whole number up to 4294967295"),
+        ("u16", "a whole number up to 65535"),
+    ];
+    let replaced = ranges.iter().find_map(|(name, range)| {
+        let start = problem.strip_suffix(name)?;
+        start
+            .ends_with("expected ")
+            .then(|| format!("{start}{range}"))
+    });
+    replaced.unwrap_or_else(|| problem.to_owned())
+}
+
 /// Returns the key that a message of serde is about, and the remedy.
 fn locate(key: &str, problem: &str) -> (String, &'static str) {
     let quoted = problem.split('`').nth(1).unwrap_or_default();
--- /dev/null
+++ b/crates/daemon/tests/all/main.rs
@@ -0,0 +1,5 @@
+//! Tests of the daemon's library.
+
+mod metrics;
+mod settings;
+mod timeline;
