--- /dev/null
+++ b/crates/daemon/src/announcer/http_api.rs
@@ -0,0 +1,130 @@
+//! Loopback HTTP interface for upstreams.
+
+use std::time::Duration;
+
+use axum::extract::rejection::JsonRejection;
+use axum::extract::{Path, State};
+use axum::http::StatusCode;
+use axum::response::{IntoResponse, Response};
+use axum::routing::{post, put};
+use axum::{Json, Router};
+use cornelvalve_kernel::Mailbox;
+use cornelvalve_model::{Incarnation, ServiceName};
+use serde::{Deserialize, Serialize};
+use tokio::net::TcpListener;
+
+use super::{AnnounceResult, Announcement, AnnouncerMessage};
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct AnnounceBody {
+    port: u16,
+    slots: u16,
+    incarnation: u64,
+    lease_ms: u64,
+}
+
+#[derive(Debug, Serialize)]
+struct AcceptedBody {
+    lease_ms: u64,
+}
+
+#[derive(Debug, Serialize)]
+struct ErrorBody {
+    error: String,
+}
+
+/// Serves announcements until the task is aborted.
+pub(super) async fn serve(listener: TcpListener, announcer: Mailbox<AnnouncerMessage>) {
+    let path = "/v1/upstreams/{service}";
+    let routes = Router::new()
+        .route(path, put(announce).delete(leave))
+        .route(&format!("{path}/drain"), post(drain))
+        .with_state(announcer);
+    if let Err(e) = axum::serve(listener, routes).await {
+        log::error!("announcements can no longer be taken: {e}; restart the daemon");
+    }
+}
+
+async fn announce(
+    State(announcer): State<Mailbox<AnnouncerMessage>>,
+    Path(service): Path<String>,
+    body: Result<Json<AnnounceBody>, JsonRejection>,
+) -> Response {
+    let body = match body {
+        Ok(Json(body)) => body,
+        Err(e) => return bad_request(&e.body_text()),
+    };
+    if body.port == 0 || body.slots == 0 {
+        return bad_request("port and slots must be positive");
+    }
+    let service = match ServiceName::new(&service) {
+        Ok(service) => service,
+        Err(e) => return bad_request(&e.to_string()),
+    };
+    let announcement = Announcement {
+        service,
+        port: body.port,
+        slots: body.slots,
+        incarnation: Incarnation(body.incarnation),
+        lease: Duration::from_millis(body.lease_ms),
+    };
+    let asked = announcer.ask(|reply| AnnouncerMessage::Announce {
+        announcement,
+        reply,
+    });
+    respond(asked.await)
+}
+
+async fn drain(
+    State(announcer): State<Mailbox<AnnouncerMessage>>,
+    Path(service): Path<String>,
+) -> Response {
+    match ServiceName::new(&service) {
+        Ok(service) => {
+            let asked = announcer.ask(|reply| AnnouncerMessage::Drain { service, reply });
+            respond(asked.await)
+        }
+        Err(e) => bad_request(&e.to_string()),
+    }
+}
+
+async fn leave(
+    State(announcer): State<Mailbox<AnnouncerMessage>>,
+    Path(service): Path<String>,
+) -> Response {
+    match ServiceName::new(&service) {
+        Ok(service) => {
+            let asked = announcer.ask(|reply| AnnouncerMessage::Leave { service, reply });
+            respond(asked.await)
+        }
+        Err(e) => bad_request(&e.to_string()),
+    }
+}
+
+fn respond(asked: cornelvalve_kernel::Result<AnnounceResult>) -> Response {
+    match asked {
+        Ok(AnnounceResult::Accepted(lease)) => {
+            let lease_ms = u64::try_from(lease.as_millis()).unwrap_or(u64::MAX);
+            (StatusCode::OK, Json(AcceptedBody { lease_ms })).into_response()
+        }
+        Ok(AnnounceResult::Superseded) => error(
+            StatusCode::CONFLICT,
+            "a later start of this upstream was announced; stop this process",
+        ),
+        Ok(AnnounceResult::Unknown) => error(
+            StatusCode::NOT_FOUND,
+            "no upstream of this service is announced; announce it first",
+        ),
+        Err(e) => error(StatusCode::SERVICE_UNAVAILABLE, &e.to_string()),
+    }
+}
+
+fn bad_request(message: &str) -> Response {
+    error(StatusCode::BAD_REQUEST, message)
+}
+
+fn error(status: StatusCode, message: &str) -> Response {
+    let error = message.to_owned();
+    (status, Json(ErrorBody { error })).into_response()
+}
--- a/crates/daemon/src/body.rs
+++ b/crates/daemon/src/body.rs
@@ -19,7 +19,9 @@
 
 /// Creates a body that is complete in memory.
 pub(crate) fn full(bytes: impl Into<Bytes>) -> Body {
-    Full::new(bytes.into()).map_err(|e| match e {}).boxed_unsync()
+    Full::new(bytes.into())
+        .map_err(|e| match e {})
+        .boxed_unsync()
 }
 
 /// Creates an empty body.
--- /dev/null
+++ b/crates/daemon/src/budget.rs
@@ -0,0 +1,83 @@
+//! Budget service: the one point at which control traffic is accounted for.
+
+use cornelvalve_budget::{Budget, BudgetSettings, Counters, Rate, TrafficClass, Verdict};
+use cornelvalve_kernel::{Context, Reply, ServiceResult};
+
+use crate::config::Budgets;
+
+/// Bytes and messages of one class since the start of the service.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ClassCount {
+    /// The class; `None` stands for the region link, which all classes share.
+    pub(crate) class: Option<TrafficClass>,
+    /// What was sent and dropped.
+    pub(crate) counters: Counters,
+}
+
+/// Messages to the budget.
+#[derive(Debug)]
+pub(crate) enum BudgetMessage {
+    /// Asks for permission to send.
+    Charge {
+        /// Class of the traffic.
+        class: TrafficClass,
+        /// Size including headers of the transport.
+        bytes: u32,
+        /// Whether it crosses the link between regions.
+        crosses_region: bool,
+        /// Receives the verdict.
+        reply: Reply<Verdict>,
+    },
+    /// Reads the counters.
+    Counters {
+        /// Receives them.
+        reply: Reply<Vec<ClassCount>>,
+    },
+}
+
+/// Converts the configured budgets.
+pub(crate) fn settings(budgets: &Budgets) -> BudgetSettings {
+    BudgetSettings {
+        probe: Rate::new(budgets.probe),
+        news: Rate::new(budgets.news),
+        configuration: Rate::new(budgets.configuration),
+        load: Rate::new(budgets.load),
+        link: Rate::new(budgets.region_link),
+    }
+}
+
+/// Runs the budget service.
+pub(crate) async fn run_budget(
+    mut context: Context<BudgetMessage>,
+    settings: BudgetSettings,
+) -> ServiceResult {
+    let mut budget = Budget::new(settings);
+    loop {
+        let message = tokio::select! {
+            () = context.stop.requested() => return Ok(()),
+            message = context.inbox.recv() => message,
+        };
+        match message {
+            Some(BudgetMessage::Charge {
+                class,
+                bytes,
+                crosses_region,
+                reply,
+            }) => reply.send(budget.charge(class, bytes, crosses_region, context.clock.now())),
+            Some(BudgetMessage::Counters { reply }) => reply.send(counters(&budget)),
+            None => return Ok(()),
+        }
+    }
+}
+
+fn counters(budget: &Budget) -> Vec<ClassCount> {
+    let classes = TrafficClass::ALL.into_iter().map(|class| ClassCount {
+        class: Some(class),
+        counters: budget.counters(class),
+    });
+    let link = ClassCount {
+        class: None,
+        counters: budget.link(),
+    };
+    classes.chain(std::iter::once(link)).collect()
+}
--- /dev/null
+++ b/crates/daemon/src/entry.rs
@@ -0,0 +1,113 @@
+//! Entry: takes callers' requests, chooses an upstream and forwards to the daemon beside it.
+
+mod forward;
+mod hold;
+mod tickets;
+
+use std::net::TcpListener as StdListener;
+use std::sync::Arc;
+
+use cornelvalve_kernel::{Clock, Context, Mailbox, ServiceResult};
+use cornelvalve_model::{Reason, Refusal};
+use cornelvalve_wire::hop::CallerHead;
+use http::header::HOST;
+use http::{Request, Response};
+use hyper::body::Incoming;
+
+use crate::body::Body;
+use crate::exchange::Exchanger;
+use crate::listener::{self, Handler, ListenerLimits};
+use crate::names::{POOL, ROUTER};
+use crate::respond;
+use crate::router::{RoutePlan, RouteQuery, RouteRefusal, RouterMessage};
+
+/// Path on which callers ask for tickets.
+const TICKETS_PATH: &str = "/.well-known/cornelvalve/tickets";
+
+/// Result alias of this module.
+type Result<T> = std::result::Result<T, RouteRefusal>;
+
+/// Messages to the entry: none, it only listens.
+#[derive(Debug)]
+pub(crate) enum EntryMessage {}
+
+/// Runs the entry.
+pub(crate) async fn run_entry(
+    mut context: Context<EntryMessage>,
+    listener: Arc<StdListener>,
+    limits: ListenerLimits,
+    body_buffer_bytes: usize,
+) -> ServiceResult {
+    let handler = EntryHandler {
+        router: context.registry.mailbox(ROUTER)?,
+        exchanger: Exchanger::new(context.registry.mailbox(POOL)?),
+        clock: Arc::clone(&context.clock),
+        body_buffer_bytes,
+    };
+    listener::serve(&listener, handler, limits, &mut context.stop).await?;
+    Ok(())
+}
+
+/// Handles callers' requests.
+#[derive(Clone)]
+struct EntryHandler {
+    router: Mailbox<RouterMessage>,
+    exchanger: Exchanger,
+    clock: Arc<dyn Clock>,
+    body_buffer_bytes: usize,
+}
+
+impl Handler for EntryHandler {
+    async fn handle(&self, request: Request<Incoming>) -> Response<Body> {
+        let handled = if request.uri().path() == TICKETS_PATH {
+            tickets::issue(self, request).await
+        } else {
+            self.serve(request).await
+        };
+        handled.unwrap_or_else(|e| respond::refusal(e.refusal, e.detail))
+    }
+}
+
+impl EntryHandler {
+    async fn serve(&self, request: Request<Incoming>) -> Result<Response<Body>> {
+        let head = caller_head(&request)?;
+        let query = RouteQuery {
+            host: host_of(&request)?,
+            path: request.uri().path().to_owned(),
+            method: request.method().as_str().to_owned(),
+            team: head.team.clone(),
+        };
+        let plan = self.route(query).await?;
+        forward::forward(self, request, head, plan).await
+    }
+
+    async fn route(&self, query: RouteQuery) -> Result<RoutePlan> {
+        let asked = self
+            .router
+            .ask(|reply| RouterMessage::Route { query, reply });
+        asked
+            .await
+            .map_err(|_| Refusal::not_run(Reason::Internal))?
+    }
+}
+
+/// Reads the caller's headers.
+fn caller_head(request: &Request<Incoming>) -> Result<CallerHead> {
+    CallerHead::decode(request.headers()).map_err(|e| RouteRefusal {
+        refusal: e.refusal(),
+        detail: Some(e.to_string()),
+    })
+}
+
+/// Returns the host that the request names, from its target or its header.
+fn host_of(request: &Request<Incoming>) -> Result<String> {
+    let target = request.uri().authority().map(|a| a.as_str());
+    let header = request.headers().get(HOST).and_then(|v| v.to_str().ok());
+    target
+        .or(header)
+        .map(str::to_owned)
+        .ok_or_else(|| RouteRefusal {
+            refusal: Refusal::not_run(Reason::BadRequest),
+            detail: Some("header host is missing; name the service in it".to_owned()),
+        })
+}
--- /dev/null
+++ b/crates/daemon/src/entry/forward.rs
@@ -0,0 +1,294 @@
+//! Attempts to have a request served.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use cornelvalve_kernel::Clock;
+use cornelvalve_model::{Fingerprint, LoadHint, Moment, Reason, Refusal};
+use cornelvalve_policy::{AttemptEnd, AttemptId, AttemptReport, Endpoint, Ticket};
+use cornelvalve_wire::hop::{self, CallerHead, HopHead};
+use http::header::{EXPECT, HeaderValue};
+use http::request::Parts;
+use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+
+use super::hold::{Gate, HeldBody};
+use super::{EntryHandler, Result};
+use crate::body::{Body, BodyEnd, BodyObserver, Observed, ProgressObserver};
+use crate::completion::Completion;
+use crate::exchange::HeadTimeout;
+use crate::peers::ticket_of;
+use crate::router::{self, Attempt, AttemptQuery, RoutePlan, RouterMessage, Tried};
+
+/// Time without upload progress after which a streamed request counts as stalled.
+const UPLOAD_ALLOWANCE: Duration = Duration::from_secs(30);
+
+/// Request on its way, with all that each attempt needs.
+struct Forwarding<'a> {
+    entry: &'a EntryHandler,
+    plan: Arc<RoutePlan>,
+    head: CallerHead,
+    method: Method,
+    uri: Uri,
+    headers: HeaderMap,
+    fingerprint: Fingerprint,
+    body: HeldBody,
+    deadline: Moment,
+}
+
+/// What one attempt brought.
+enum AttemptResult {
+    /// The response of the upstream.
+    Answered(Response<Body>, Duration),
+    /// The upstream did not answer.
+    Refused(Refusal, Option<LoadHint>, Duration),
+}
+
+/// Forwards a request until it is answered or must not be tried again.
+pub(super) async fn forward(
+    entry: &EntryHandler,
+    request: Request<Incoming>,
+    head: CallerHead,
+    plan: RoutePlan,
+) -> Result<Response<Body>> {
+    let deadline = entry.clock.now() + head.time_left.unwrap_or(plan.timeout);
+    let (parts, body) = request.into_parts();
+    let body = HeldBody::read(body, entry.body_buffer_bytes)
+        .await
+        .map_err(|_| Refusal::not_run(Reason::BadRequest))?;
+    let path = parts.uri.path_and_query().map_or("/", |p| p.as_str());
+    let fingerprint = router::fingerprint(&plan, parts.method.as_str(), path, body.prefix());
+    let ticket = ticket_of(plan.class, head.key.as_ref())?;
+    let forwarding = Forwarding {
+        entry,
+        plan: Arc::new(plan),
+        head,
+        uri: origin_form(&parts),
+        method: parts.method,
+        headers: forwarded_headers(parts.headers),
+        fingerprint,
+        body,
+        deadline,
+    };
+    match ticket {
+        Some(ticket) => forwarding.run_at_issuer(ticket).await,
+        None => forwarding.run_anywhere().await,
+    }
+}
+
+fn origin_form(parts: &Parts) -> Uri {
+    let path = parts.uri.path_and_query().cloned();
+    path.map(Uri::from).unwrap_or_default()
+}
+
+fn forwarded_headers(mut headers: HeaderMap) -> HeaderMap {
+    hop::strip_connection(&mut headers);
+    hop::strip_internal(&mut headers);
+    headers.remove(EXPECT);
+    headers
+}
+
+impl Forwarding<'_> {
+    /// Sends the request to the daemon that issued its ticket, once.
+    async fn run_at_issuer(mut self, ticket: Ticket) -> Result<Response<Body>> {
+        let asked = self
+            .entry
+            .router
+            .ask(|reply| RouterMessage::Locate { ticket, reply });
+        let endpoint = asked
+            .await
+            .map_err(|_| Refusal::not_run(Reason::Internal))??;
+        match self.attempt(&endpoint).await {
+            AttemptResult::Answered(response, _) => Ok(clean(response)),
+            AttemptResult::Refused(refusal, ..) => Err(refusal.into()),
+        }
+    }
+
+    /// Tries upstreams of the service until one answers or no further attempt is allowed.
+    async fn run_anywhere(mut self) -> Result<Response<Body>> {
+        let mut tried = Tried::new();
+        let mut failure = None;
+        loop {
+            let attempt = self.next_attempt(&tried, failure).await?;
+            let Attempt {
+                endpoint,
+                id,
+                report,
+            } = attempt;
+            match self.attempt(&endpoint).await {
+                AttemptResult::Answered(response, latency) => {
+                    return Ok(observe(response, latency, id, report));
+                }
+                AttemptResult::Refused(refusal, hint, latency) => {
+                    let attempt = AttemptReport {
+                        ended: attempt_end(refusal),
+                        latency,
+                        hint,
+                    };
+                    report.finish((id, attempt));
+                    tried.push(endpoint.vm);
+                    failure = Some((refusal, self.body.is_available()));
+                }
+            }
+        }
+    }
+
+    async fn next_attempt(
+        &self,
+        tried: &Tried,
+        failure: Option<(Refusal, bool)>,
+    ) -> Result<Attempt> {
+        let query = AttemptQuery {
+            plan: Arc::clone(&self.plan),
+            tried: tried.clone(),
+            deadline: self.deadline,
+            failure,
+        };
+        let asked = self
+            .entry
+            .router
+            .ask(|reply| RouterMessage::Attempt { query, reply });
+        let fallback = failure.map_or(Refusal::not_run(Reason::Internal), |(r, _)| r);
+        Ok(asked.await.map_err(|_| fallback)??)
+    }
+
+    async fn attempt(&mut self, endpoint: &Endpoint) -> AttemptResult {
+        let clock: &dyn Clock = &*self.entry.clock;
+        let started = clock.now();
+        if self.deadline <= started {
+            let refusal = Refusal::not_run(Reason::Deadline);
+            return AttemptResult::Refused(refusal, None, Duration::ZERO);
+        }
+        let (request, timeout, gate) = self.request(started);
+        let sent = self
+            .entry
+            .exchanger
+            .send(endpoint.peer_addr, request, &timeout);
+        let result = sent.await;
+        let latency = clock.now().since(started);
+        match result {
+            Ok(response) => match hop::decode_refusal(response.headers()) {
+                Some(refusal) => {
+                    let hint = hop::decode_hint(response.headers());
+                    drop(response);
+                    self.body.recover(gate).await;
+                    AttemptResult::Refused(refusal, hint, latency)
+                }
+                None => AttemptResult::Answered(response, latency),
+            },
+            Err(e) => {
+                self.body.recover(gate).await;
+                AttemptResult::Refused(e.refusal(), None, latency)
+            }
+        }
+    }
+
+    fn request(&mut self, now: Moment) -> (Request<Body>, HeadTimeout, Option<Gate>) {
+        let gated = self.body.is_gated();
+        let (body, mut gate) = self.body.take();
+        let (observer, progress) = ProgressObserver::new();
+        let body = Observed::new(body, observer).boxed_unsync();
+        let mut request = Request::new(body);
+        *request.method_mut() = self.method.clone();
+        *request.uri_mut() = self.uri.clone();
+        *request.headers_mut() = self.headers.clone();
+        let time_left = self.deadline.since(now);
+        self.hop_head(time_left).encode(request.headers_mut());
+        if gated {
+            let expect = HeaderValue::from_static("100-continue");
+            request.headers_mut().insert(EXPECT, expect);
+        }
+        if let Some(open) = gate.as_mut().and_then(|g| g.open.take()) {
+            open_on_continue(&mut request, open);
+        }
+        let upload = gated.then_some((progress, UPLOAD_ALLOWANCE));
+        let deadline = Instant::now() + time_left;
+        (request, HeadTimeout { deadline, upload }, gate)
+    }
+
+    fn hop_head(&self, time_left: Duration) -> HopHead {
+        HopHead {
+            service: self.plan.service.clone(),
+            route: self.plan.route.clone(),
+            team: self.plan.team.clone(),
+            class: self.plan.class,
+            key: self.head.key.clone(),
+            fingerprint: self.fingerprint,
+            revision: self.plan.revision,
+            time_left,
+            depth: self.head.depth,
+        }
+    }
+}
+
+/// Removes what concerns only the daemons.
+fn clean(mut response: Response<Body>) -> Response<Body> {
+    hop::strip_internal(response.headers_mut());
+    hop::strip_connection(response.headers_mut());
+    response
+}
+
+/// Lets the end of the response report the end of the attempt.
+fn observe(
+    response: Response<Body>,
+    latency: Duration,
+    id: AttemptId,
+    report: Completion<(AttemptId, AttemptReport)>,
+) -> Response<Body> {
+    let observer = AttemptObserver {
+        latency,
+        failed: response.status().is_server_error(),
+        hint: hop::decode_hint(response.headers()),
+        id,
+        report: Some(report),
+    };
+    clean(response).map(|body| Observed::new(body, observer).boxed_unsync())
+}
+
+/// Opens the gate of a body when the other side has admitted the request.
+fn open_on_continue(request: &mut Request<Body>, open: mpsc::Sender<()>) {
+    hyper::ext::on_informational(request, move |response| {
+        if response.status() == StatusCode::CONTINUE {
+            // A full channel means that the gate is open already.
+            let _ = open.try_send(());
+        }
+    });
+}
+
+fn attempt_end(refusal: Refusal) -> AttemptEnd {
+    match refusal.reason {
+        Reason::Connection => AttemptEnd::Failed,
+        reason => AttemptEnd::Refused(reason),
+    }
+}
+
+/// Reports the end of an attempt when its response ends.
+struct AttemptObserver {
+    latency: Duration,
+    failed: bool,
+    hint: Option<LoadHint>,
+    id: AttemptId,
+    report: Option<Completion<(AttemptId, AttemptReport)>>,
+}
+
+impl BodyObserver for AttemptObserver {
+    fn end(&mut self, end: BodyEnd) {
+        let Some(report) = self.report.take() else {
+            return;
+        };
+        let ended = match end {
+            BodyEnd::Complete if !self.failed => AttemptEnd::Answered,
+            BodyEnd::Complete | BodyEnd::Failed => AttemptEnd::Failed,
+            BodyEnd::Dropped => AttemptEnd::Cancelled,
+        };
+        let attempt = AttemptReport {
+            ended,
+            latency: self.latency,
+            hint: self.hint,
+        };
+        report.finish((self.id, attempt));
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/entry/tickets.rs
@@ -0,0 +1,140 @@
+//! Issue of tickets to callers.
+
+use std::sync::Arc;
+
+use cornelvalve_model::{Reason, Refusal};
+use http::{Method, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use serde::{Deserialize, Serialize};
+use tokio::time::Instant;
+
+use super::{EntryHandler, Result, caller_head, host_of};
+use crate::body::{self, Body};
+use crate::exchange::HeadTimeout;
+use crate::peers::{TICKETS_PATH, TicketOrder};
+use crate::respond;
+use crate::router::{AttemptQuery, RoutePlan, RouteQuery, RouteRefusal, RouterMessage, Tried};
+
+/// Longest body of a request for tickets.
+const MAX_ORDER_BYTES: usize = 4096;
+
+/// What a caller asks for.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct CallerOrder {
+    /// Path of the route for which the tickets are used.
+    path: String,
+    /// Method of the requests.
+    #[serde(default = "default_method")]
+    method: String,
+    /// How many tickets are wanted.
+    #[serde(default = "default_count")]
+    count: usize,
+}
+
+fn default_method() -> String {
+    "POST".to_owned()
+}
+
+fn default_count() -> usize {
+    1
+}
+
+/// What a caller gets.
+#[derive(Debug, Serialize)]
+struct IssuedTickets {
+    tickets: Vec<String>,
+}
+
+/// Answers a caller's request for tickets.
+pub(super) async fn issue(
+    entry: &EntryHandler,
+    request: Request<Incoming>,
+) -> Result<Response<Body>> {
+    if request.method() != Method::POST {
+        return Err(bad_request("use POST to ask for tickets"));
+    }
+    let head = caller_head(&request)?;
+    let host = host_of(&request)?;
+    let order = read_order(request).await?;
+    let query = RouteQuery {
+        host,
+        path: order.path,
+        method: order.method,
+        team: head.team.clone(),
+    };
+    let plan = Arc::new(entry.route(query).await?);
+    let tickets = order_tickets(entry, &plan, order.count).await?;
+    Ok(respond::json(StatusCode::OK, &IssuedTickets { tickets }))
+}
+
+async fn read_order(request: Request<Incoming>) -> Result<CallerOrder> {
+    let body = Limited::new(request.into_body(), MAX_ORDER_BYTES);
+    let bytes = body
+        .collect()
+        .await
+        .map_err(|_| bad_request("send a JSON object of at most 4096 bytes"))?
+        .to_bytes();
+    serde_json::from_slice(&bytes).map_err(|e| bad_request(&format!("correct the JSON body: {e}")))
+}
+
+fn bad_request(detail: &str) -> RouteRefusal {
+    RouteRefusal {
+        refusal: Refusal::not_run(Reason::BadRequest),
+        detail: Some(detail.to_owned()),
+    }
+}
+
+/// Asks the daemon beside a chosen upstream for tickets, and others if it refuses.
+async fn order_tickets(
+    entry: &EntryHandler,
+    plan: &Arc<RoutePlan>,
+    count: usize,
+) -> Result<Vec<String>> {
+    let deadline = entry.clock.now() + plan.timeout;
+    let mut tried = Tried::new();
+    loop {
+        let query = AttemptQuery {
+            plan: Arc::clone(plan),
+            tried: tried.clone(),
+            deadline,
+            failure: None,
+        };
+        let asked = entry
+            .router
+            .ask(|reply| RouterMessage::Attempt { query, reply });
+        let attempt = asked
+            .await
+            .map_err(|_| Refusal::not_run(Reason::Internal))??;
+        let addr = attempt.endpoint.peer_addr;
+        let timeout = HeadTimeout {
+            deadline: Instant::now() + deadline.since(entry.clock.now()),
+            upload: None,
+        };
+        let sent = entry
+            .exchanger
+            .send(addr, order_request(plan, count)?, &timeout);
+        if let Ok(response) = sent.await
+            && response.status() == StatusCode::OK
+            && let Ok(body) = response.into_body().collect().await
+            && let Ok(tickets) = serde_json::from_slice(&body.to_bytes())
+        {
+            return Ok(tickets);
+        }
+        tried.push(attempt.endpoint.vm);
+    }
+}
+
+fn order_request(plan: &RoutePlan, count: usize) -> Result<Request<Body>> {
+    let order = TicketOrder {
+        service: plan.service.clone(),
+        count,
+    };
+    let internal = |_| RouteRefusal::from(Refusal::not_run(Reason::Internal));
+    let bytes = serde_json::to_vec(&order).map_err(internal)?;
+    Request::post(TICKETS_PATH)
+        .header(http::header::HOST, "localhost")
+        .body(body::full(bytes))
+        .map_err(|_| RouteRefusal::from(Refusal::not_run(Reason::Internal)))
+}
--- a/crates/daemon/src/exchange.rs
+++ b/crates/daemon/src/exchange.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use cornelvalve_kernel::Mailbox;
-use cornelvalve_model::{Outcome, Reason, Refusal};
+use cornelvalve_model::{Reason, Refusal};
 use derive_more::{Display, Error};
 use http::{Request, Response};
 use http_body_util::BodyExt;
@@ -44,11 +44,6 @@
             Self::TimedOut => Refusal::unknown(Reason::Deadline),
         }
     }
-
-    /// Tells whether the server may have seen the request.
-    pub(crate) fn outcome(&self) -> Outcome {
-        self.refusal().outcome
-    }
 }
 
 /// Time allowed for the response head.
@@ -121,11 +116,7 @@
         }
     }
 
-    async fn connect(
-        &self,
-        addr: SocketAddr,
-        timeout: &HeadTimeout,
-    ) -> Result<(Connection, bool)> {
+    async fn connect(&self, addr: SocketAddr, timeout: &HeadTimeout) -> Result<(Connection, bool)> {
         let checkout = self.pool.ask(|reply| PoolMessage::Checkout { addr, reply });
         // Without the pool, as during its restart, each exchange opens a connection of its own.
         if let Ok(Some(mut connection)) = checkout.await
--- /dev/null
+++ b/crates/daemon/src/membership.rs
@@ -0,0 +1,297 @@
+//! Membership service: owns the UDP socket and wraps the membership state machine.
+
+use std::collections::HashMap;
+use std::net::{SocketAddr, UdpSocket as StdSocket};
+use std::sync::Arc;
+
+use cornelvalve_api::Event as TimelineEvent;
+use cornelvalve_budget::Verdict;
+use cornelvalve_kernel::{Context, Mailbox, Reply, ServiceResult, TIMER, TimerMessage};
+use cornelvalve_membership::{Action, Event, Membership, MembershipSettings, Message};
+use cornelvalve_model::{Member, Moment, Revision, VmName};
+use cornelvalve_wire::datagram;
+use tokio::net::UdpSocket;
+
+use crate::budget::BudgetMessage;
+use crate::catalog::CatalogMessage;
+use crate::guard::Upstreams;
+use crate::names::{BUDGET, CATALOG, MEMBERSHIP, ROUTER};
+use crate::router::RouterMessage;
+use crate::timeline::{self, TIMELINE, TimelineMessage};
+
+/// Headers of IP and UDP, which count toward the budget.
+const DATAGRAM_OVERHEAD_BYTES: usize = 28;
+
+/// Largest datagram that is read.
+const RECEIVE_BYTES: usize = 2048;
+
+/// Members as operators see them.
+#[derive(Clone, Debug)]
+pub(crate) struct MemberView {
+    /// Record of the member.
+    pub(crate) member: Member,
+    /// Whether its region can be reached.
+    pub(crate) reachable: bool,
+}
+
+/// Messages to the membership service.
+#[derive(Debug)]
+pub(crate) enum MembershipMessage {
+    /// The local upstreams as they announced themselves.
+    Upstreams(Upstreams),
+    /// The configuration that this daemon has applied.
+    Applied(Revision),
+    /// Announces that this daemon stops.
+    Leave,
+    /// Sends all member records to the router again.
+    Republish,
+    /// Lists the members.
+    Members {
+        /// Receives them.
+        reply: Reply<Vec<MemberView>>,
+    },
+    /// Asks all members which revision they have applied.
+    QueryRevisions,
+    /// Lists the members that have not confirmed a revision.
+    Unconfirmed {
+        /// The revision.
+        revision: Revision,
+        /// Receives the number of members that confirmed and the others.
+        reply: Reply<(u32, Vec<VmName>)>,
+    },
+    /// Periodic tick.
+    Tick,
+}
+
+/// Runs the membership service.
+pub(crate) async fn run_membership(
+    mut context: Context<MembershipMessage>,
+    socket: Arc<StdSocket>,
+    own: Member,
+    seeds: Vec<SocketAddr>,
+    seed: u64,
+) -> ServiceResult {
+    let settings = MembershipSettings::default();
+    let timer = context.registry.mailbox(TIMER)?;
+    let sink = context
+        .registry
+        .mailbox(MEMBERSHIP)?
+        .tick_sink(|_| MembershipMessage::Tick);
+    timer
+        .send(TimerMessage::Subscribe {
+            period: settings.tick_period(),
+            sink,
+        })
+        .await?;
+    let mut service = MembershipService {
+        socket: UdpSocket::from_std(socket.try_clone()?)?,
+        membership: Membership::new(settings, own, seed),
+        confirmed: HashMap::new(),
+        was_reader: None,
+        budget: context.registry.mailbox(BUDGET)?,
+        router: context.registry.mailbox(ROUTER)?,
+        catalog: context.registry.mailbox(CATALOG)?,
+        timeline: context.registry.mailbox(TIMELINE)?,
+    };
+    let seeds = Event::AddSeeds(seeds.into_iter().collect());
+    service.on(seeds, context.clock.now()).await;
+    service.publish_all();
+    let mut buffer = [0; RECEIVE_BYTES];
+    loop {
+        tokio::select! {
+            () = context.stop.requested() => return Ok(()),
+            message = context.inbox.recv() => match message {
+                Some(message) => service.handle(message, context.clock.now()).await,
+                None => return Ok(()),
+            },
+            received = service.socket.recv_from(&mut buffer) => match received {
+                Ok((length, from)) => {
+                    let datagram = buffer.get(..length).unwrap_or_default();
+                    service.receive(datagram, from, context.clock.now()).await;
+                }
+                // An earlier datagram met a closed port; the probes notice what it means.
+                Err(e) => log::debug!("receive failed: {e}"),
+            },
+        }
+    }
+}
+
+struct MembershipService {
+    socket: UdpSocket,
+    membership: Membership,
+    confirmed: HashMap<VmName, Revision>,
+    was_reader: Option<bool>,
+    budget: Mailbox<BudgetMessage>,
+    router: Mailbox<RouterMessage>,
+    catalog: Mailbox<CatalogMessage>,
+    timeline: Mailbox<TimelineMessage>,
+}
+
+impl MembershipService {
+    async fn handle(&mut self, message: MembershipMessage, now: Moment) {
+        match message {
+            MembershipMessage::Upstreams(upstreams) => {
+                self.on(Event::SetUpstreams(upstreams), now).await;
+            }
+            MembershipMessage::Applied(revision) => {
+                let vm = self.membership.own().vm.clone();
+                self.confirmed.insert(vm, revision);
+                self.on(Event::SetRevision(revision), now).await;
+                self.on(Event::NotifyRevision, now).await;
+            }
+            MembershipMessage::Leave => self.on(Event::Leave, now).await,
+            MembershipMessage::Republish => self.publish_all(),
+            MembershipMessage::Members { reply } => reply.send(self.views()),
+            MembershipMessage::QueryRevisions => self.on(Event::QueryRevisions, now).await,
+            MembershipMessage::Unconfirmed { revision, reply } => {
+                reply.send(self.unconfirmed(revision));
+            }
+            MembershipMessage::Tick => self.on(Event::Tick, now).await,
+        }
+    }
+
+    async fn receive(&mut self, bytes: &[u8], from: SocketAddr, now: Moment) {
+        match datagram::decode(bytes) {
+            Ok(message) => self.on(Event::Received { from, message }, now).await,
+            Err(e) => log::debug!("datagram from {from} was dropped: {e}"),
+        }
+    }
+
+    async fn on(&mut self, event: Event, now: Moment) {
+        let actions = self.membership.on(event, now);
+        let mut changed = Vec::new();
+        for action in actions {
+            match action {
+                Action::Send {
+                    to,
+                    crosses_region,
+                    class,
+                    message,
+                } => self.send(to, crosses_region, class, &message).await,
+                Action::MemberChanged(vm) => changed.push(vm),
+                Action::PeerRevision {
+                    operator_addr,
+                    revision,
+                    vm,
+                } => {
+                    self.confirmed.insert(vm, revision);
+                    let ahead = CatalogMessage::PeerAhead {
+                        operator_addr,
+                        revision,
+                    };
+                    // The next probe reports the same revision again.
+                    let _ = self.catalog.try_send(ahead);
+                }
+                Action::RegionChanged(region) => {
+                    let reachable = self.membership.is_region_reachable(&region);
+                    log::info!(region = region.as_str(), reachable = reachable; "region changed");
+                }
+                Action::RevisionReported { vm, revision } => {
+                    self.confirmed.insert(vm, revision);
+                }
+            }
+        }
+        self.publish(changed);
+    }
+
+    async fn send(
+        &self,
+        to: SocketAddr,
+        crosses_region: bool,
+        class: cornelvalve_membership::TrafficClass,
+        message: &Message,
+    ) {
+        let bytes = match datagram::encode(message) {
+            Ok(bytes) => bytes,
+            Err(e) => {
+                log::warn!("message was not sent: {e}");
+                return;
+            }
+        };
+        let size = bytes.len() + DATAGRAM_OVERHEAD_BYTES;
+        let charged = self.budget.ask(|reply| BudgetMessage::Charge {
+            class,
+            bytes: u32::try_from(size).unwrap_or(u32::MAX),
+            crosses_region,
+            reply,
+        });
+        // Without an account nothing is sent, so that the budget holds while it restarts.
+        if matches!(charged.await, Ok(Verdict::Send))
+            && let Err(e) = self.socket.send_to(&bytes, to).await
+        {
+            log::debug!("send to {to} failed: {e}");
+        }
+    }
+
+    fn publish_all(&mut self) {
+        let all = self.membership.members().map(|m| m.vm.clone()).collect();
+        self.publish(all);
+    }
+
+    /// Passes changed records on to the router and the reader role to the catalog.
+    fn publish(&mut self, changed: Vec<VmName>) {
+        let mut members = Vec::new();
+        let mut removed = Vec::new();
+        for vm in changed {
+            match self.membership.get(&vm) {
+                Some(member) => {
+                    let event = TimelineEvent::MemberChanged {
+                        member: vm,
+                        state: member.state,
+                    };
+                    timeline::record(&self.timeline, event);
+                    members.push(member.clone());
+                }
+                None => removed.push(vm),
+            }
+        }
+        self.confirmed.retain(|vm, _| !removed.contains(vm));
+        if !members.is_empty() {
+            self.notify_router(RouterMessage::Members(members));
+        }
+        if !removed.is_empty() {
+            self.notify_router(RouterMessage::Removed(removed));
+        }
+        self.publish_role();
+    }
+
+    fn notify_router(&self, message: RouterMessage) {
+        if let Err(e) = self.router.try_send(message) {
+            log::warn!("member records were not passed on: {e}");
+        }
+    }
+
+    fn publish_role(&mut self) {
+        let is_reader = self.membership.is_own_reader();
+        if self.was_reader != Some(is_reader)
+            && self
+                .catalog
+                .try_send(CatalogMessage::Role { is_reader })
+                .is_ok()
+        {
+            self.was_reader = Some(is_reader);
+        }
+    }
+
+    fn views(&self) -> Vec<MemberView> {
+        let members = self.membership.members();
+        members
+            .map(|member| MemberView {
+                member: member.clone(),
+                reachable: self.membership.is_region_reachable(&member.region),
+            })
+            .collect()
+    }
+
+    fn unconfirmed(&self, revision: Revision) -> (u32, Vec<VmName>) {
+        let mut confirmed = 0;
+        let mut missing = Vec::new();
+        for member in self.membership.members().filter(|m| m.state.takes_work()) {
+            match self.confirmed.get(&member.vm) {
+                Some(applied) if *applied >= revision => confirmed += 1,
+                _ => missing.push(member.vm.clone()),
+            }
+        }
+        (confirmed, missing)
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/operators/calls.rs
@@ -0,0 +1,345 @@
+//! The calls, each answered from the services that own the state.
+
+use std::time::Duration;
+
+use cornelvalve_api::{
+    ApiError, BadRecord, Candidate, EntryKind, ErrorKind, Explanation, InForceReport, LeaveReport,
+    MemberCounts, MemberReport, OperatorsServer, PeerRecords, PublishReport, Status, TimelinePage,
+    Timestamp, UpstreamStatus, Verdict, WaitFor,
+};
+use cornelvalve_catalog::{Catalog, PublishOutcome};
+use cornelvalve_kernel::{Mailbox, Registry};
+use cornelvalve_model::{
+    Change, FailureDomain, MemberState, Offset, Refusal, RequestClass, Revision, TeamName,
+    VersionedEntry,
+};
+use jsonrpsee::core::async_trait;
+use std::sync::Arc;
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+
+use super::Identity;
+use crate::catalog::CatalogMessage;
+use crate::guard::GuardMessage;
+use crate::membership::{MemberView, MembershipMessage};
+use crate::names::{CATALOG, GUARD, MEMBERSHIP, PUBLISHER, ROUTER};
+use crate::publisher::PublisherMessage;
+use crate::router::{RouteQuery, RouterMessage};
+use crate::timeline::{TIMELINE, TimelineMessage};
+
+/// Result alias of this module.
+type Result<T> = std::result::Result<T, ApiError>;
+
+/// Pause between two looks at which members have confirmed a revision.
+const CONFIRM_PERIOD: Duration = Duration::from_millis(100);
+
+/// Number of looks after which the members are asked again.
+const LOOKS_PER_QUERY: u32 = 10;
+
+/// Most events in one page of the timeline.
+const MAX_EVENTS: u32 = 4096;
+
+/// Answers operators' calls.
+pub(super) struct Calls {
+    identity: Identity,
+    leave: mpsc::Sender<()>,
+    catalog: Mailbox<CatalogMessage>,
+    membership: Mailbox<MembershipMessage>,
+    guard: Mailbox<GuardMessage>,
+    router: Mailbox<RouterMessage>,
+    publisher: Mailbox<PublisherMessage>,
+    timeline: Mailbox<TimelineMessage>,
+}
+
+impl Calls {
+    /// Looks up the services that the calls need.
+    pub(super) fn new(
+        registry: &Registry,
+        identity: Identity,
+        leave: mpsc::Sender<()>,
+    ) -> cornelvalve_kernel::Result<Self> {
+        Ok(Self {
+            identity,
+            leave,
+            catalog: registry.mailbox(CATALOG)?,
+            membership: registry.mailbox(MEMBERSHIP)?,
+            guard: registry.mailbox(GUARD)?,
+            router: registry.mailbox(ROUTER)?,
+            publisher: registry.mailbox(PUBLISHER)?,
+            timeline: registry.mailbox(TIMELINE)?,
+        })
+    }
+
+    async fn current(&self) -> Result<Arc<Catalog>> {
+        let asked = self.catalog.ask(|reply| CatalogMessage::Current { reply });
+        asked.await.map_err(internal)
+    }
+
+    async fn member_views(&self) -> Result<Vec<MemberView>> {
+        let asked = self
+            .membership
+            .ask(|reply| MembershipMessage::Members { reply });
+        asked.await.map_err(internal)
+    }
+
+    async fn confirmations(&self, revision: Revision) -> Result<InForceReport> {
+        let asked = self
+            .membership
+            .ask(|reply| MembershipMessage::Unconfirmed { revision, reply });
+        let (confirmed, unconfirmed) = asked.await.map_err(internal)?;
+        Ok(InForceReport {
+            revision,
+            confirmed,
+            unconfirmed,
+        })
+    }
+
+    /// Asks all members for their revision until all have confirmed or the time is over.
+    async fn wait_in_force(&self, revision: Revision, deadline: Instant) -> Result<InForceReport> {
+        let mut looks = 0;
+        loop {
+            if looks % LOOKS_PER_QUERY == 0 {
+                let query = self.membership.send(MembershipMessage::QueryRevisions);
+                query.await.map_err(internal)?;
+            }
+            looks += 1;
+            tokio::time::sleep(CONFIRM_PERIOD).await;
+            let report = self.confirmations(revision).await?;
+            if report.unconfirmed.is_empty() || Instant::now() >= deadline {
+                return Ok(report);
+            }
+        }
+    }
+
+    async fn route(&self, query: RouteQuery) -> Result<Explanation> {
+        let asked = self.router.ask(|reply| RouterMessage::Route {
+            query: query.clone(),
+            reply,
+        });
+        let plan = match asked.await.map_err(internal)? {
+            Ok(plan) => plan,
+            Err(e) => return Ok(refused(e.refusal)),
+        };
+        let asked = self
+            .router
+            .ask(|reply| RouterMessage::Explain { query, reply });
+        let candidates = asked.await.map_err(internal)?;
+        Ok(Explanation {
+            service: Some(plan.service),
+            route: plan.route,
+            class: plan.class,
+            home_regions: plan.regions.map(|r| r.into_vec()),
+            candidates: candidates
+                .into_iter()
+                .map(|(endpoint, outstanding)| Candidate {
+                    vm: endpoint.vm,
+                    domain: endpoint.domain,
+                    region: endpoint.region,
+                    score: outstanding.into(),
+                })
+                .collect(),
+            refusal: None,
+        })
+    }
+}
+
+fn refused(refusal: Refusal) -> Explanation {
+    Explanation {
+        service: None,
+        route: None,
+        class: RequestClass::ByMethod,
+        home_regions: None,
+        candidates: Vec::new(),
+        refusal: Some(refusal),
+    }
+}
+
+fn internal(error: cornelvalve_kernel::Error) -> ApiError {
+    let kind = match error {
+        cornelvalve_kernel::Error::Full(_) => ErrorKind::Overloaded,
+        _ => ErrorKind::Internal,
+    };
+    ApiError::new(kind, error.to_string())
+}
+
+fn count(members: &[MemberView]) -> MemberCounts {
+    let mut counts = MemberCounts::default();
+    for view in members {
+        let counter = match view.member.state {
+            _ if !view.reachable => &mut counts.unreachable,
+            MemberState::Alive => &mut counts.alive,
+            MemberState::Suspect => &mut counts.suspect,
+            MemberState::Leaving => &mut counts.leaving,
+            MemberState::Left => &mut counts.left,
+            MemberState::Dead => &mut counts.dead,
+        };
+        *counter += 1;
+    }
+    counts
+}
+
+fn publish_report(outcome: PublishOutcome) -> Result<PublishReport> {
+    let (verdict, revision) = match outcome {
+        PublishOutcome::NotPublished => {
+            let message = "the change was not published";
+            return Err(ApiError::new(ErrorKind::LogUnavailable, message));
+        }
+        PublishOutcome::Published(_) => (Verdict::Published, None),
+        PublishOutcome::Accepted(revision) => (Verdict::Accepted, Some(revision)),
+        PublishOutcome::Rejected(rejection) => {
+            let reason = rejection.to_string();
+            (Verdict::Rejected { reason }, None)
+        }
+        PublishOutcome::StillUnknown => (Verdict::Unknown, None),
+    };
+    Ok(PublishReport {
+        verdict,
+        revision,
+        unconfirmed: Vec::new(),
+    })
+}
+
+#[async_trait]
+impl OperatorsServer for Calls {
+    async fn publish(
+        &self,
+        change: Change,
+        wait: WaitFor,
+        timeout_ms: u64,
+    ) -> Result<PublishReport> {
+        let timeout = Duration::from_millis(timeout_ms);
+        let deadline = Instant::now() + timeout;
+        let asked = self.publisher.ask(|reply| PublisherMessage::Publish {
+            change: Box::new(change),
+            wait_for_verdict: wait != WaitFor::Published,
+            timeout,
+            reply,
+        });
+        let mut report = publish_report(asked.await.map_err(internal)?)?;
+        if wait == WaitFor::InForce
+            && let Some(revision) = report.revision
+        {
+            let in_force = self.wait_in_force(revision, deadline).await?;
+            if in_force.unconfirmed.is_empty() {
+                report.verdict = Verdict::InForce;
+            }
+            report.unconfirmed = in_force.unconfirmed;
+        }
+        Ok(report)
+    }
+
+    async fn entries(&self, kind: Option<EntryKind>) -> Result<Vec<VersionedEntry>> {
+        let catalog = self.current().await?;
+        let wanted =
+            |entry: &VersionedEntry| kind.is_none_or(|k| k == EntryKind::of(&entry.operation));
+        Ok(catalog.entries().filter(wanted).collect())
+    }
+
+    async fn status(&self) -> Result<Status> {
+        let catalog = self.current().await?;
+        let members = self.member_views().await?;
+        let loads = self.guard.ask(|reply| GuardMessage::Load { reply });
+        let loads = loads.await.map_err(internal)?;
+        let log_store = self.catalog.ask(|reply| CatalogMessage::LogStore { reply });
+        let revision = catalog.revision();
+        Ok(Status {
+            vm: self.identity.vm.clone(),
+            region: self.identity.region.clone(),
+            domain: self.identity.domain.clone(),
+            incarnation: self.identity.incarnation,
+            revision: (revision > Revision(0)).then_some(revision),
+            next_offset: catalog.next_offset(),
+            log_store: log_store.await.map_err(internal)?,
+            members: count(&members),
+            upstreams: loads
+                .into_iter()
+                .map(|l| UpstreamStatus {
+                    service: l.upstream.service,
+                    port: l.upstream.port,
+                    slots: l.upstream.slots,
+                    incarnation: l.upstream.incarnation,
+                    state: l.upstream.state,
+                    limit: l.load.limit.into(),
+                    running: l.load.running.into(),
+                    queued: l.load.queued.into(),
+                })
+                .collect(),
+            bad_records: catalog
+                .bad_records()
+                .map(|bad| BadRecord {
+                    offset: bad.offset,
+                    reason: bad.reason.clone(),
+                })
+                .collect(),
+        })
+    }
+
+    async fn members(&self) -> Result<Vec<MemberReport>> {
+        let views = self.member_views().await?;
+        Ok(views
+            .into_iter()
+            .map(|view| MemberReport {
+                member: view.member,
+                reachable: view.reachable,
+            })
+            .collect())
+    }
+
+    async fn in_force(&self, revision: Revision) -> Result<InForceReport> {
+        let deadline = Instant::now() + CONFIRM_PERIOD * LOOKS_PER_QUERY;
+        self.wait_in_force(revision, deadline).await
+    }
+
+    async fn timeline(&self, after: Option<Timestamp>, limit: u32) -> Result<TimelinePage> {
+        let limit = usize::try_from(limit.min(MAX_EVENTS)).unwrap_or(usize::MAX);
+        let asked = self.timeline.ask(|reply| TimelineMessage::Read {
+            after,
+            limit,
+            reply,
+        });
+        asked.await.map_err(internal)
+    }
+
+    async fn leave(&self, domain: FailureDomain) -> Result<LeaveReport> {
+        if domain != self.identity.domain {
+            let message = format!("this daemon stands in {}", self.identity.domain);
+            return Err(ApiError::new(ErrorKind::WrongDomain, message));
+        }
+        let loads = self.guard.ask(|reply| GuardMessage::Load { reply });
+        let loads = loads.await.map_err(internal)?;
+        // A full channel means that a stop was requested before.
+        let _ = self.leave.try_send(());
+        Ok(LeaveReport {
+            vm: self.identity.vm.clone(),
+            domain,
+            state: MemberState::Leaving,
+            running: loads.iter().map(|l| u32::from(l.load.running)).sum(),
+        })
+    }
+
+    async fn explain(
+        &self,
+        host: String,
+        path: String,
+        method: String,
+        team: Option<TeamName>,
+    ) -> Result<Explanation> {
+        self.route(RouteQuery {
+            host,
+            path,
+            method,
+            team,
+        })
+        .await
+    }
+
+    async fn peer_records(&self, after: Offset, max: u32) -> Result<PeerRecords> {
+        let max = usize::try_from(max).unwrap_or(usize::MAX);
+        let asked = self
+            .catalog
+            .ask(|reply| CatalogMessage::Pull { after, max, reply });
+        let records = asked.await.map_err(internal)?;
+        let message = "the records asked for are not kept here";
+        records.ok_or_else(|| ApiError::new(ErrorKind::RecordsGone, message))
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/peers/deliver.rs
@@ -0,0 +1,164 @@
+//! Delivery of an admitted request to the local upstream.
+
+use std::time::Duration;
+
+use cornelvalve_kernel::Clock;
+use cornelvalve_model::{Moment, Reason, Refusal};
+use cornelvalve_wire::hop::{self, HopHead};
+use http::header::{EXPECT, HOST};
+use http::{Request, Response, StatusCode};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use serde::de::DeserializeOwned;
+use tokio::time::Instant;
+
+use super::PeerHandler;
+use crate::body::{Body, BodyEnd, BodyObserver, Observed, ProgressObserver};
+use crate::exchange::{ExchangeError, HeadTimeout};
+use crate::guard::{Permit, PermitEnd};
+
+/// Age from which a permit is void: its holder was paused, and the guard's rules may have changed.
+const MAX_PERMIT_AGE: Duration = Duration::from_millis(500);
+
+/// Time without upload progress after which a streamed request counts as stalled.
+pub(crate) const UPLOAD_ALLOWANCE: Duration = Duration::from_secs(30);
+
+/// Longest JSON body of a request between daemons.
+const MAX_JSON_BYTES: usize = 64 * 1024;
+
+/// Reads a small JSON body.
+pub(super) async fn read_json<T: DeserializeOwned>(
+    request: Request<Incoming>,
+) -> Result<T, Refusal> {
+    let bad = Refusal::not_run(Reason::BadRequest);
+    let body = Limited::new(request.into_body(), MAX_JSON_BYTES);
+    let bytes = body.collect().await.map_err(|_| bad)?.to_bytes();
+    serde_json::from_slice(&bytes).map_err(|_| bad)
+}
+
+/// Tells whether a permit may still be used.
+pub(super) fn is_fresh(permit: &Permit, clock: &dyn Clock) -> bool {
+    clock.now().since(permit.granted) <= MAX_PERMIT_AGE
+}
+
+/// Prepares the request for the upstream and its time-out.
+pub(super) fn prepare(
+    request: Request<Incoming>,
+    head: &HopHead,
+    time_left: Duration,
+) -> (Request<Body>, HeadTimeout) {
+    let (observer, progress) = ProgressObserver::new();
+    let (mut parts, body) = request.into_parts();
+    hop::strip_connection(&mut parts.headers);
+    hop::strip_internal(&mut parts.headers);
+    parts.headers.remove(EXPECT);
+    let millis = time_left.as_millis().to_string();
+    if let Ok(value) = millis.parse() {
+        parts.headers.insert(hop::DEADLINE, value);
+    }
+    // The upstream's nested calls are one level deeper.
+    let depth = head.depth.saturating_add(1).to_string();
+    if let Ok(value) = depth.parse() {
+        parts.headers.insert(hop::DEPTH, value);
+    }
+    if !parts.headers.contains_key(HOST) {
+        let host = http::HeaderValue::from_static("localhost");
+        parts.headers.insert(HOST, host);
+    }
+    parts.version = http::Version::HTTP_11;
+    let body = Observed::new(body, observer).boxed_unsync();
+    let timeout = HeadTimeout {
+        deadline: Instant::now() + time_left,
+        upload: Some((progress, UPLOAD_ALLOWANCE)),
+    };
+    (Request::from_parts(parts, body), timeout)
+}
+
+/// Sends a request without a ticket and streams the answer.
+pub(super) async fn run(
+    handler: &PeerHandler,
+    request: Request<Incoming>,
+    head: &HopHead,
+    mut permit: Permit,
+    deadline: Moment,
+) -> Result<Response<Body>, Refusal> {
+    if !is_fresh(&permit, &*handler.clock) {
+        return Err(Refusal::not_run(Reason::StaleConfiguration));
+    }
+    let time_left = deadline.since(handler.clock.now());
+    let (request, timeout) = prepare(request, head, time_left);
+    permit.set_on_drop(PermitEnd::Cancelled);
+    let hint = permit.hint;
+    match handler
+        .exchanger
+        .send(permit.upstream, request, &timeout)
+        .await
+    {
+        Ok(response) => Ok(observe(response, permit)),
+        Err(e) => {
+            let refusal = e.refusal();
+            if matches!(e, ExchangeError::NotSent(_)) {
+                handler.exchanger.forget(permit.upstream);
+            }
+            permit.finish(end_of(&e));
+            Ok(crate::respond::hop_refusal(refusal, hint))
+        }
+    }
+}
+
+/// Returns the end of a request whose exchange failed.
+pub(super) fn end_of(error: &ExchangeError) -> PermitEnd {
+    match error {
+        ExchangeError::NotSent(_) => PermitEnd::NotSent,
+        ExchangeError::Lost(_) => PermitEnd::Lost,
+        ExchangeError::TimedOut => PermitEnd::Cancelled,
+    }
+}
+
+/// Removes what an upstream must not say and adds the load.
+pub(super) fn clean_response(response: &mut Response<Body>, permit: &Permit) {
+    // An upstream may relay the marker of a nested call after it has done work itself.
+    hop::strip_internal(response.headers_mut());
+    hop::strip_connection(response.headers_mut());
+    hop::encode_hint(response.headers_mut(), permit.hint);
+}
+
+/// Returns the end of a request by the status of its answer.
+pub(super) fn answered(
+    status: StatusCode,
+    answer: Option<cornelvalve_policy::StoredAnswer>,
+) -> PermitEnd {
+    if status.is_server_error() {
+        PermitEnd::Failed(answer)
+    } else {
+        PermitEnd::Answered(answer)
+    }
+}
+
+fn observe(mut response: Response<Body>, permit: Permit) -> Response<Body> {
+    clean_response(&mut response, &permit);
+    let observer = PermitObserver {
+        status: response.status(),
+        permit: Some(permit),
+    };
+    response.map(|body| Observed::new(body, observer).boxed_unsync())
+}
+
+/// Reports the end of a request when its answer ends.
+struct PermitObserver {
+    status: StatusCode,
+    permit: Option<Permit>,
+}
+
+impl BodyObserver for PermitObserver {
+    fn end(&mut self, end: BodyEnd) {
+        let Some(permit) = self.permit.take() else {
+            return;
+        };
+        permit.finish(match end {
+            BodyEnd::Complete => answered(self.status, None),
+            BodyEnd::Failed => PermitEnd::Lost,
+            BodyEnd::Dropped => PermitEnd::Cancelled,
+        });
+    }
+}
--- a/crates/daemon/src/pool.rs
+++ b/crates/daemon/src/pool.rs
@@ -7,7 +7,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use cornelvalve_kernel::{Context, Name, Reply, ServiceResult, TIMER, Tick, TimerMessage};
+use cornelvalve_kernel::{Context, Reply, ServiceResult, TIMER, Tick, TimerMessage};
 use cornelvalve_model::Moment;
 use derive_more::Debug;
 use hyper::client::conn::http1::{self, SendRequest};
@@ -16,9 +16,7 @@
 use tokio::task::JoinHandle;
 
 use crate::body::Body;
-
-/// Name of the pool service.
-pub(crate) const POOL: Name<PoolMessage> = Name::new("pool");
+use crate::names::POOL;
 
 /// Idle connections kept for one address; a target accepts about 250 connections in all.
 const MAX_IDLE_PER_ADDRESS: usize = 64;
--- /dev/null
+++ b/crates/daemon/src/router/endpoints.rs
@@ -0,0 +1,80 @@
+//! Index from service to the upstreams that take its requests.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+use cornelvalve_model::{Member, ServiceName, UpstreamState, VmName};
+use cornelvalve_policy::{Endpoint, EndpointIncarnation};
+use smallvec::SmallVec;
+
+/// Services whose upstreams changed.
+pub(super) type ChangedServices = BTreeSet<ServiceName>;
+
+/// Endpoints by service, kept up to date from member records.
+#[derive(Debug, Default)]
+pub(super) struct EndpointIndex {
+    by_service: HashMap<ServiceName, BTreeMap<VmName, Endpoint>>,
+    by_vm: HashMap<VmName, SmallVec<[ServiceName; 1]>>,
+}
+
+impl EndpointIndex {
+    /// Takes a member record and notes the services whose endpoints changed.
+    pub(super) fn update(&mut self, member: &Member, changed: &mut ChangedServices) {
+        self.remove(&member.vm, changed);
+        if !member.state.takes_work() {
+            return;
+        }
+        for endpoint in endpoints_of(member) {
+            let (service, endpoint) = endpoint;
+            let services = self.by_vm.entry(member.vm.clone()).or_default();
+            services.push(service.clone());
+            changed.insert(service.clone());
+            let list = self.by_service.entry(service).or_default();
+            list.insert(member.vm.clone(), endpoint);
+        }
+    }
+
+    /// Removes a member and notes the services that lose an endpoint.
+    pub(super) fn remove(&mut self, vm: &VmName, changed: &mut ChangedServices) {
+        for service in self.by_vm.remove(vm).unwrap_or_default() {
+            if let Some(list) = self.by_service.get_mut(&service) {
+                list.remove(vm);
+                if list.is_empty() {
+                    self.by_service.remove(&service);
+                }
+            }
+            changed.insert(service);
+        }
+    }
+
+    /// Returns the endpoints of a service.
+    pub(super) fn of(&self, service: &ServiceName) -> Vec<Endpoint> {
+        let list = self.by_service.get(service);
+        list.map_or_else(Vec::new, |list| list.values().cloned().collect())
+    }
+
+    /// Returns the endpoint of a service on one VM.
+    pub(super) fn at(&self, service: &ServiceName, vm: &VmName) -> Option<&Endpoint> {
+        self.by_service.get(service)?.get(vm)
+    }
+}
+
+fn endpoints_of(member: &Member) -> impl Iterator<Item = (ServiceName, Endpoint)> {
+    let ready = member
+        .upstreams
+        .iter()
+        .filter(|u| u.state == UpstreamState::Ready);
+    ready.map(|upstream| {
+        let endpoint = Endpoint {
+            vm: member.vm.clone(),
+            incarnation: EndpointIncarnation {
+                daemon: member.key.incarnation,
+                upstream: upstream.incarnation,
+            },
+            peer_addr: member.peer_addr,
+            region: member.region.clone(),
+            domain: member.domain.clone(),
+            slots: upstream.slots.into(),
+        };
+        (upstream.service.clone(), endpoint)
+    })
+}
--- /dev/null
+++ b/crates/daemon/src/router/state.rs
@@ -0,0 +1,259 @@
+//! State of the router: configuration, members and the balancer.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use cornelvalve_catalog::{Catalog, Residency, Resolved};
+use cornelvalve_model::{
+    DomainState, FailureDomain, Member, Moment, Reason, Refusal, Region, Revision, VmName,
+};
+use cornelvalve_policy::{
+    AttemptEnd, AttemptId, AttemptReport, Balancer, BalancerSettings, ChoiceRequest, Endpoint,
+    Locality, PowerOfTwo, RetryBudget, RetryDecision, Ticket, retry_decision,
+};
+use smallvec::SmallVec;
+use tokio::sync::mpsc;
+
+use super::endpoints::{ChangedServices, EndpointIndex};
+use super::{AllowedRegions, Attempt, AttemptQuery, RoutePlan, RouteQuery, RouteRefusal};
+use crate::completion::Completion;
+
+/// Result alias of this module.
+type Result<T> = std::result::Result<T, Refusal>;
+
+/// Addresses of home regions named in a refusal.
+const MAX_ADDRESSES_IN_DETAIL: usize = 3;
+
+/// Everything that the router knows; owned by its task.
+pub(super) struct RouterState {
+    locality: Locality,
+    reports: mpsc::UnboundedSender<(AttemptId, AttemptReport)>,
+    catalog: Option<Arc<Catalog>>,
+    members: HashMap<VmName, Member>,
+    endpoints: EndpointIndex,
+    balancer: Balancer,
+    retries: RetryBudget,
+    domains_out: SmallVec<[FailureDomain; 2]>,
+}
+
+impl RouterState {
+    /// Creates a router that knows nothing yet and refuses everything.
+    pub(super) fn new(
+        locality: Locality,
+        seed: u64,
+        reports: mpsc::UnboundedSender<(AttemptId, AttemptReport)>,
+    ) -> Self {
+        let picker = Box::new(PowerOfTwo::new(seed));
+        let balancer = Balancer::new(BalancerSettings::default(), locality.clone(), picker, seed);
+        Self {
+            locality,
+            reports,
+            catalog: None,
+            members: HashMap::new(),
+            endpoints: EndpointIndex::default(),
+            balancer,
+            retries: RetryBudget::new(),
+            domains_out: SmallVec::new(),
+        }
+    }
+
+    /// Takes a newer configuration.
+    pub(super) fn set_catalog(&mut self, catalog: Arc<Catalog>) {
+        self.domains_out = catalog
+            .domains()
+            .filter(|d| d.value.state == DomainState::OutOfService)
+            .map(|d| d.value.name.clone())
+            .collect();
+        self.catalog = Some(catalog);
+    }
+
+    /// Takes changed member records.
+    pub(super) fn set_members(&mut self, members: &[Member]) {
+        let mut changed = ChangedServices::new();
+        for member in members {
+            self.endpoints.update(member, &mut changed);
+            self.members.insert(member.vm.clone(), member.clone());
+        }
+        self.apply_endpoints(&changed);
+    }
+
+    /// Forgets members.
+    pub(super) fn remove_members(&mut self, vms: &[VmName]) {
+        let mut changed = ChangedServices::new();
+        for vm in vms {
+            self.endpoints.remove(vm, &mut changed);
+            self.members.remove(vm);
+        }
+        self.apply_endpoints(&changed);
+    }
+
+    fn apply_endpoints(&mut self, changed: &ChangedServices) {
+        for service in changed {
+            let endpoints = self.endpoints.of(service);
+            self.balancer.set_endpoints(service, &endpoints);
+        }
+    }
+
+    /// Decides how a request is treated.
+    pub(super) fn route(&self, query: &RouteQuery) -> std::result::Result<RoutePlan, RouteRefusal> {
+        let catalog = self.catalog()?;
+        let resolved = catalog
+            .resolve(&query.host, &query.path, &query.method)
+            .ok_or(Refusal::not_run(Reason::UnknownService))?;
+        check_team(catalog, &resolved, query)?;
+        let route = resolved.route.map(|r| r.name.clone());
+        let service = &resolved.service.name;
+        let regions = match catalog.residency(query.team.as_ref(), service, route.as_ref()) {
+            Residency::Anywhere => None,
+            Residency::Regions(regions) => Some(regions),
+            Residency::Nowhere => Some(SmallVec::new()),
+        };
+        self.check_region(&regions)?;
+        Ok(RoutePlan {
+            service: service.clone(),
+            route,
+            team: query.team.clone(),
+            class: resolved.class,
+            regions,
+            revision: catalog.revision(),
+            timeout: resolved.service.timeout(),
+        })
+    }
+
+    fn catalog(&self) -> Result<&Catalog> {
+        let catalog = self.catalog.as_deref();
+        catalog
+            .filter(|c| c.revision() > Revision(0))
+            .ok_or(Refusal::not_run(Reason::NoConfiguration))
+    }
+
+    fn check_region(&self, allowed: &AllowedRegions) -> std::result::Result<(), RouteRefusal> {
+        match allowed {
+            Some(regions) if !regions.contains(&self.locality.region) => Err(RouteRefusal {
+                refusal: Refusal::not_run(Reason::HomeRegion),
+                detail: self.addresses_in(regions),
+            }),
+            _ => Ok(()),
+        }
+    }
+
+    fn addresses_in(&self, regions: &[Region]) -> Option<String> {
+        let addresses: Vec<String> = self
+            .members
+            .values()
+            .filter(|m| m.state.takes_work() && regions.contains(&m.region))
+            .take(MAX_ADDRESSES_IN_DETAIL)
+            .map(|m| m.caller_addr.to_string())
+            .collect();
+        (!addresses.is_empty())
+            .then(|| format!("home regions accept it at {}", addresses.join(", ")))
+    }
+
+    /// Chooses an upstream for a first attempt, or for a further one if a retry is allowed.
+    pub(super) fn attempt(&mut self, query: &AttemptQuery, now: Moment) -> Result<Attempt> {
+        let time_left = query.deadline.since(now);
+        match query.failure {
+            None => self.retries.on_request(),
+            Some((refusal, replayable)) => {
+                self.check_retry(query, refusal, replayable, time_left)?;
+            }
+        }
+        let request = ChoiceRequest {
+            service: &query.plan.service,
+            allowed: query.plan.regions.as_deref(),
+            excluded: &query.tried,
+            excluded_domains: &self.domains_out,
+            time_left,
+        };
+        let choice = self.balancer.choose(&request, now);
+        // A retry that finds no further upstream reports the failure it was meant to mend.
+        let choice = choice.map_err(|e| query.failure.map_or(e, |(refusal, _)| refusal))?;
+        let cancelled = AttemptReport {
+            ended: AttemptEnd::Cancelled,
+            latency: Duration::ZERO,
+            hint: None,
+        };
+        let report = Completion::new(self.reports.clone(), (choice.attempt, cancelled));
+        Ok(Attempt {
+            endpoint: choice.endpoint,
+            id: choice.attempt,
+            report,
+        })
+    }
+
+    fn check_retry(
+        &mut self,
+        query: &AttemptQuery,
+        refusal: Refusal,
+        replayable: bool,
+        time_left: Duration,
+    ) -> Result<()> {
+        let attempts = u32::try_from(query.tried.len()).unwrap_or(u32::MAX);
+        let Refusal { outcome, reason } = refusal;
+        let decision = retry_decision(
+            query.plan.class,
+            outcome,
+            reason,
+            attempts,
+            time_left,
+            replayable,
+        );
+        if decision == RetryDecision::Retry && self.retries.try_take() {
+            Ok(())
+        } else {
+            Err(refusal)
+        }
+    }
+
+    /// Takes the report of an attempt.
+    pub(super) fn finish(&mut self, attempt: AttemptId, report: &AttemptReport, now: Moment) {
+        self.balancer.finish(attempt, report, now);
+    }
+
+    /// Finds the upstream that issued a ticket.
+    pub(super) fn locate(&self, ticket: &Ticket) -> Result<Endpoint> {
+        let gone = Refusal::unknown(Reason::TicketGone);
+        let member = self.members.get(&ticket.vm).ok_or(gone)?;
+        if member.key.incarnation != ticket.incarnation {
+            return Err(gone);
+        }
+        match self.endpoints.at(&ticket.service, &ticket.vm) {
+            Some(endpoint) => Ok(endpoint.clone()),
+            // The daemon still knows what became of the ticket, even if its upstream is gone.
+            None => Ok(Endpoint {
+                vm: member.vm.clone(),
+                incarnation: cornelvalve_policy::EndpointIncarnation {
+                    daemon: member.key.incarnation,
+                    upstream: cornelvalve_model::Incarnation(0),
+                },
+                peer_addr: member.peer_addr,
+                region: member.region.clone(),
+                domain: member.domain.clone(),
+                slots: 0,
+            }),
+        }
+    }
+
+    /// Lists the endpoints among which requests like `query` are spread.
+    pub(super) fn explain(&self, query: &RouteQuery, now: Moment) -> Vec<(Endpoint, u32)> {
+        let Ok(plan) = self.route(query) else {
+            return Vec::new();
+        };
+        let views = self.balancer.endpoints(&plan.service, now);
+        let views = views.into_iter();
+        views.map(|v| (v.endpoint.clone(), v.outstanding)).collect()
+    }
+}
+
+fn check_team(catalog: &Catalog, resolved: &Resolved<'_>, query: &RouteQuery) -> Result<()> {
+    let known = match &query.team {
+        Some(team) => catalog.knows_team(team),
+        None => !catalog.team_required(&resolved.service.name),
+    };
+    if known {
+        Ok(())
+    } else {
+        Err(Refusal::not_run(Reason::UnknownTeam))
+    }
+}
--- a/crates/wire/src/hop.rs
+++ b/crates/wire/src/hop.rs
@@ -275,7 +275,11 @@
 fn text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Result<Option<&'a str>> {
     headers
         .get(name)
-        .map(|value| value.to_str().map_err(|_| HopError::Malformed(name.clone())))
+        .map(|value| {
+            value
+                .to_str()
+                .map_err(|_| HopError::Malformed(name.clone()))
+        })
         .transpose()
 }
 
