Judge admission latency by averages instead of single samples

Cause: with exponential service times, bounds on single latencies lowered the limit so often that it stayed near 2 and two thirds of the requests failed at half load.

Asymmetric baseline weights were ruled out, because low samples pulled the baseline below the mean.

--- a/crates/policy/src/admission/limit.rs
+++ b/crates/policy/src/admission/limit.rs
@@ -13,14 +13,14 @@
 /// Connections that a target accepts.
 const MAX_LIMIT: u16 = 250;
 
-/// A success within this multiple of the baseline latency raises the limit.
-const LATENCY_BOUND: f64 = 3.0;
+/// The limit rises while the recent latency is within this multiple of the baseline.
+const GROWTH_BOUND: f64 = 1.5;
 
-/// A latency beyond this multiple of the baseline counts towards a cold restart.
-const JUMP_BOUND: f64 = 5.0;
+/// The limit falls when the recent latency is beyond this multiple of the baseline.
+const LATENCY_BOUND: f64 = 2.0;
 
-/// Jumps in a row after which the upstream counts as cold; one slow request is no sign.
-const JUMPS_TO_COLD: u32 = 3;
+/// The upstream counts as cold when the recent latency is beyond this multiple of the baseline.
+const JUMP_BOUND: f64 = 3.0;
 
 /// Factor on the limit after a failure.
 const FAILURE_DECREASE: f64 = 0.7;
@@ -31,11 +31,21 @@
 /// Least limit, so that an upstream can show that it has recovered.
 const MIN_LIMIT: f64 = 1.0;
 
-/// Weight of a latency below the baseline; high, because warming up lowers the baseline for good.
-const BASELINE_FALL: f64 = 0.3;
+/// Weight of a sample in the recent latency. Single latencies spread too much to be compared with
+/// the baseline: with exponential service times, bounds on single samples kept the limit at 2, and
+/// a weight of 0.25 still lost a tenth of the requests at half load.
+const RECENT_WEIGHT: f64 = 0.1;
 
-/// Weight of a latency above the baseline; low, so that congestion is not taken for normal.
-const BASELINE_RISE: f64 = 0.02;
+/// Weight of a sample in the baseline; small, so that congestion is not soon taken for normal.
+const BASELINE_WEIGHT: f64 = 0.01;
+
+/// Largest ratio to the baseline that a sample counts with, so that a few answers of a cold
+/// upstream do not pass for a new baseline.
+const MAX_SAMPLE_RATIO: f64 = 3.0;
+
+/// While the recent latency is below this multiple of the baseline, the baseline follows faster,
+/// because the upstream has warmed up.
+const WARMED_RATIO: f64 = 0.5;
 
 /// Least baseline; shorter differences are scheduling noise.
 const MIN_BASELINE: Duration = Duration::from_micros(500);
@@ -45,7 +55,8 @@
     value: f64,
     slots: u16,
     baseline: Option<Duration>,
-    jumps: u32,
+    recent: Duration,
+    samples: f64,
     /// Last decrease; answers to requests of the same burst do not decrease the limit again.
     decreased: Option<Moment>,
 }
@@ -56,7 +67,8 @@
             value: COLD_LIMIT,
             slots,
             baseline: None,
-            jumps: 0,
+            recent: Duration::ZERO,
+            samples: 0.0,
             decreased: None,
         }
     }
@@ -90,38 +102,37 @@
     }
 
     fn on_success(&mut self, service_time: Duration, running: u32, now: Moment) {
-        let baseline = self.baseline.unwrap_or(service_time).max(MIN_BASELINE);
-        let ratio = service_time.as_secs_f64() / baseline.as_secs_f64();
-        self.learn_baseline(baseline, service_time);
+        let ratio = self.learn_latency(service_time.max(MIN_BASELINE));
         if ratio > JUMP_BOUND {
-            self.jumps += 1;
-        } else {
-            self.jumps = 0;
-        }
-        if self.jumps >= JUMPS_TO_COLD {
             self.turn_cold(now);
         } else if ratio > LATENCY_BOUND {
             self.decrease(SLOW_DECREASE, now);
-        } else if running * 2 >= u32::from(self.current()) {
+        } else if ratio <= GROWTH_BOUND && running * 2 >= u32::from(self.current()) {
             // A limit that is mostly unused is no evidence that a larger one would hold.
             self.value = (self.value + 1.0 / self.value).min(f64::from(self.slots()));
         }
     }
 
-    fn learn_baseline(&mut self, baseline: Duration, sample: Duration) {
-        let weight = if sample < baseline {
-            BASELINE_FALL
+    /// Takes a latency into both averages and returns the ratio of the recent one to the baseline.
+    fn learn_latency(&mut self, sample: Duration) -> f64 {
+        let baseline = self.baseline.unwrap_or(sample);
+        self.samples += 1.0;
+        // The first samples count equally, so that none of them alone is the baseline.
+        let first = 1.0 / self.samples;
+        self.recent = average(self.recent, sample, RECENT_WEIGHT.max(first));
+        let ratio = self.recent.as_secs_f64() / baseline.as_secs_f64();
+        let weight = if ratio < WARMED_RATIO {
+            RECENT_WEIGHT
         } else {
-            BASELINE_RISE
+            BASELINE_WEIGHT.max(first)
         };
-        // A few answers of a cold upstream must not pass for a new baseline.
-        let sample = sample.min(baseline.mul_f64(LATENCY_BOUND));
-        self.baseline = Some(baseline.mul_f64(1.0 - weight) + sample.mul_f64(weight));
+        let bounded = sample.min(baseline.mul_f64(MAX_SAMPLE_RATIO));
+        self.baseline = Some(average(baseline, bounded, weight));
+        ratio
     }
 
     fn turn_cold(&mut self, now: Moment) {
         self.value = self.value.min(COLD_LIMIT);
-        self.jumps = 0;
         self.decreased = Some(now);
     }
 
@@ -134,3 +145,7 @@
         self.decreased = Some(now);
     }
 }
+
+fn average(old: Duration, sample: Duration, weight: f64) -> Duration {
+    old.mul_f64(1.0 - weight) + sample.mul_f64(weight)
+}
