--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -1,1 +1,4 @@
 //! Integration tests, one module a topic.
+
+mod path;
+mod support;
--- /dev/null
+++ b/tests/all/path.rs
@@ -0,0 +1,48 @@
+//! The whole path as separate processes.
+
+use crate::support::{Mesh, VmSpec, eventually, request, send};
+
+const EST_A: VmSpec = VmSpec {
+    vm: "est-a-1",
+    region: "qc-est",
+    domain: "est-a",
+};
+
+const EST_B: VmSpec = VmSpec {
+    vm: "est-b-1",
+    region: "qc-est",
+    domain: "est-b",
+};
+
+/// Guards against a break anywhere between caller, entry, guard, upstream, log and operators'
+/// client.
+#[tokio::test]
+async fn request_passes_from_one_daemon_to_the_upstream_beside_another() {
+    let mesh = Mesh::start("path");
+    let entry = mesh.daemon(EST_A, &[]);
+    let beside = mesh.daemon(EST_B, &[entry.peers]);
+    entry.wait_for_members(2).await;
+    let (_upstream, _) = beside.start_upstream("estimateur", 10);
+    entry.ctl(&["region", "put", "qc-est"]);
+    let service = ["service", "put", "--name", "estimateur", "--host", "estimateur.test"];
+    entry.ctl(&service);
+
+    let body = "mileage=12000".repeat(100);
+    let answer = eventually("request through two daemons", || async {
+        let post = request("POST", "estimateur.test", "/estimate", &[], body.clone());
+        let answer = send(entry.callers, post).await?;
+        if answer.status.is_success() {
+            Ok(answer)
+        } else {
+            Err(format!("{answer:?}"))
+        }
+    })
+    .await;
+    assert_eq!(answer.body, body, "the upstream echoes the whole body");
+
+    let unknown = request("GET", "unknown.test", "/", &[], "");
+    let refused = send(entry.callers, unknown).await.unwrap();
+    assert_eq!(refused.status, 404);
+    assert_eq!(refused.json()["outcome"], "not-run");
+    assert_eq!(refused.json()["reason"], "unknown-service");
+}
--- /dev/null
+++ b/tests/all/support.rs
@@ -0,0 +1,9 @@
+//! Processes of a small mesh: log stand-in, daemons, upstream stand-ins and the operators' client.
+
+mod http;
+mod mesh;
+mod process;
+
+pub(crate) use http::{Answer, request, send};
+pub(crate) use mesh::{DaemonProcess, Mesh, VmSpec};
+pub(crate) use process::{Process, cornelctl, eventually};
--- /dev/null
+++ b/tests/all/support/mesh.rs
@@ -0,0 +1,133 @@
+//! A mesh of separate processes on loopback.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use serde_json::Value;
+
+use super::process::{Process, cornelctl, eventually};
+
+/// Where a VM stands.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct VmSpec {
+    pub(crate) vm: &'static str,
+    pub(crate) region: &'static str,
+    pub(crate) domain: &'static str,
+}
+
+/// Running daemon.
+#[derive(Debug)]
+pub(crate) struct DaemonProcess {
+    pub(crate) process: Process,
+    pub(crate) callers: SocketAddr,
+    pub(crate) peers: SocketAddr,
+    pub(crate) upstream: SocketAddr,
+    pub(crate) operators: SocketAddr,
+    pub(crate) metrics: SocketAddr,
+}
+
+/// Log stand-in with a folder for settings files.
+#[derive(Debug)]
+pub(crate) struct Mesh {
+    pub(crate) log: Process,
+    pub(crate) log_addr: SocketAddr,
+    folder: PathBuf,
+}
+
+impl Mesh {
+    /// Starts the log stand-in.
+    pub(crate) fn start(name: &str) -> Self {
+        let (log, ready) = Process::start("standin-log", &["--listen", "127.0.0.1:0"]);
+        let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
+        std::fs::create_dir_all(&folder).expect("folder can be created");
+        Self {
+            log,
+            log_addr: addr(&ready, "listen"),
+            folder,
+        }
+    }
+
+    /// Starts a daemon that knows nothing but the log and one peer.
+    pub(crate) fn daemon(&self, spec: VmSpec, seeds: &[SocketAddr]) -> DaemonProcess {
+        let seeds: Vec<String> = seeds.iter().map(|s| format!("{:?}", s.to_string())).collect();
+        let settings = format!(
+            r#"{{
+                // Written by a test.
+                "vm": "{}", "region": "{}", "failure_domain": "{}",
+                "listen": {{
+                    "callers": "127.0.0.1:0", "peers": "127.0.0.1:0", "upstream": "127.0.0.1:0",
+                    "operators": "127.0.0.1:0", "metrics": "127.0.0.1:0",
+                }},
+                "log_store": {{ "addr": "{}" }},
+                "seeds": [{}],
+                "drain_timeout_ms": 20000,
+            }}"#,
+            spec.vm,
+            spec.region,
+            spec.domain,
+            self.log_addr,
+            seeds.join(",")
+        );
+        let file = self.folder.join(format!("{}.jsonc", spec.vm));
+        std::fs::write(&file, settings).expect("settings can be written");
+        let path = file.to_str().expect("path is UTF-8");
+        let (process, ready) = Process::start("cornelvalve", &["run", path]);
+        DaemonProcess {
+            process,
+            callers: addr(&ready, "callers"),
+            peers: addr(&ready, "peers"),
+            upstream: addr(&ready, "upstream"),
+            operators: addr(&ready, "operators"),
+            metrics: addr(&ready, "metrics"),
+        }
+    }
+}
+
+fn addr(ready: &Value, key: &str) -> SocketAddr {
+    ready[key]
+        .as_str()
+        .and_then(|text| text.parse().ok())
+        .unwrap_or_else(|| panic!("ready line {ready} has no address {key:?}"))
+}
+
+impl DaemonProcess {
+    /// Starts an upstream stand-in beside the daemon.
+    pub(crate) fn start_upstream(&self, service: &str, slots: u16) -> (Process, SocketAddr) {
+        let daemon = self.upstream.to_string();
+        let slots = slots.to_string();
+        let args = ["--daemon", &daemon, "--service", service, "--slots", &slots];
+        let (process, ready) = Process::start("standin-upstream", &args);
+        let port = ready["port"].as_u64().and_then(|p| u16::try_from(p).ok());
+        let port = port.unwrap_or_else(|| panic!("ready line {ready} has no port"));
+        (process, SocketAddr::from(([127, 0, 0, 1], port)))
+    }
+
+    /// Runs the operators' client against the daemon and expects success.
+    pub(crate) fn ctl(&self, args: &[&str]) -> String {
+        let output = cornelctl(&self.operators.to_string(), args);
+        let stdout = String::from_utf8_lossy(&output.stdout).into_owned();
+        let stderr = String::from_utf8_lossy(&output.stderr);
+        assert!(output.status.success(), "cornelctl {args:?}: {stdout} {stderr}");
+        stdout
+    }
+
+    /// Returns what the operators' client prints as JSON.
+    pub(crate) fn ctl_json(&self, args: &[&str]) -> Value {
+        let mut full = vec!["--output", "json"];
+        full.extend(args);
+        let text = self.ctl(&full);
+        serde_json::from_str(&text).unwrap_or_else(|e| panic!("{text:?} is not JSON: {e}"))
+    }
+
+    /// Waits until the daemon sees so many members alive.
+    pub(crate) async fn wait_for_members(&self, alive: u64) {
+        eventually("members", || async {
+            let status = self.ctl_json(&["status"]);
+            match status["members"]["alive"].as_u64() {
+                Some(n) if n == alive => Ok(()),
+                other => Err(format!("{other:?} of {alive} members are alive")),
+            }
+        })
+        .await;
+    }
+}
--- /dev/null
+++ b/tests/all/support/process.rs
@@ -0,0 +1,100 @@
+//! Child processes that end with the test.
+
+use std::io::{BufRead, BufReader};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Output, Stdio};
+use std::time::{Duration, Instant};
+
+/// Time that a busy machine may take for a step; a test that needs it all is not a failure.
+const PATIENCE: Duration = Duration::from_secs(60);
+
+/// Pause between two looks at a condition.
+const POLL: Duration = Duration::from_millis(50);
+
+/// Child process that is killed when it goes out of scope.
+#[derive(Debug)]
+pub(crate) struct Process {
+    child: Child,
+}
+
+impl Process {
+    /// Starts a program and reads the JSON line that it prints when it is ready.
+    pub(crate) fn start(program: &str, args: &[&str]) -> (Self, serde_json::Value) {
+        let mut child = Command::new(binary(program))
+            .args(args)
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .stderr(Stdio::null())
+            .spawn()
+            .unwrap_or_else(|e| panic!("{program} did not start: {e}"));
+        let stdout = child.stdout.take().expect("stdout is piped");
+        let mut line = String::new();
+        BufReader::new(stdout)
+            .read_line(&mut line)
+            .expect("stdout is readable");
+        let ready = serde_json::from_str(&line)
+            .unwrap_or_else(|e| panic!("{program} printed {line:?} instead of JSON: {e}"));
+        (Self { child }, ready)
+    }
+
+    /// Sends a signal by name, such as `TERM`, `KILL`, `STOP` or `CONT`.
+    pub(crate) fn signal(&self, name: &str) {
+        let status = Command::new("kill")
+            .args([format!("-{name}"), self.child.id().to_string()])
+            .status()
+            .expect("kill runs");
+        assert!(status.success(), "signal {name} was not delivered");
+    }
+
+    /// Waits for the end of the process and returns whether it succeeded.
+    pub(crate) fn wait(&mut self) -> bool {
+        let deadline = Instant::now() + PATIENCE;
+        loop {
+            if let Some(status) = self.child.try_wait().expect("child can be waited for") {
+                return status.success();
+            }
+            assert!(Instant::now() < deadline, "process did not end in time");
+            std::thread::sleep(POLL);
+        }
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        // Both fail only if the process has ended already.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// Returns the path of a program of the workspace; all stand beside the daemon.
+fn binary(program: &str) -> PathBuf {
+    let daemon = Path::new(env!("CARGO_BIN_EXE_cornelvalve"));
+    daemon.with_file_name(program)
+}
+
+/// Runs the operators' client to its end.
+pub(crate) fn cornelctl(daemon: &str, args: &[&str]) -> Output {
+    Command::new(binary("cornelctl"))
+        .args(["--daemon", daemon])
+        .args(args)
+        .stdin(Stdio::null())
+        .output()
+        .expect("cornelctl runs")
+}
+
+/// Repeats `check` until it succeeds and panics with its last error after a long time.
+pub(crate) async fn eventually<T, F, R>(what: &str, mut check: F) -> T
+where
+    F: FnMut() -> R,
+    R: Future<Output = Result<T, String>>,
+{
+    let deadline = Instant::now() + PATIENCE;
+    loop {
+        match check().await {
+            Ok(value) => return value,
+            Err(e) => assert!(Instant::now() < deadline, "{what}: {e}"),
+        }
+        tokio::time::sleep(POLL).await;
+    }
+}
