Ask daemons in parallel and make domain put create only

Asking 15,000 daemons one after the other takes too long when some do not answer, so leave and timeline ask 64 at once; a daemon without a result counts as failed. `domain put` over an existing entry returned a failure domain to service that operators had taken out; it now expects that there is no entry. The callers' address must name an interface because refusals name it.

--- a/crates/ctl/src/client.rs
+++ b/crates/ctl/src/client.rs
@@ -7,12 +7,16 @@
 use cornelvalve_api::{ApiError, ErrorKind};
 use jsonrpsee::core::ClientError;
 use jsonrpsee::http_client::{HttpClient, HttpClientBuilder};
+use tokio::task::JoinSet;
 
-use crate::{CtlError, Result};
+use crate::{CtlError, Exit, Result};
 
 /// Time beyond a call's own timeout after which a daemon counts as not answering.
 const MARGIN: Duration = Duration::from_secs(2);
 
+/// Daemons that are asked at once.
+const PARALLEL: usize = 64;
+
 /// Largest result; 15,000 member records have about 7 MB.
 const MAX_RESULT_BYTES: u32 = 64 * 1024 * 1024;
 
@@ -134,9 +138,57 @@
                 Err(CallError::Refused(e)) if e.kind == ErrorKind::BadRequest => {
                     return Err(e.into());
                 }
-                Err(e) => last = e.into_ctl(*addr),
+                Err(e) => last = more_telling(last, e.into_ctl(*addr)),
             }
         }
         Err(last)
     }
+
+    /// Makes a call to each address, several at once, and returns the results in the order of the
+    /// addresses.
+    pub(crate) async fn call_each<T, F, R>(
+        &self,
+        addrs: &[SocketAddr],
+        call: F,
+    ) -> Vec<(SocketAddr, CallResult<T>)>
+    where
+        T: Send + 'static,
+        F: Fn(HttpClient) -> R + Clone + Send + 'static,
+        R: Future<Output = std::result::Result<T, ClientError>> + Send + 'static,
+    {
+        let mut results: Vec<(SocketAddr, CallResult<T>)> = addrs
+            .iter()
+            .map(|addr| (*addr, Err(CallError::NoResponse("call failed".to_owned()))))
+            .collect();
+        let mut running = JoinSet::new();
+        let mut pending = addrs.iter().copied().enumerate();
+        loop {
+            while running.len() < PARALLEL
+                && let Some((index, addr)) = pending.next()
+            {
+                let (daemons, call) = (self.clone(), call.clone());
+                running.spawn(async move {
+                    let result = daemons
+                        .call_one(addr, async move |client| call(client.clone()).await)
+                        .await;
+                    (index, result)
+                });
+            }
+            match running.join_next().await {
+                Some(Ok((index, result))) => results[index].1 = result,
+                // The result stays a failure, so that no daemon counts as asked that was not.
+                Some(Err(_)) => {}
+                None => return results,
+            }
+        }
+    }
+}
+
+/// Prefers the answer of a daemon over the failure to reach another.
+fn more_telling(earlier: CtlError, later: CtlError) -> CtlError {
+    if earlier.exit == Exit::DaemonError && later.exit == Exit::Unreachable {
+        earlier
+    } else {
+        later
+    }
 }
--- a/crates/ctl/src/edit.rs
+++ b/crates/ctl/src/edit.rs
@@ -34,7 +34,8 @@
         }
         Some((verb, sub)) => {
             let operation = operation(kind, verb, sub)?;
-            publish(sub, operation, None, daemons, output).await
+            let expects = default_expects(&operation);
+            publish(sub, operation, expects, daemons, output).await
         }
         None => Err(CtlError::usage("no command was given")),
     }
@@ -93,6 +94,14 @@
         })
 }
 
+/// Returns the expected revision where the command line gives none.
+///
+/// `domain put` only creates: over an existing entry it would return a failure domain to service
+/// that operators have taken out.
+fn default_expects(operation: &Operation) -> Option<Revision> {
+    matches!(operation, Operation::PutDomain { .. }).then_some(Revision(0))
+}
+
 fn operation(kind: EntryKind, verb: &str, sub: &ArgMatches) -> Result<Operation> {
     Ok(match (kind, verb) {
         (EntryKind::Service, "put") => Operation::PutService(service(sub)?),
--- a/crates/ctl/src/leave.rs
+++ b/crates/ctl/src/leave.rs
@@ -5,15 +5,11 @@
 use clap::ArgMatches;
 use cornelvalve_api::{LeaveReport, OperatorsClient};
 use cornelvalve_model::{FailureDomain, Member, MemberState, VmName};
-use tokio::task::JoinSet;
 
 use crate::client::Daemons;
 use crate::output::Output;
 use crate::{CtlError, Exit, Result};
 
-/// Daemons that are asked at once.
-const PARALLEL: usize = 64;
-
 const NOTE: &str = "leave is not remembered: a daemon that starts in this failure domain takes \
                     work; record it with `cornelctl domain out` once the log store answers";
 
@@ -25,14 +21,15 @@
     let domain = sub
         .get_one::<FailureDomain>("domain")
         .ok_or_else(|| CtlError::usage("domain is missing"))?;
-    let members = daemons
+    let members: Vec<(VmName, SocketAddr)> = daemons
         .call(async |client| client.members().await)
         .await?
         .into_iter()
         .map(|report| report.member)
         .filter(|member| member.domain == *domain && may_run(member))
-        .map(|member| (member.vm, member.operator_addr));
-    let (mut left, mut failed) = ask_all(members.collect(), domain, daemons).await;
+        .map(|member| (member.vm, member.operator_addr))
+        .collect();
+    let (mut left, mut failed) = ask_all(&members, domain, daemons).await;
     left.sort_by(|a, b| a.vm.cmp(&b.vm));
     failed.sort();
     output.left(&left)?;
@@ -55,36 +52,25 @@
 
 /// Asks each member and returns the reports and the VMs that gave none.
 async fn ask_all(
-    members: Vec<(VmName, SocketAddr)>,
+    members: &[(VmName, SocketAddr)],
     domain: &FailureDomain,
     daemons: &Daemons,
 ) -> (Vec<LeaveReport>, Vec<VmName>) {
-    let mut reports: Vec<LeaveReport> = Vec::new();
-    let mut running = JoinSet::new();
-    let mut pending = members.iter();
-    loop {
-        while running.len() < PARALLEL
-            && let Some((_, addr)) = pending.next()
-        {
-            running.spawn(ask(*addr, domain.clone(), daemons.clone()));
-        }
-        match running.join_next().await {
-            Some(result) => reports.extend(result.ok().flatten()),
-            None => break,
+    let addrs: Vec<SocketAddr> = members.iter().map(|(_, addr)| *addr).collect();
+    let domain = domain.clone();
+    let results = daemons
+        .call_each(&addrs, move |client| {
+            let domain = domain.clone();
+            async move { client.leave(domain).await }
+        })
+        .await;
+    let mut reports = Vec::new();
+    let mut failed = Vec::new();
+    for ((vm, _), (_, result)) in members.iter().zip(results) {
+        match result {
+            Ok(report) if report.vm == *vm => reports.push(report),
+            Ok(_) | Err(_) => failed.push(vm.clone()),
         }
     }
-    let answered = |vm: &VmName| reports.iter().any(|report| report.vm == *vm);
-    let silent = members
-        .into_iter()
-        .map(|(vm, _)| vm)
-        .filter(|vm| !answered(vm));
-    let failed = silent.collect();
     (reports, failed)
 }
-
-async fn ask(addr: SocketAddr, domain: FailureDomain, daemons: Daemons) -> Option<LeaveReport> {
-    daemons
-        .call_one(addr, async move |client| client.leave(domain).await)
-        .await
-        .ok()
-}
--- a/crates/ctl/src/publish.rs
+++ b/crates/ctl/src/publish.rs
@@ -81,9 +81,11 @@
         });
         last = match call.await {
             Ok(report) if report.verdict != Verdict::Unknown => return Round::Done(report),
-            Err(CallError::NotConnected(e)) => {
-                Round::NoneConnected(format!("{addr} did not answer: {e}"))
-            }
+            Err(CallError::NotConnected(e)) => match last {
+                // The answer of another daemon tells more than a failed connection.
+                Round::Refused(earlier) => Round::Refused(earlier),
+                _ => Round::NoneConnected(format!("{addr} did not answer: {e}")),
+            },
             Err(CallError::Refused(e)) if e.kind == ErrorKind::BadRequest => {
                 return Round::Refused(e);
             }
--- a/crates/ctl/src/view.rs
+++ b/crates/ctl/src/view.rs
@@ -55,10 +55,13 @@
     let limit = sub.get_one::<u32>("limit").copied().unwrap_or_default();
     let mut failed = Vec::new();
     let mut timelines = Vec::new();
-    for addr in addresses(sub, daemons).await? {
-        let page = daemons
-            .call_one(addr, async |client| client.timeline(after, limit).await)
-            .await;
+    let addrs = addresses(sub, daemons).await?;
+    let pages = daemons
+        .call_each(&addrs, move |client| async move {
+            client.timeline(after, limit).await
+        })
+        .await;
+    for (addr, page) in pages {
         match page {
             Ok(TimelinePage { events, gap, .. }) => {
                 if gap {
--- a/crates/ctl/tests/all/run.rs
+++ b/crates/ctl/tests/all/run.rs
@@ -258,6 +258,39 @@
     assert_eq!(ended.exit, Exit::Usage);
 }
 
+/// Guards against `domain put` that returns a failure domain to service by mistake.
+#[tokio::test]
+async fn domain_put_only_creates() {
+    let (published, mut changes) = mpsc::unbounded_channel();
+    let mut daemon = fake();
+    daemon.published = Some(published);
+    let (addr, _server) = serve(daemon).await;
+    let args = ["domain", "put", "est-a", "--region", "qc-est"];
+    let ended = ctl(&[&addr.to_string()], &args).await;
+    assert_eq!(ended.exit, Exit::Success, "{}", ended.err);
+    let change = changes.recv().await.expect("change");
+    assert_eq!(change.expects.map(|r| r.0), Some(0));
+}
+
+/// Guards against a partial timeline that passes for a complete one.
+#[tokio::test]
+async fn partial_timeline_is_reported() {
+    let (addr, _server) = serve(fake()).await;
+    let ended = ctl(&[NOWHERE, &addr.to_string()], &["timeline"]).await;
+    assert_eq!(ended.exit, Exit::Unreachable);
+    assert_eq!(ended.out.lines().count(), 15);
+}
+
+/// Guards against the answer of a daemon that is hidden by another that does not answer.
+#[tokio::test]
+async fn refusal_is_preferred_to_unreachable() {
+    let mut refusing = fake();
+    refusing.refuses = Some(ErrorKind::NoConfiguration);
+    let (addr, _server) = serve(refusing).await;
+    let ended = ctl(&[&addr.to_string(), NOWHERE], &["team", "put", "paie"]).await;
+    assert_eq!(ended.exit, Exit::DaemonError, "{}", ended.err);
+}
+
 /// Guards against a service file and flags that lead to different services.
 #[tokio::test]
 async fn service_from_file_equals_flags() {
--- a/crates/daemon/src/config/builder.rs
+++ b/crates/daemon/src/config/builder.rs
@@ -82,7 +82,8 @@
         }
     }
 
-    /// Sets the address for callers; required.
+    /// Sets the address for callers; required, and must be one that they can reach, because refusals
+    /// name it to callers of other regions.
     #[must_use]
     pub fn listen_callers(mut self, addr: SocketAddr) -> Self {
         self.callers = Some(addr);
@@ -349,6 +350,7 @@
             }
         }
         for (key, addr) in [
+            ("listen.callers", self.callers),
             ("listen.peers", self.peers),
             ("listen.operators", self.operators),
         ] {
@@ -356,7 +358,7 @@
                 return Err(ConfigError {
                     key,
                     problem: "names no interface",
-                    remedy: "use the IP address under which other daemons reach this VM",
+                    remedy: "use the IP address under which others reach this VM",
                 });
             }
         }
--- a/crates/daemon/tests/all/settings.rs
+++ b/crates/daemon/tests/all/settings.rs
@@ -165,7 +165,7 @@
 fn unspecified_peer_address() {
     assert_snapshot!(message(&changed("10.0.0.11:7102", "0.0.0.0:7102")), @r#"
     settings.jsonc:16: listen.peers: names no interface;
-    use the IP address under which other daemons reach this VM
+    use the IP address under which others reach this VM
     "#);
 }
 
