--- a/crates/ctl/src/cli/view.rs
+++ b/crates/ctl/src/cli/view.rs
@@ -7,9 +7,9 @@
 use super::timestamp;
 
 const LEAVE_HELP: &str = "\
-`leave` asks each daemon of the failure domain directly and works while the log store is down. It is \
-not remembered: a daemon that starts in the failure domain afterwards takes work. `domain out` is \
-recorded in the log, holds for daemons that start later, and needs the log store.";
+`leave` asks each daemon of the failure domain directly and works while the log store is down. It \
+is not remembered: a daemon that starts in the failure domain afterwards takes work. `domain out` \
+is recorded in the log, holds for daemons that start later, and needs the log store.";
 
 pub(super) fn commands() -> [Command; 6] {
     [
--- a/crates/daemon/src/config/builder.rs
+++ b/crates/daemon/src/config/builder.rs
@@ -82,8 +82,8 @@
         }
     }
 
-    /// Sets the address for callers; required, and must be one that they can reach, because refusals
-    /// name it to callers of other regions.
+    /// Sets the address for callers; required, and must be one that they can reach, because
+    /// refusals name it to callers of other regions.
     #[must_use]
     pub fn listen_callers(mut self, addr: SocketAddr) -> Self {
         self.callers = Some(addr);
