Name the cause of a failed connection and describe all arguments

'client error (Connect)' does not tell an operator what to check, so the error of the system is shown instead. A test closes each connection after the call was sent and expects an unknown outcome.

--- a/crates/ctl/src/cli.rs
+++ b/crates/ctl/src/cli.rs
@@ -46,6 +46,7 @@
                 .arg(
                     Arg::new("shell")
                         .value_name("SHELL")
+                        .help("Shell that reads the script")
                         .required(true)
                         .value_parser(value_parser!(Shell)),
                 ),
--- a/crates/ctl/src/cli/edit.rs
+++ b/crates/ctl/src/cli/edit.rs
@@ -24,7 +24,10 @@
 }
 
 fn name_arg() -> Arg {
-    Arg::new("name").value_name("NAME").required(true)
+    Arg::new("name")
+        .value_name("NAME")
+        .help("Name of the entry")
+        .required(true)
 }
 
 fn service() -> Command {
--- a/crates/ctl/src/cli/view.rs
+++ b/crates/ctl/src/cli/view.rs
@@ -7,9 +7,9 @@
 use super::timestamp;
 
 const LEAVE_HELP: &str = "\
-`leave` asks each daemon of the failure domain directly and works while the log store is down. It \
-is not remembered: a daemon that starts in the failure domain afterwards takes work. `domain out` \
-is recorded in the log, holds for daemons that start later, and needs the log store.";
+`leave` asks each daemon of the failure domain directly and works while the log store is down.
+It is not remembered: a daemon that starts in the failure domain afterwards takes work.
+`domain out` is recorded in the log, holds for daemons that start later, and needs the log store.";
 
 pub(super) fn commands() -> [Command; 6] {
     [
@@ -28,6 +28,7 @@
         .arg(
             Arg::new("revision")
                 .value_name("REVISION")
+                .help("Revision that a change printed")
                 .required(true)
                 .value_parser(value_parser!(u64)),
         )
@@ -67,21 +68,26 @@
             Arg::new("domain")
                 .long("domain")
                 .value_name("DOMAIN")
+                .help("Failure domain to empty")
                 .required(true)
                 .value_parser(value_parser!(FailureDomain)),
         )
 }
 
 fn explain() -> Command {
-    let text = |name: &'static str, value: &'static str| {
-        Arg::new(name).long(name).value_name(value).required(true)
+    let text = |name: &'static str, value: &'static str, help: &'static str| {
+        Arg::new(name)
+            .long(name)
+            .value_name(value)
+            .help(help)
+            .required(true)
     };
     Command::new("explain")
         .about("Tells how a request would be routed now, without sending it")
-        .arg(text("host", "HOST"))
-        .arg(text("path", "PATH"))
+        .arg(text("host", "HOST", "Host of the request"))
+        .arg(text("path", "PATH", "Path of the request"))
         .arg(
-            text("method", "METHOD")
+            text("method", "METHOD", "Method of the request")
                 .required(false)
                 .default_value("GET"),
         )
@@ -89,6 +95,7 @@
             Arg::new("team")
                 .long("team")
                 .value_name("TEAM")
+                .help("Team that the request names")
                 .value_parser(value_parser!(TeamName)),
         )
 }
--- a/crates/ctl/src/client.rs
+++ b/crates/ctl/src/client.rs
@@ -1,5 +1,7 @@
 //! Calls to daemons: tries the next address when one does not answer.
 
+use std::error::Error;
+use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -41,9 +43,10 @@
                 ApiError::from_object(object)
                     .unwrap_or_else(|| ApiError::new(ErrorKind::Internal, object.message())),
             ),
-            ClientError::Transport(e) if failed_to_connect(&**e) => {
-                Self::NotConnected(e.to_string())
-            }
+            ClientError::Transport(e) => match connect_error(&**e) {
+                Some(system) => Self::NotConnected(system.to_string()),
+                None => Self::NoResponse(e.to_string()),
+            },
             other => Self::NoResponse(other.to_string()),
         }
     }
@@ -58,25 +61,22 @@
     }
 }
 
-/// Tells whether an error chain ends in a refused or impossible connection.
-fn failed_to_connect(error: &(dyn std::error::Error + 'static)) -> bool {
-    use std::io::ErrorKind::{
-        AddrNotAvailable, ConnectionRefused, HostUnreachable, NetworkUnreachable,
-    };
+/// Returns the error of the system at the end of a chain if it shows that no connection was made.
+fn connect_error<'a>(error: &'a (dyn Error + 'static)) -> Option<&'a io::Error> {
+    const NOT_CONNECTED: [io::ErrorKind; 4] = [
+        io::ErrorKind::AddrNotAvailable,
+        io::ErrorKind::ConnectionRefused,
+        io::ErrorKind::HostUnreachable,
+        io::ErrorKind::NetworkUnreachable,
+    ];
     let mut current = Some(error);
     while let Some(e) = current {
-        if let Some(io) = e.downcast_ref::<std::io::Error>() {
-            let kinds = [
-                AddrNotAvailable,
-                ConnectionRefused,
-                HostUnreachable,
-                NetworkUnreachable,
-            ];
-            return kinds.contains(&io.kind());
+        match e.downcast_ref::<io::Error>() {
+            Some(system) if NOT_CONNECTED.contains(&system.kind()) => return Some(system),
+            _ => current = e.source(),
         }
-        current = e.source();
     }
-    false
+    None
 }
 
 /// The daemons that the command line names.
--- a/crates/ctl/tests/all/help.rs
+++ b/crates/ctl/tests/all/help.rs
@@ -109,7 +109,7 @@
     Usage: cornelctl rule put [OPTIONS] --region <REGION> <NAME>
 
     Arguments:
-      <NAME>  
+      <NAME>  Name of the entry
 
     Options:
           --daemon <ADDR>       Operators' address of a daemon; repeat it to try the next one [default: 127.0.0.1:7104]
@@ -154,12 +154,14 @@
 
     Options:
           --daemon <ADDR>      Operators' address of a daemon; repeat it to try the next one [default: 127.0.0.1:7104]
-          --domain <DOMAIN>    
+          --domain <DOMAIN>    Failure domain to empty
           --output <FORMAT>    Form of results and errors [default: human] [possible values: human, json]
           --timeout <SECONDS>  Time for the whole call [default: 10]
       -h, --help               Print help
 
-    `leave` asks each daemon of the failure domain directly and works while the log store is down. It is not remembered: a daemon that starts in the failure domain afterwards takes work. `domain out` is recorded in the log, holds for daemons that start later, and needs the log store.
+    `leave` asks each daemon of the failure domain directly and works while the log store is down.
+    It is not remembered: a daemon that starts in the failure domain afterwards takes work.
+    `domain out` is recorded in the log, holds for daemons that start later, and needs the log store.
     "#);
 }
 
--- a/crates/ctl/tests/all/run.rs
+++ b/crates/ctl/tests/all/run.rs
@@ -6,6 +6,7 @@
 use cornelvalve_ctl::Exit;
 use insta::assert_snapshot;
 use jsonrpsee::server::{ServerBuilder, ServerHandle};
+use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 
 use crate::fake::{Fake, member};
@@ -162,6 +163,23 @@
     assert_eq!(a, b);
 }
 
+/// Guards against a lost response that is reported as if the daemon had not got the change.
+#[tokio::test]
+async fn lost_response_is_an_unknown_outcome() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("port");
+    let addr = listener.local_addr().expect("address").to_string();
+    let closing = tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            drop(stream);
+        }
+    });
+    let ended = ctl(&[&addr], &["--timeout", "1", "team", "put", "paie"]).await;
+    assert_eq!(ended.exit, Exit::UnknownOutcome, "{}", ended.err);
+    let ended = ctl(&[&addr], &["status"]).await;
+    assert_eq!(ended.exit, Exit::Unreachable, "{}", ended.err);
+    closing.abort();
+}
+
 /// Guards against a refusal by one daemon that hides that another may have appended the change.
 #[tokio::test]
 async fn unknown_outcome_outlives_a_refusal() {
