Test datagram codec and budget; bound every window of ten seconds

A burst of two seconds on top of the full share exceeded 16 KB/s in short windows. Rates are now chosen so that any window of ten seconds, with a full burst, stays within the share of a class and of the link.

--- a/crates/budget/src/lib.rs
+++ b/crates/budget/src/lib.rs
@@ -10,4 +10,5 @@
 pub use budget::{Budget, Count, Counters, TrafficClass, Verdict};
 pub use settings::{
     BudgetSettings, LINK_BYTES_PER_SECOND, LINK_DAEMONS, Rate, TOTAL_BYTES_PER_SECOND,
+    WINDOW_SECONDS,
 };
--- a/crates/budget/src/settings.rs
+++ b/crates/budget/src/settings.rs
@@ -12,14 +12,21 @@
     pub burst_bytes: u32,
 }
 
+/// Length of the windows in which a class keeps within its share.
+pub const WINDOW_SECONDS: u32 = 10;
+
+/// Seconds of its rate that a bucket holds: enough for several datagrams of 1400 bytes.
+const BURST_SECONDS: u32 = 2;
+
 impl Rate {
-    /// Creates a rate whose burst is two seconds of it, enough for several datagrams of 1400
-    /// bytes.
+    /// Creates the rate with which any window of [`WINDOW_SECONDS`] or more, including a full
+    /// burst, holds at most `share` bytes a second.
     #[must_use]
-    pub const fn new(bytes_per_second: u32) -> Self {
+    pub const fn within(share: u32) -> Self {
+        let bytes_per_second = share * WINDOW_SECONDS / (WINDOW_SECONDS + BURST_SECONDS);
         Self {
             bytes_per_second,
-            burst_bytes: 2 * bytes_per_second,
+            burst_bytes: BURST_SECONDS * bytes_per_second,
         }
     }
 }
@@ -50,18 +57,18 @@
 /// targets in two regions; the divisor leaves room for one region to hold all of them and more.
 pub const LINK_DAEMONS: u32 = 20;
 
-/// Rate of the link for one daemon: 37,500 / 20 daemons, less a quarter for packet headers of 28
+/// Share of the link for one daemon: 37,500 / 20 daemons, less a quarter for packet headers of 28
 /// bytes on datagrams of about 100 bytes.
-const LINK_RATE: u32 = LINK_BYTES_PER_SECOND / LINK_DAEMONS * 3 / 4;
+const LINK_SHARE: u32 = LINK_BYTES_PER_SECOND / LINK_DAEMONS * 3 / 4;
 
 impl Default for BudgetSettings {
     fn default() -> Self {
         Self {
-            probe: Rate::new(5_000),
-            news: Rate::new(5_000),
-            configuration: Rate::new(4_000),
-            load: Rate::new(2_000),
-            link: Rate::new(LINK_RATE),
+            probe: Rate::within(5_000),
+            news: Rate::within(5_000),
+            configuration: Rate::within(4_000),
+            load: Rate::within(2_000),
+            link: Rate::within(LINK_SHARE),
         }
     }
 }
--- /dev/null
+++ b/crates/wire/tests/datagram.rs
@@ -0,0 +1,187 @@
+//! Tests of the datagram codec.
+
+use std::net::SocketAddr;
+
+use cornelvalve_membership::{Message, News, Summary};
+use cornelvalve_model::{
+    FailureDomain, Incarnation, Member, MemberKey, MemberState, Region, Revision, ServiceName,
+    Upstream, UpstreamState, VmName,
+};
+use cornelvalve_wire::datagram::{DatagramError, MAX_BYTES, VERSION, decode, encode};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use xxhash_rust::xxh3::xxh3_64;
+
+fn id() -> impl Strategy<Value = String> {
+    "[a-z0-9._-]{1,64}"
+}
+
+fn key() -> impl Strategy<Value = MemberKey> {
+    (any::<u64>(), any::<u32>()).prop_map(|(incarnation, version)| MemberKey {
+        incarnation: Incarnation(incarnation),
+        version,
+    })
+}
+
+fn state() -> impl Strategy<Value = MemberState> {
+    prop_oneof![
+        Just(MemberState::Alive),
+        Just(MemberState::Suspect),
+        Just(MemberState::Leaving),
+        Just(MemberState::Left),
+        Just(MemberState::Dead),
+    ]
+}
+
+fn upstream() -> impl Strategy<Value = Upstream> {
+    (id(), any::<u16>(), any::<u16>(), any::<u64>()).prop_map(|(service, port, slots, start)| {
+        Upstream {
+            service: ServiceName::new(&service).unwrap(),
+            port,
+            slots,
+            incarnation: Incarnation(start),
+            state: UpstreamState::Draining,
+        }
+    })
+}
+
+fn member() -> impl Strategy<Value = Member> {
+    let addrs = any::<[SocketAddr; 3]>();
+    let upstreams = proptest::collection::vec(upstream(), 0..3);
+    (id(), key(), id(), id(), addrs, state(), upstreams).prop_map(
+        |(vm, key, region, domain, addrs, state, upstreams)| {
+            let plain = addrs.map(|a| SocketAddr::new(a.ip(), a.port()));
+            Member {
+                vm: VmName::new(&vm).unwrap(),
+                key,
+                region: Region::new(&region).unwrap(),
+                domain: FailureDomain::new(&domain).unwrap(),
+                peer_addr: plain[0],
+                caller_addr: plain[1],
+                operator_addr: plain[2],
+                state,
+                upstreams: upstreams.into(),
+            }
+        },
+    )
+}
+
+fn news() -> impl Strategy<Value = News> {
+    let finding = (id(), any::<u64>(), any::<u32>(), id(), any::<bool>());
+    prop_oneof![
+        member().prop_map(|m| News::Record(Box::new(m))),
+        (id(), key(), state()).prop_map(|(vm, key, state)| News::State {
+            vm: VmName::new(&vm).unwrap(),
+            key,
+            state,
+        }),
+        finding.prop_map(|(observer, start, sequence, region, reachable)| {
+            News::Reachability {
+                observer: VmName::new(&observer).unwrap(),
+                incarnation: Incarnation(start),
+                sequence,
+                region: Region::new(&region).unwrap(),
+                reachable,
+            }
+        }),
+    ]
+}
+
+fn message() -> impl Strategy<Value = Message> {
+    let list = || proptest::collection::vec(news(), 0..3);
+    let summary = any::<(u32, u32)>().prop_map(|(vm, record)| Summary { vm, record });
+    let summaries = proptest::collection::vec(summary, 0..100);
+    prop_oneof![
+        (any::<u32>(), any::<u32>(), any::<u64>(), list()).prop_map(
+            |(sequence, target, r, news)| {
+                Message::Ping {
+                    sequence,
+                    target,
+                    revision: Revision(r),
+                    news,
+                }
+            }
+        ),
+        (any::<u32>(), any::<u64>(), list()).prop_map(|(sequence, r, news)| Message::Ack {
+            sequence,
+            revision: Revision(r),
+            news,
+        }),
+        member().prop_map(|m| Message::Join {
+            member: Box::new(m)
+        }),
+        list().prop_map(|news| Message::Updates { news }),
+        any::<u64>().prop_map(|root| Message::SyncRoot { root }),
+        proptest::collection::vec(0..1_u32 << 28, 256)
+            .prop_map(|buckets| Message::SyncBuckets { buckets }),
+        (proptest::collection::vec(any::<u8>(), 0..256), summaries)
+            .prop_map(|(buckets, summaries)| Message::SyncSummaries { buckets, summaries }),
+        Just(Message::RevisionQuery),
+    ]
+}
+
+/// Adds a valid header, so that the bytes reach the decoder of the body.
+fn with_header(body: &[u8]) -> Vec<u8> {
+    let mut datagram = vec![VERSION];
+    datagram.extend_from_slice(&xxh3_64(body).to_le_bytes()[..4]);
+    datagram.extend_from_slice(body);
+    datagram
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 512,
+        rng_seed: RngSeed::Fixed(20_261_204),
+        failure_persistence: None,
+        .. ProptestConfig::default()
+    })]
+
+    /// Guards against a datagram from anywhere that stops the process.
+    #[test]
+    fn random_bytes_never_panic(bytes in proptest::collection::vec(any::<u8>(), 0..1500)) {
+        prop_assert!(decode(&bytes).is_err());
+        let _ = decode(&with_header(&bytes));
+    }
+
+    /// Guards against fields that get lost or exceed a datagram unnoticed.
+    #[test]
+    fn messages_survive_the_round_trip(message in message()) {
+        match encode(&message) {
+            Ok(bytes) => {
+                prop_assert!(bytes.len() <= MAX_BYTES);
+                prop_assert_eq!(decode(&bytes), Ok(message));
+            }
+            Err(e) => prop_assert!(matches!(e, DatagramError::TooLong(_))),
+        }
+    }
+
+    /// Guards against a damaged datagram that decodes to another message.
+    #[test]
+    fn a_flipped_bit_is_found(message in message(), at in any::<proptest::sample::Index>()) {
+        if let Ok(mut bytes) = encode(&message) {
+            let bit = at.index(bytes.len() * 8);
+            bytes[bit / 8] ^= 1 << (bit % 8);
+            prop_assert!(decode(&bytes).is_err());
+        }
+    }
+}
+
+/// Guards against errors that hide which part of the datagram is wrong.
+#[test]
+fn errors_name_the_cause() {
+    let good = encode(&Message::RevisionQuery).unwrap();
+    assert_eq!(decode(&good[..3]), Err(DatagramError::TooShort(3)));
+    assert_eq!(
+        decode(&[0; MAX_BYTES + 1]),
+        Err(DatagramError::TooLong(MAX_BYTES + 1))
+    );
+    let mut other = good.clone();
+    other[0] = VERSION + 1;
+    assert_eq!(decode(&other), Err(DatagramError::Version(VERSION + 1)));
+    let body = &good[5..];
+    let longer = [body, &[0, 0]].concat();
+    assert_eq!(
+        decode(&with_header(&longer)),
+        Err(DatagramError::Trailing(2))
+    );
+}
