--- a/crates/membership/src/membership.rs
+++ b/crates/membership/src/membership.rs
@@ -21,7 +21,7 @@
 pub(crate) const MAX_UPSTREAMS: usize = 8;
 
 /// Time between two attempts to join while no other member is known.
-const JOIN_RETRY: Duration = Duration::from_secs(2);
+const JOIN_RETRY: Duration = Duration::from_secs(1);
 
 /// Time between two contacts to a seed whose address belongs to no live member. Reconnects parts
 /// of a mesh that know nothing of each other any more.
--- a/crates/membership/tests/all/fuzz.rs
+++ b/crates/membership/tests/all/fuzz.rs
@@ -163,7 +163,7 @@
 
 fn announce(slots: u16) -> Event {
     Event::SetUpstreams(smallvec![Upstream {
-        service: ServiceName::new("ledger").unwrap(),
+        service: ServiceName::new("ledger").expect("valid identifier"),
         port: 8080,
         slots,
         incarnation: Incarnation(1),
--- a/crates/membership/tests/all/mesh.rs
+++ b/crates/membership/tests/all/mesh.rs
@@ -25,13 +25,13 @@
 pub(crate) fn member(name: &str, region: &str, domain: &str, addr: u16) -> Member {
     let at = |port| SocketAddr::from((Ipv4Addr::new(10, 0, 0, 1), port));
     Member {
-        vm: VmName::new(name).unwrap(),
+        vm: VmName::new(name).expect("valid identifier"),
         key: MemberKey {
             incarnation: Incarnation(1),
             version: 0,
         },
-        region: Region::new(region).unwrap(),
-        domain: FailureDomain::new(domain).unwrap(),
+        region: Region::new(region).expect("valid identifier"),
+        domain: FailureDomain::new(domain).expect("valid identifier"),
         peer_addr: at(addr),
         caller_addr: at(addr + 1),
         operator_addr: at(addr + 2),
--- a/crates/wire/tests/datagram.rs
+++ b/crates/wire/tests/datagram.rs
@@ -36,7 +36,7 @@
 fn upstream() -> impl Strategy<Value = Upstream> {
     (id(), any::<u16>(), any::<u16>(), any::<u64>()).prop_map(|(service, port, slots, start)| {
         Upstream {
-            service: ServiceName::new(&service).unwrap(),
+            service: ServiceName::new(&service).expect("valid identifier"),
             port,
             slots,
             incarnation: Incarnation(start),
@@ -52,10 +52,10 @@
         |(vm, key, region, domain, addrs, state, upstreams)| {
             let plain = addrs.map(|a| SocketAddr::new(a.ip(), a.port()));
             Member {
-                vm: VmName::new(&vm).unwrap(),
+                vm: VmName::new(&vm).expect("valid identifier"),
                 key,
-                region: Region::new(&region).unwrap(),
-                domain: FailureDomain::new(&domain).unwrap(),
+                region: Region::new(&region).expect("valid identifier"),
+                domain: FailureDomain::new(&domain).expect("valid identifier"),
                 peer_addr: plain[0],
                 caller_addr: plain[1],
                 operator_addr: plain[2],
@@ -71,16 +71,16 @@
     prop_oneof![
         member().prop_map(|m| News::Record(Box::new(m))),
         (id(), key(), state()).prop_map(|(vm, key, state)| News::State {
-            vm: VmName::new(&vm).unwrap(),
+            vm: VmName::new(&vm).expect("valid identifier"),
             key,
             state,
         }),
         finding.prop_map(|(observer, start, sequence, region, reachable)| {
             News::Reachability {
-                observer: VmName::new(&observer).unwrap(),
+                observer: VmName::new(&observer).expect("valid identifier"),
                 incarnation: Incarnation(start),
                 sequence,
-                region: Region::new(&region).unwrap(),
+                region: Region::new(&region).expect("valid identifier"),
                 reachable,
             }
         }),
