End catching up only after three exchanges that find little

A lost or dropped datagram ended catching up, and a daemon that had no peer yet at its first exchange waited 30 s for the next one.

cargo test -p cornelvalve-membership: 15 passed.

--- a/crates/membership/src/membership.rs
+++ b/crates/membership/src/membership.rs
@@ -14,6 +14,7 @@
 use crate::news::{Form, NewsQueue};
 use crate::probes::Probes;
 use crate::reach::Reach;
+use crate::sync::CATCH_UP_TRIES;
 use crate::table::{OWN, Table, is_tombstone};
 use crate::{Action, Event, MembershipSettings, Message, News, TrafficClass};
 
@@ -77,8 +78,8 @@
     pub(crate) unreachable: BTreeSet<Region>,
     /// Readers of the own region; empty after a change until computed again.
     pub(crate) local_readers: Option<BTreeSet<VmName>>,
-    /// Whether the table lacks much, so that exchanges follow each other quickly.
-    pub(crate) catching_up: bool,
+    /// Exchanges that follow each other quickly, because the table lacks much.
+    pub(crate) catch_up: u8,
     pub(crate) due: Due,
     pub(crate) actions: SmallVec<[Action; 8]>,
     seeds: SmallVec<[SocketAddr; 4]>,
@@ -111,7 +112,7 @@
             findings: Vec::new(),
             unreachable: BTreeSet::new(),
             local_readers: None,
-            catching_up: true,
+            catch_up: CATCH_UP_TRIES,
             due: Due::default(),
             actions: SmallVec::new(),
             seeds: SmallVec::new(),
--- a/crates/membership/src/outgoing.rs
+++ b/crates/membership/src/outgoing.rs
@@ -134,7 +134,7 @@
             } => self.probe_for(from, sequence, target, addr, now),
             Message::PingRelay { sequence } => self.answered(sequence, now),
             Message::Join { member } => self.joined(from, *member, now),
-            Message::Updates { news } => self.merge_all(news, !self.catching_up, now),
+            Message::Updates { news } => self.merge_all(news, self.catch_up == 0, now),
             Message::SyncRoot { root } => self.compare_root(from, root),
             Message::SyncBuckets { buckets } => self.compare_buckets(from, &buckets, now),
             Message::SyncSummaries { buckets, summaries } => {
--- a/crates/membership/src/sync.rs
+++ b/crates/membership/src/sync.rs
@@ -18,6 +18,9 @@
 /// receives at most 14.4 KB/s, and 15,000 records of about 110 bytes in two minutes.
 const CATCH_UP_PERIOD: Duration = Duration::from_millis(500);
 
+/// Exchanges that may fail or find little before catching up ends; messages get lost or dropped.
+pub(crate) const CATCH_UP_TRIES: u8 = 3;
+
 /// Messages with records sent in answer to one message; the rest follows with the next exchange.
 /// Six messages of 1200 bytes fit the burst of the news class.
 const MAX_PAGES: usize = 6;
@@ -48,10 +51,7 @@
     }
 
     fn start_sync(&mut self, now: Moment) {
-        let catching_up = self.catching_up;
-        // Stays set only if the exchange finds that much differs, see `compare_buckets`.
-        self.catching_up = false;
-        let period = if catching_up {
+        let period = if self.catch_up > 0 {
             CATCH_UP_PERIOD
         } else {
             self.settings.sync_period
@@ -60,6 +60,8 @@
         let local = self.local_peers(1).first().copied();
         let peer = local.or_else(|| self.any_peer());
         if let Some(index) = peer {
+            // Set again if the exchange finds that much differs, see `compare_buckets`.
+            self.catch_up = self.catch_up.saturating_sub(1);
             self.send_root(index);
         }
     }
@@ -120,7 +122,7 @@
             .filter(|b| own[usize::from(*b)] != theirs[usize::from(*b)])
             .collect();
         if differing.len() > FEW_BUCKETS {
-            self.catching_up = true;
+            self.catch_up = CATCH_UP_TRIES;
             self.due.sync = self.due.sync.min(now + CATCH_UP_PERIOD);
         }
         self.send_summaries(from, &differing);
