Fuzz ticket tables against an oracle of at-most-once execution

Scenarios show single cases; the promise has to hold under any mix of repeats, pauses, restarts, drains, evictions and a network that loses, copies and reorders.

The generator produces sequences of events; a test world joins two tables by such a network; the oracle knows only what was issued, sent, run and answered. It reports a second run, a run after expiry or after a ticket was burned, a false not-run, an answer of another run, and a missing or second answer.

--- /dev/null
+++ b/crates/fuzz/src/generators.rs
@@ -0,0 +1,3 @@
+//! Generators, one module a topic.
+
+pub mod tickets;
--- /dev/null
+++ b/crates/fuzz/src/oracles.rs
@@ -0,0 +1,3 @@
+//! Oracles, one module a topic.
+
+pub mod tickets;
