Free places in a full ticket table on ticks only

A full table looked for expired entries on every arrival.

The table now frees places in tick alone, so an arrival costs one look-up.

--- a/crates/policy/src/suspect.rs
+++ b/crates/policy/src/suspect.rs
@@ -69,7 +69,8 @@
     pub fingerprint: Fingerprint,
     /// Crashes while it ran.
     pub count: u8,
-    /// Seconds since the last crash, rounded up so that repeated sharing never prolongs it.
+    /// Seconds since the last crash, rounded up to offset the time in transit, so that sharing does
+    /// not prolong it.
     pub age_s: u32,
     /// Regions that may know about it.
     pub regions: HomeRegions,
--- a/crates/policy/src/ticket/table.rs
+++ b/crates/policy/src/ticket/table.rs
@@ -25,7 +25,7 @@
 pub struct TicketSettings {
     /// Time from issue to expiry.
     pub ttl: Duration,
-    /// Most used tickets that the table holds.
+    /// Most used tickets that the table holds; expired ones make room at the next tick.
     pub max_live: usize,
     /// Most bytes of stored answers, in total; a larger answer is not stored.
     pub max_answer_bytes: usize,
@@ -67,6 +67,10 @@
 }
 
 /// Table of used tickets of one daemon process.
+///
+/// Each [`Arrival::Run`] is followed by [`Self::at_dispatch`] or [`Self::not_run`], and a
+/// successful dispatch by [`Self::completed`] or [`Self::unknown`]. The returned waiters get the
+/// same answer as the arrival that ran; the table forgets them.
 #[derive(Debug)]
 pub struct TicketTable {
     settings: TicketSettings,
@@ -300,7 +304,7 @@
         if self.draining {
             return Arrival::Refuse(Refusal::not_run(Reason::Draining));
         }
-        if self.is_full(now) {
+        if self.entries.len() >= self.settings.max_live {
             return Arrival::Refuse(Refusal::not_run(Reason::Overloaded));
         }
         self.entries
@@ -308,13 +312,6 @@
         Arrival::Run
     }
 
-    fn is_full(&mut self, now: Moment) -> bool {
-        if self.entries.len() >= self.settings.max_live {
-            self.forget_expired(now);
-        }
-        self.entries.len() >= self.settings.max_live
-    }
-
     fn evict_answers(&mut self, now: Moment) {
         let TicketSettings {
             max_answer_bytes,
--- a/crates/policy/tests/ticket/text.rs
+++ b/crates/policy/tests/ticket/text.rs
@@ -2,6 +2,8 @@
 
 use cornelvalve_model::{Incarnation, ServiceName, VmName};
 use cornelvalve_policy::{Ticket, TicketError};
+use data_encoding::BASE64URL_NOPAD;
+use xxhash_rust::xxh3::xxh3_64;
 
 fn ticket(name: &str) -> Ticket {
     Ticket {
@@ -56,3 +58,30 @@
         TicketError::TooLong
     );
 }
+
+/// Guards against a panic or an invalid name from a forged ticket whose checksum is right.
+#[test]
+fn forged_content_is_refused_or_well_formed() {
+    let content = postcard::to_stdvec(&ticket("vm-1")).unwrap();
+    let forge = |content: &[u8]| {
+        let sum = xxh3_64(content).to_le_bytes();
+        let bytes = [content, &sum[..4]].concat();
+        Ticket::parse(&format!("cv1.{}", BASE64URL_NOPAD.encode(&bytes)))
+    };
+    assert_eq!(forge(&content), Ok(ticket("vm-1")));
+    assert_eq!(
+        forge(&[&content[..], b"x"].concat()),
+        Err(TicketError::BadContent)
+    );
+    for at in 0..content.len() {
+        assert_eq!(forge(&content[..at]), Err(TicketError::BadContent));
+        for byte in 0..=u8::MAX {
+            let mut changed = content.clone();
+            changed[at] = byte;
+            if let Ok(ticket) = forge(&changed) {
+                assert!(VmName::new(ticket.vm.as_str()).is_ok());
+                assert_eq!(Ticket::parse(&ticket.to_string()), Ok(ticket));
+            }
+        }
+    }
+}
