--- a/crates/wire/src/log.rs
+++ b/crates/wire/src/log.rs
@@ -78,8 +78,7 @@
         serde_json::from_slice(data).map_err(|e| LogError::NotJson(e.to_string()))?;
     check_version(&value)?;
     // Decoded from the text, not from `value`, because only the text shows duplicate fields.
-    let envelope: Envelope =
-        serde_json::from_slice(data).map_err(|e| LogError::Invalid(e.to_string()))?;
+    let envelope: Envelope = serde_json::from_slice(data).map_err(schema_error)?;
     let known = serde_json::to_value(EnvelopeRef {
         v: LOG_SCHEMA_VERSION,
         entry: &envelope.entry,
@@ -91,6 +90,19 @@
     }
 }
 
+/// Classifies an error of the derived decoders; serde reports an unknown field by its message
+/// only.
+fn schema_error(e: serde_json::Error) -> LogError {
+    let message = e.to_string();
+    let field = message
+        .strip_prefix("unknown field `")
+        .and_then(|rest| rest.split_once('`'));
+    match field {
+        Some((name, _)) => LogError::UnknownField(name.to_owned()),
+        None => LogError::Invalid(message),
+    }
+}
+
 fn check_size(data: &[u8]) -> Result<()> {
     if data.len() > MAX_RECORD_BYTES {
         return Err(LogError::TooLarge { size: data.len() });
