Refuse paths whose route depends on escaped slashes; fuzz the publisher

An upstream that decodes %2F would serve another route than the one whose class and residency rules were applied, for example an at-most-once route as an idempotent one. Such a path now resolves to nothing, and route prefixes may not contain escapes. A fuzz test checks the publisher's outcome against a log that loses, refuses and delays appends.

--- a/crates/catalog/src/catalog.rs
+++ b/crates/catalog/src/catalog.rs
@@ -231,7 +231,8 @@
 
     /// Finds the service of a host and the route with the longest matching path prefix.
     ///
-    /// The host may carry a port and upper-case letters. The path may carry a query and escapes.
+    /// The host may carry a port and upper-case letters. The path may carry a query and escapes;
+    /// one whose route depends on whether the upstream decodes `%2F` resolves to nothing.
     #[must_use]
     pub fn resolve(&self, host: &str, path: &str, method: &str) -> Option<Resolved<'_>> {
         self.tables.resolve(host, path, method)
--- a/crates/catalog/src/host.rs
+++ b/crates/catalog/src/host.rs
@@ -41,7 +41,8 @@
         if earlier.iter().any(|r| r.name == route.name) {
             return Err(Rejection::invalid("routes", "give each route its own name"));
         }
-        if !route.prefix.starts_with('/') || normalize_path(&route.prefix) != route.prefix {
+        let plain = !route.prefix.contains('%') && normalize_path(&route.prefix) == route.prefix;
+        if !route.prefix.starts_with('/') || !plain {
             let remedy = "start it with '/', without '..', '//', '%', '?' or '#'";
             return Err(Rejection::invalid("prefix", remedy));
         }
@@ -74,45 +75,51 @@
 /// query, empty segments or dot segments.
 ///
 /// Without this, `/x/../remise` or `/%72emise` would miss the route `/remise` and evade its
-/// residency rules and its class.
+/// residency rules and its class. An escaped slash stays escaped.
 pub(crate) fn normalize_path(path: &str) -> Cow<'_, str> {
     let path = path.split(['?', '#']).next().unwrap_or(path);
     if !path.contains('%') && !path.contains("//") && !path.contains("/.") {
         return Cow::Borrowed(path);
     }
-    let decoded = percent_decode(path);
+    Cow::Owned(remove_dots(&percent_decode(path, false)))
+}
+
+/// Returns the form that an upstream sees if it takes an escaped slash for a separator, provided
+/// that the path has one.
+pub(crate) fn split_escaped_slash(path: &str) -> Option<String> {
+    let path = path.split(['?', '#']).next().unwrap_or(path);
+    let escaped = path.contains("%2F") || path.contains("%2f");
+    escaped.then(|| remove_dots(&percent_decode(path, true)))
+}
+
+fn remove_dots(path: &str) -> String {
     let mut segments: Vec<&str> = Vec::new();
-    for segment in decoded.split('/') {
+    for segment in path.split('/') {
         match segment {
             "" | "." => {}
             ".." => drop(segments.pop()),
             other => segments.push(other),
         }
     }
-    let end = if decoded.ends_with('/') && !segments.is_empty() {
+    let end = if path.ends_with('/') && !segments.is_empty() {
         "/"
     } else {
         ""
     };
-    Cow::Owned(format!("/{}{end}", segments.join("/")))
+    format!("/{}{end}", segments.join("/"))
 }
 
-fn percent_decode(path: &str) -> String {
+fn percent_decode(path: &str, slashes: bool) -> String {
     let bytes = path.as_bytes();
     let mut decoded = Vec::with_capacity(bytes.len());
     let mut i = 0;
     while i < bytes.len() {
-        let escaped = (bytes[i] == b'%')
-            .then(|| bytes.get(i + 1..i + 3))
-            .flatten()
-            .and_then(|hex| std::str::from_utf8(hex).ok())
-            .and_then(|hex| u8::from_str_radix(hex, 16).ok());
-        match escaped {
-            Some(byte) => {
+        match escaped_byte(&bytes[i..]) {
+            Some(byte) if byte != b'/' || slashes => {
                 decoded.push(byte);
                 i += 3;
             }
-            None => {
+            _ => {
                 decoded.push(bytes[i]);
                 i += 1;
             }
@@ -121,6 +128,15 @@
     String::from_utf8_lossy(&decoded).into_owned()
 }
 
+/// Returns the byte that an escape at the start of the text stands for.
+fn escaped_byte(text: &[u8]) -> Option<u8> {
+    let [b'%', high, low, ..] = text else {
+        return None;
+    };
+    let digit = |b: &u8| char::from(*b).to_digit(16);
+    u8::try_from(digit(high)? * 16 + digit(low)?).ok()
+}
+
 /// Tells whether a normalized path lies under a prefix; `/a` covers `/a/b` but not `/ab`.
 pub(crate) fn covers(prefix: &str, path: &str) -> bool {
     let prefix = trim_slash(prefix);
--- a/crates/catalog/src/lookup.rs
+++ b/crates/catalog/src/lookup.rs
@@ -5,7 +5,7 @@
 };
 use smallvec::SmallVec;
 
-use crate::host::{covers, normalize_host, normalize_path};
+use crate::host::{covers, normalize_host, normalize_path, split_escaped_slash};
 use crate::tables::Tables;
 
 /// Service and route that a request is for.
@@ -42,17 +42,22 @@
     }
 }
 
+/// Returns the route with the longest prefix that covers a normalized path.
+fn match_route<'a>(service: &'a Service, path: &str) -> Option<&'a Route> {
+    let matching = service.routes.iter().filter(|r| covers(&r.prefix, path));
+    matching.max_by_key(|r| r.prefix.len())
+}
+
 impl Tables {
     pub(crate) fn resolve(&self, host: &str, path: &str, method: &str) -> Option<Resolved<'_>> {
         let host = normalize_host(host);
         let name = self.hosts.get(host.as_ref())?;
         let service = &self.services.get(name)?.value;
-        let path = normalize_path(path);
-        let route = service
-            .routes
-            .iter()
-            .filter(|r| covers(&r.prefix, &path))
-            .max_by_key(|r| r.prefix.len());
+        let route = match_route(service, &normalize_path(path));
+        // The upstream may serve another route than the one decided on, with other rules.
+        if split_escaped_slash(path).is_some_and(|other| match_route(service, &other) != route) {
+            return None;
+        }
         let class = route.map(|r| r.class).unwrap_or_default().resolve(method);
         Some(Resolved {
             service,
--- a/crates/catalog/tests/all/main.rs
+++ b/crates/catalog/tests/all/main.rs
@@ -2,5 +2,6 @@
 
 mod fuzz;
 mod operation;
+mod publish_fuzz;
 mod publisher;
 mod scenario;
