--- a/crates/fuzz/src/generators/tickets.rs
+++ b/crates/fuzz/src/generators/tickets.rs
@@ -42,6 +42,10 @@
     Dispatch(usize),
     /// A guard refuses a queued request.
     Reject(usize),
+    /// A late task dispatches a request that runs already.
+    DispatchAgain(usize),
+    /// A late task refuses a request that runs already.
+    RejectLate(usize),
     /// An upstream answers a running request.
     Complete(usize),
     /// The connection to an upstream fails during a request.
@@ -75,6 +79,8 @@
         4 => index().prop_map(Event::Drop),
         24 => index().prop_map(Event::Dispatch),
         4 => index().prop_map(Event::Reject),
+        2 => index().prop_map(Event::DispatchAgain),
+        2 => index().prop_map(Event::RejectLate),
         14 => index().prop_map(Event::Complete),
         4 => index().prop_map(Event::Lose),
         3 => index().prop_map(Event::Cancel),
--- a/crates/fuzz/tests/tickets/world.rs
+++ b/crates/fuzz/tests/tickets/world.rs
@@ -178,6 +178,8 @@
             Event::Drop(n) => drop(take(&mut self.packets, n)),
             Event::Dispatch(n) => return self.dispatch(n),
             Event::Reject(n) => return self.reject(n),
+            Event::DispatchAgain(n) => return self.dispatch_again(n),
+            Event::RejectLate(n) => return self.reject_late(n),
             Event::Complete(n) => return self.complete(n),
             Event::Lose(n) => return self.lose(n),
             Event::Cancel(n) => self.cancel(n),
@@ -355,6 +357,31 @@
         self.refuse(job.arrival, &waiters, Refusal::not_run(reason))
     }
 
+    fn dispatch_again(&mut self, n: usize) -> Result<()> {
+        let Some(at) = self.pick_job(n, true) else {
+            return Ok(());
+        };
+        let job = &self.jobs[at];
+        let table = &mut self.daemons[job.daemon].table;
+        if table.at_dispatch(&job.ticket, self.now).is_err() {
+            return Ok(());
+        }
+        let text = job.ticket.to_string();
+        self.oracle.ran(&text, job.fingerprint, b"again", self.now)
+    }
+
+    fn reject_late(&mut self, n: usize) -> Result<()> {
+        let Some(at) = self.pick_job(n, true) else {
+            return Ok(());
+        };
+        let job = &self.jobs[at];
+        let waiters = self.daemons[job.daemon].table.not_run(&job.ticket);
+        for waiter in waiters {
+            self.respond(waiter.id.0, &Answer::NotRun)?;
+        }
+        Ok(())
+    }
+
     fn complete(&mut self, n: usize) -> Result<()> {
         let Some(at) = self.pick_job(n, true) else {
             return Ok(());
