--- a/crates/daemon/src/budget.rs
+++ b/crates/daemon/src/budget.rs
@@ -38,11 +38,11 @@
 /// Converts the configured budgets.
 pub(crate) fn settings(budgets: &Budgets) -> BudgetSettings {
     BudgetSettings {
-        probe: Rate::new(budgets.probe),
-        news: Rate::new(budgets.news),
-        configuration: Rate::new(budgets.configuration),
-        load: Rate::new(budgets.load),
-        link: Rate::new(budgets.region_link),
+        probe: Rate::within(budgets.probe),
+        news: Rate::within(budgets.news),
+        configuration: Rate::within(budgets.configuration),
+        load: Rate::within(budgets.load),
+        link: Rate::within(budgets.region_link),
     }
 }
 
--- a/crates/wire/tests/log.rs
+++ b/crates/wire/tests/log.rs
@@ -1,7 +1,7 @@
 //! Encoding of log records.
 
 use cornelvalve_model::{LogEntry, Snapshot};
-use cornelvalve_wire::{LogError, MAX_RECORD_BYTES, decode_entry, encode_entry};
+use cornelvalve_wire::log::{LogError, MAX_RECORD_BYTES, decode_entry, encode_entry};
 
 const CHANGE: &str = r#"{"v":1,"entry":{"change":{"id":"00000000-0000-0000-0000-000000000001","author":"ana","expects":0,"operation":{"put-domain":{"domain":"east-a","region":"east","state":"out-of-service"}}}}}"#;
 
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -1,4 +1,5 @@
 //! Integration tests, one module a topic.
 
 mod path;
+mod stop;
 mod support;
--- a/tests/all/path.rs
+++ b/tests/all/path.rs
@@ -24,7 +24,14 @@
     entry.wait_for_members(2).await;
     let (_upstream, _) = beside.start_upstream("estimateur", 10);
     entry.ctl(&["region", "put", "qc-est"]);
-    let service = ["service", "put", "--name", "estimateur", "--host", "estimateur.test"];
+    let service = [
+        "service",
+        "put",
+        "--name",
+        "estimateur",
+        "--host",
+        "estimateur.test",
+    ];
     entry.ctl(&service);
 
     let body = "mileage=12000".repeat(100);
--- a/tests/all/support.rs
+++ b/tests/all/support.rs
@@ -4,6 +4,6 @@
 mod mesh;
 mod process;
 
-pub(crate) use http::{Answer, request, send};
-pub(crate) use mesh::{DaemonProcess, Mesh, VmSpec};
-pub(crate) use process::{Process, cornelctl, eventually};
+pub(crate) use http::{request, send};
+pub(crate) use mesh::{Mesh, VmSpec};
+pub(crate) use process::eventually;
--- a/tests/all/support/mesh.rs
+++ b/tests/all/support/mesh.rs
@@ -23,13 +23,12 @@
     pub(crate) peers: SocketAddr,
     pub(crate) upstream: SocketAddr,
     pub(crate) operators: SocketAddr,
-    pub(crate) metrics: SocketAddr,
 }
 
 /// Log stand-in with a folder for settings files.
 #[derive(Debug)]
 pub(crate) struct Mesh {
-    pub(crate) log: Process,
+    _log: Process,
     pub(crate) log_addr: SocketAddr,
     folder: PathBuf,
 }
@@ -41,7 +40,7 @@
         let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
         std::fs::create_dir_all(&folder).expect("folder can be created");
         Self {
-            log,
+            _log: log,
             log_addr: addr(&ready, "listen"),
             folder,
         }
@@ -49,7 +48,10 @@
 
     /// Starts a daemon that knows nothing but the log and one peer.
     pub(crate) fn daemon(&self, spec: VmSpec, seeds: &[SocketAddr]) -> DaemonProcess {
-        let seeds: Vec<String> = seeds.iter().map(|s| format!("{:?}", s.to_string())).collect();
+        let seeds: Vec<String> = seeds
+            .iter()
+            .map(|s| format!("{:?}", s.to_string()))
+            .collect();
         let settings = format!(
             r#"{{
                 // Written by a test.
@@ -78,7 +80,6 @@
             peers: addr(&ready, "peers"),
             upstream: addr(&ready, "upstream"),
             operators: addr(&ready, "operators"),
-            metrics: addr(&ready, "metrics"),
         }
     }
 }
@@ -107,7 +108,10 @@
         let output = cornelctl(&self.operators.to_string(), args);
         let stdout = String::from_utf8_lossy(&output.stdout).into_owned();
         let stderr = String::from_utf8_lossy(&output.stderr);
-        assert!(output.status.success(), "cornelctl {args:?}: {stdout} {stderr}");
+        assert!(
+            output.status.success(),
+            "cornelctl {args:?}: {stdout} {stderr}"
+        );
         stdout
     }
 
