Repeat member records and configuration that a full mailbox refused

Cause: records went to the router and the guard by try_send and were only logged when the mailbox was full, so an overloaded daemon could keep a stale view for ever. The sender now remembers the loss and sends the whole state on its next tick. Found by reading; no test made it fail yet.

The router also avoids failure domains of regions that cannot be reached.

--- a/crates/daemon/src/catalog/state.rs
+++ b/crates/daemon/src/catalog/state.rs
@@ -65,6 +65,8 @@
     log_store: LogStoreState,
     follower: Option<JoinHandle<()>>,
     is_pulling: bool,
+    /// Whether a service missed the latest configuration.
+    is_unpublished: bool,
 }
 
 impl CatalogState {
@@ -80,6 +82,7 @@
             log_store: LogStoreState::NotRead,
             follower: None,
             is_pulling: false,
+            is_unpublished: false,
         }
     }
 
@@ -101,7 +104,14 @@
                 self.answer_waiters();
             }
             CatalogMessage::LogStore { reply } => reply.send(self.log_store),
-            CatalogMessage::Tick => self.waiters.retain(|w| !w.reply.is_abandoned()),
+            CatalogMessage::Tick => self.tick(),
+        }
+    }
+
+    fn tick(&mut self) {
+        self.waiters.retain(|w| !w.reply.is_abandoned());
+        if self.is_unpublished {
+            self.publish(Arc::new(self.catalog.clone()));
         }
     }
 
@@ -198,7 +208,8 @@
         self.publish(Arc::new(self.catalog.clone()));
     }
 
-    fn publish(&self, catalog: Arc<Catalog>) {
+    /// Passes the configuration on; if that fails, the next tick tries again.
+    fn publish(&mut self, catalog: Arc<Catalog>) {
         let revision = catalog.revision();
         let router = RouterMessage::Catalog(Arc::clone(&catalog));
         let sent = [
@@ -208,10 +219,9 @@
                 .membership
                 .try_send(MembershipMessage::Applied(revision)),
         ];
-        for result in sent {
-            if let Err(e) = result {
-                log::warn!("configuration was not passed on: {e}");
-            }
+        self.is_unpublished = sent.iter().any(Result::is_err);
+        for e in sent.into_iter().filter_map(Result::err) {
+            log::warn!("configuration was not passed on and will be sent again: {e}");
         }
     }
 
--- a/crates/daemon/src/membership.rs
+++ b/crates/daemon/src/membership.rs
@@ -88,6 +88,7 @@
         membership: Membership::new(settings, own, seed),
         confirmed: HashMap::new(),
         was_reader: None,
+        is_router_behind: false,
         budget: context.registry.mailbox(BUDGET)?,
         router: context.registry.mailbox(ROUTER)?,
         catalog: context.registry.mailbox(CATALOG)?,
@@ -121,6 +122,8 @@
     membership: Membership,
     confirmed: HashMap<VmName, Revision>,
     was_reader: Option<bool>,
+    /// Whether the router missed a message and needs all records again.
+    is_router_behind: bool,
     budget: Mailbox<BudgetMessage>,
     router: Mailbox<RouterMessage>,
     catalog: Mailbox<CatalogMessage>,
@@ -146,7 +149,12 @@
             MembershipMessage::Unconfirmed { revision, reply } => {
                 reply.send(self.unconfirmed(revision));
             }
-            MembershipMessage::Tick => self.on(Event::Tick, now).await,
+            MembershipMessage::Tick => {
+                if self.is_router_behind {
+                    self.publish_all();
+                }
+                self.on(Event::Tick, now).await;
+            }
         }
     }
 
@@ -185,6 +193,7 @@
                 Action::RegionChanged(region) => {
                     let reachable = self.membership.is_region_reachable(&region);
                     log::info!(region = region.as_str(), reachable = reachable; "region changed");
+                    self.notify_router(RouterMessage::Region { region, reachable });
                 }
                 Action::RevisionReported { vm, revision } => {
                     self.confirmed.insert(vm, revision);
@@ -223,9 +232,20 @@
         }
     }
 
+    /// Replaces what the router knows.
     fn publish_all(&mut self) {
-        let all = self.membership.members().map(|m| m.vm.clone()).collect();
-        self.publish(all);
+        let members: Vec<Member> = self.membership.members().cloned().collect();
+        let unreachable = members
+            .iter()
+            .map(|m| m.region.clone())
+            .filter(|region| !self.membership.is_region_reachable(region))
+            .collect();
+        let all = RouterMessage::AllMembers {
+            members,
+            unreachable,
+        };
+        self.is_router_behind = self.router.try_send(all).is_err();
+        self.publish_role();
     }
 
     /// Passes changed records on to the router and the reader role to the catalog.
@@ -255,9 +275,11 @@
         self.publish_role();
     }
 
-    fn notify_router(&self, message: RouterMessage) {
+    /// Passes a change on; if that fails, the next tick passes on everything.
+    fn notify_router(&mut self, message: RouterMessage) {
         if let Err(e) = self.router.try_send(message) {
-            log::warn!("member records were not passed on: {e}");
+            log::warn!("member records were not passed on and will be sent again: {e}");
+            self.is_router_behind = true;
         }
     }
 
--- a/crates/daemon/src/router.rs
+++ b/crates/daemon/src/router.rs
@@ -3,6 +3,7 @@
 mod endpoints;
 mod state;
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use cornelvalve_catalog::Catalog;
@@ -139,6 +140,20 @@
     Members(Vec<Member>),
     /// Members that were removed.
     Removed(Vec<VmName>),
+    /// All member records, in place of those known before.
+    AllMembers {
+        /// The records.
+        members: Vec<Member>,
+        /// Regions that cannot be reached.
+        unreachable: BTreeSet<Region>,
+    },
+    /// Whether a region can be reached.
+    Region {
+        /// The region.
+        region: Region,
+        /// Whether it can be reached.
+        reachable: bool,
+    },
 }
 
 /// Runs the router service.
@@ -177,6 +192,11 @@
         RouterMessage::Catalog(catalog) => state.set_catalog(catalog),
         RouterMessage::Members(members) => state.set_members(&members),
         RouterMessage::Removed(vms) => state.remove_members(&vms),
+        RouterMessage::AllMembers {
+            members,
+            unreachable,
+        } => state.replace_members(&members, unreachable),
+        RouterMessage::Region { region, reachable } => state.set_reachable(region, reachable),
     }
 }
 
--- a/crates/daemon/src/router/state.rs
+++ b/crates/daemon/src/router/state.rs
@@ -1,6 +1,6 @@
 //! State of the router: configuration, members and the balancer.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -34,7 +34,9 @@
     endpoints: EndpointIndex,
     balancer: Balancer,
     retries: RetryBudget,
-    domains_out: SmallVec<[FailureDomain; 2]>,
+    unreachable: BTreeSet<Region>,
+    /// Failure domains that operators took out or that cannot be reached.
+    avoided: SmallVec<[FailureDomain; 2]>,
 }
 
 impl RouterState {
@@ -54,18 +56,57 @@
             endpoints: EndpointIndex::default(),
             balancer,
             retries: RetryBudget::new(),
-            domains_out: SmallVec::new(),
+            unreachable: BTreeSet::new(),
+            avoided: SmallVec::new(),
         }
     }
 
     /// Takes a newer configuration.
     pub(super) fn set_catalog(&mut self, catalog: Arc<Catalog>) {
-        self.domains_out = catalog
-            .domains()
+        self.catalog = Some(catalog);
+        self.update_avoided();
+    }
+
+    /// Notes whether a region can be reached.
+    pub(super) fn set_reachable(&mut self, region: Region, reachable: bool) {
+        if reachable {
+            self.unreachable.remove(&region);
+        } else {
+            self.unreachable.insert(region);
+        }
+        self.update_avoided();
+    }
+
+    fn update_avoided(&mut self) {
+        let catalog = self.catalog.iter().flat_map(|c| c.domains());
+        let out = catalog
             .filter(|d| d.value.state == DomainState::OutOfService)
-            .map(|d| d.value.name.clone())
+            .map(|d| d.value.name.clone());
+        let unreachable = self
+            .members
+            .values()
+            .filter(|m| self.unreachable.contains(&m.region))
+            .map(|m| m.domain.clone());
+        self.avoided = out
+            .chain(unreachable)
+            .collect::<BTreeSet<_>>()
+            .into_iter()
             .collect();
-        self.catalog = Some(catalog);
+    }
+
+    /// Replaces all member records.
+    pub(super) fn replace_members(&mut self, members: &[Member], unreachable: BTreeSet<Region>) {
+        let present: HashSet<&VmName> = members.iter().map(|m| &m.vm).collect();
+        let gone: Vec<VmName> = self
+            .members
+            .keys()
+            .filter(|vm| !present.contains(vm))
+            .cloned()
+            .collect();
+        self.remove_members(&gone);
+        self.set_members(members);
+        self.unreachable = unreachable;
+        self.update_avoided();
     }
 
     /// Takes changed member records.
@@ -163,7 +204,7 @@
             service: &query.plan.service,
             allowed: query.plan.regions.as_deref(),
             excluded: &query.tried,
-            excluded_domains: &self.domains_out,
+            excluded_domains: &self.avoided,
             time_left,
         };
         let choice = self.balancer.choose(&request, now);
