Contact every unknown seed, not a random one

The fuzz found a daemon that came back alone and stayed unknown for 200 s: the only other live daemon asked one of two seeds at random a minute, and three times the one that was down. Up to four seeds are now asked at once.

--- a/crates/membership/src/membership.rs
+++ b/crates/membership/src/membership.rs
@@ -8,6 +8,7 @@
     FailureDomain, Member, MemberKey, MemberState, Moment, Region, Revision, Upstream, VmName,
 };
 use rand::rngs::StdRng;
+use rand::seq::SliceRandom;
 use rand::{RngExt, SeedableRng};
 use smallvec::SmallVec;
 
@@ -28,6 +29,10 @@
 /// of a mesh that know nothing of each other any more.
 const SEED_PERIOD: Duration = Duration::from_secs(60);
 
+/// Seeds contacted at once. With up to four seeds each one is contacted every time, so that a
+/// single seed that is back is found within one period.
+const MAX_JOINS: usize = 4;
+
 /// Time between two removals of outdated tombstones and findings.
 const SWEEP_PERIOD: Duration = Duration::from_secs(10);
 
@@ -201,20 +206,15 @@
         let alone = self.table.entries().iter().filter(|e| e.is_live()).count() == 1;
         let wait = if alone { JOIN_RETRY } else { SEED_PERIOD };
         self.due.join = now + wait;
-        let strangers: SmallVec<[SocketAddr; 4]> = self
+        let mut strangers: SmallVec<[SocketAddr; 4]> = self
             .seeds
             .iter()
             .copied()
             .filter(|seed| *seed != own_addr && !self.is_live_addr(*seed))
             .collect();
-        if strangers.is_empty() {
-            return;
-        }
-        let pick = self.rng.random_range(0..strangers.len());
-        for (index, seed) in strangers.into_iter().enumerate() {
-            if alone || index == pick {
-                self.send(seed, TrafficClass::News, message.clone());
-            }
+        strangers.shuffle(&mut self.rng);
+        for seed in strangers.into_iter().take(MAX_JOINS) {
+            self.send(seed, TrafficClass::News, message.clone());
         }
     }
 
--- a/crates/membership/tests/all/rules.rs
+++ b/crates/membership/tests/all/rules.rs
@@ -49,8 +49,18 @@
     left.state = MemberState::Left;
     left.key.version = 3;
     learn(&mut machine, alive.clone(), Moment::default());
-    learn(&mut machine, left, Moment::default());
+    learn(&mut machine, left.clone(), Moment::default());
     learn(&mut machine, alive.clone(), Moment::default());
+    let suspicion = News::State {
+        vm: left.vm.clone(),
+        key: left.key,
+        state: MemberState::Suspect,
+    };
+    let message = Message::Updates {
+        news: vec![suspicion],
+    };
+    let from = alive.peer_addr;
+    machine.on(Event::Received { from, message }, Moment::default());
     assert_eq!(
         machine.get(&alive.vm).map(|m| m.state),
         Some(MemberState::Left)
@@ -219,3 +229,30 @@
     // Both directions together against the limit of one.
     assert!((link(&mesh) - link_before) / 100 < u64::from(LINK_BYTES_PER_SECOND));
 }
+
+/// Guards against a seed that comes back alone and is not asked, because another seed that stays
+/// down is asked instead; found by the fuzz.
+#[test]
+fn every_seed_is_asked_again() {
+    for seed in 0..8 {
+        let mut mesh = Mesh::new(seed);
+        for (name, region) in [
+            ("s-0", "east"),
+            ("s-1", "west"),
+            ("w", "west"),
+            ("e", "east"),
+        ] {
+            let daemon = mesh.add(name, region, region);
+            mesh.start(daemon);
+        }
+        mesh.run(Duration::from_secs(70));
+        mesh.crash(0);
+        mesh.run(Duration::from_secs(60));
+        mesh.leave(3);
+        mesh.crash(1);
+        mesh.run(Duration::from_secs(60));
+        mesh.start(0);
+        mesh.run(Duration::from_secs(100));
+        assert_eq!(mesh.disagreement(), None, "seed {seed}");
+    }
+}
