--- a/crates/membership/src/sync.rs
+++ b/crates/membership/src/sync.rs
@@ -28,6 +28,10 @@
 /// Messages with summaries sent in one exchange.
 const MAX_SUMMARY_PAGES: usize = 2;
 
+/// Messages with summaries sent in one exchange while the table lacks much; two messages twice a
+/// second would exceed the budget of the news class.
+const CATCH_UP_PAGES: usize = 1;
+
 /// Encoded bytes of a summary: two integers of 28 bits.
 const SUMMARY_BYTES: usize = 8;
 
@@ -138,7 +142,12 @@
         }
         let room = self.settings.message_bytes - size::MESSAGE_OVERHEAD;
         let mut lists = lists.into_iter().peekable();
-        for _ in 0..MAX_SUMMARY_PAGES {
+        let pages = if self.catch_up > 0 {
+            CATCH_UP_PAGES
+        } else {
+            MAX_SUMMARY_PAGES
+        };
+        for _ in 0..pages {
             let mut buckets = Vec::new();
             let mut summaries = Vec::new();
             let mut used = 0;
--- a/crates/membership/tests/all/rules.rs
+++ b/crates/membership/tests/all/rules.rs
@@ -256,3 +256,31 @@
         assert_eq!(mesh.disagreement(), None, "seed {seed}");
     }
 }
+
+/// Guards against members that are no readers and never learn that a region is cut off, and
+/// against a verdict that outlives the cut.
+#[test]
+fn all_members_share_the_verdict_about_a_region() {
+    let mut mesh = Mesh::new(17);
+    for index in 0..12 {
+        let region = if index < 9 { "east" } else { "west" };
+        let daemon = mesh.add(&format!("vm-{index}"), region, region);
+        mesh.start(daemon);
+    }
+    let west = mesh.daemons[11].record.region.clone();
+    let reachable = |mesh: &Mesh| {
+        let east = (0..9).map(|i| mesh.machine(i).is_region_reachable(&west));
+        east.filter(|reachable| *reachable).count()
+    };
+    mesh.run(Duration::from_secs(70));
+    assert_eq!(reachable(&mesh), 9);
+    mesh.cut = [9, 10, 11].into();
+    mesh.run(Duration::from_secs(60));
+    assert_eq!(reachable(&mesh), 0);
+    mesh.run(Duration::from_secs(120));
+    assert_eq!(reachable(&mesh), 0);
+    mesh.cut.clear();
+    mesh.run(Duration::from_secs(60));
+    assert_eq!(reachable(&mesh), 9);
+    assert_eq!(mesh.disagreement(), None);
+}
