Carry the own record on digests while joining

A peer that did not know the joining daemon yet took its address for one in another region and charged the records for it to the region link, which dropped them.

--- a/crates/membership/src/message.rs
+++ b/crates/membership/src/message.rs
@@ -94,6 +94,8 @@
     SyncRoot {
         /// Digest of the whole table.
         root: u64,
+        /// Record of a sender that may still be unknown.
+        member: Option<Box<Member>>,
     },
     /// Answers a [`Message::SyncRoot`] that differs.
     SyncBuckets {
--- a/crates/membership/src/outgoing.rs
+++ b/crates/membership/src/outgoing.rs
@@ -135,7 +135,12 @@
             Message::PingRelay { sequence } => self.answered(sequence, now),
             Message::Join { member } => self.joined(from, *member, now),
             Message::Updates { news } => self.merge_all(news, self.catch_up == 0, now),
-            Message::SyncRoot { root } => self.compare_root(from, root),
+            Message::SyncRoot { root, member } => {
+                if let Some(member) = member {
+                    self.merge_record(*member, true, now);
+                }
+                self.compare_root(from, root);
+            }
             Message::SyncBuckets { buckets } => self.compare_buckets(from, &buckets, now),
             Message::SyncSummaries { buckets, summaries } => {
                 self.compare_summaries(from, &buckets, &summaries);
--- a/crates/membership/src/sync.rs
+++ b/crates/membership/src/sync.rs
@@ -65,8 +65,8 @@
         let peer = local.or_else(|| self.any_peer());
         if let Some(index) = peer {
             // Set again if the exchange finds that much differs, see `compare_buckets`.
-            self.catch_up = self.catch_up.saturating_sub(1);
             self.send_root(index);
+            self.catch_up = self.catch_up.saturating_sub(1);
         }
     }
 
@@ -91,7 +91,11 @@
     fn send_root(&mut self, index: usize) {
         let to = self.table.entries()[index].member.peer_addr;
         let root = self.table.root();
-        self.send(to, TrafficClass::News, Message::SyncRoot { root });
+        // A receiver that does not know the sender would charge its answers to the region link.
+        let own = self.table.own();
+        let member = (self.catch_up > 0).then(|| Box::new(own.clone()));
+        let message = Message::SyncRoot { root, member };
+        self.send(to, TrafficClass::News, message);
     }
 
     /// Answers a join with a first page of members; the joining daemon gets the rest by
--- a/crates/wire/tests/datagram.rs
+++ b/crates/wire/tests/datagram.rs
@@ -111,7 +111,12 @@
             member: Box::new(m)
         }),
         list().prop_map(|news| Message::Updates { news }),
-        any::<u64>().prop_map(|root| Message::SyncRoot { root }),
+        (any::<u64>(), proptest::option::of(member())).prop_map(|(root, member)| {
+            Message::SyncRoot {
+                root,
+                member: member.map(Box::new),
+            }
+        }),
         proptest::collection::vec(0..1_u32 << 28, 256)
             .prop_map(|buckets| Message::SyncBuckets { buckets }),
         (proptest::collection::vec(any::<u8>(), 0..256), summaries)
