--- a/crates/membership/src/sync.rs
+++ b/crates/membership/src/sync.rs
@@ -28,6 +28,10 @@
 /// Messages with summaries sent in one exchange.
 const MAX_SUMMARY_PAGES: usize = 2;
 
+/// Messages with summaries sent in one exchange while the table lacks much; two messages twice a
+/// second would exceed the budget of the news class.
+const CATCH_UP_PAGES: usize = 1;
+
 /// Encoded bytes of a summary: two integers of 28 bits.
 const SUMMARY_BYTES: usize = 8;
 
@@ -61,8 +65,8 @@
         let peer = local.or_else(|| self.any_peer());
         if let Some(index) = peer {
             // Set again if the exchange finds that much differs, see `compare_buckets`.
-            self.catch_up = self.catch_up.saturating_sub(1);
             self.send_root(index);
+            self.catch_up = self.catch_up.saturating_sub(1);
         }
     }
 
@@ -87,7 +91,11 @@
     fn send_root(&mut self, index: usize) {
         let to = self.table.entries()[index].member.peer_addr;
         let root = self.table.root();
-        self.send(to, TrafficClass::News, Message::SyncRoot { root });
+        // A receiver that does not know the sender would charge its answers to the region link.
+        let own = self.table.own();
+        let member = (self.catch_up > 0).then(|| Box::new(own.clone()));
+        let message = Message::SyncRoot { root, member };
+        self.send(to, TrafficClass::News, message);
     }
 
     /// Answers a join with a first page of members; the joining daemon gets the rest by
@@ -138,7 +146,12 @@
         }
         let room = self.settings.message_bytes - size::MESSAGE_OVERHEAD;
         let mut lists = lists.into_iter().peekable();
-        for _ in 0..MAX_SUMMARY_PAGES {
+        let pages = if self.catch_up > 0 {
+            CATCH_UP_PAGES
+        } else {
+            MAX_SUMMARY_PAGES
+        };
+        for _ in 0..pages {
             let mut buckets = Vec::new();
             let mut summaries = Vec::new();
             let mut used = 0;
