Split the measurement example and add an overload

Change: modules for model, variants and percentiles; load as an argument; a case with twice the load that all slots serve.

--- /dev/null
+++ b/crates/policy/examples/choice/main.rs
@@ -0,0 +1,44 @@
+//! Compares strategies of choice in virtual time: one service with six endpoints of ten slots.
+//!
+//! Run with `cargo run --release -p cornelvalve-policy --example choice [LOAD]`, where `LOAD` is
+//! the share of the capacity that arrivals ask for, 0.5 by default.
+
+mod model;
+mod summary;
+mod variant;
+
+use std::time::Duration;
+
+use model::Simulation;
+use variant::{Fault, VARIANTS};
+
+fn main() {
+    let load = std::env::args().nth(1).map_or(Ok(0.5), |text| text.parse());
+    let load: f64 = load.expect("the argument is a number");
+    let faults = [
+        Fault::None,
+        Fault::Straggler,
+        Fault::FailsFast,
+        Fault::Cold,
+        Fault::StaleHints,
+        Fault::StaleStraggler,
+        Fault::Overload,
+    ];
+    for fault in faults {
+        println!("{fault:?}");
+        println!("  variant                         p50     p99    p999  worst s   failed");
+        for variant in VARIANTS {
+            let summary = Simulation::new(variant, fault, load).run();
+            let ms = |d: Duration| d.as_secs_f64() * 1e3;
+            println!(
+                "  {:28} {:6.1} {:7.1} {:7.1} {:8.1} {:7.3}%",
+                variant.name,
+                ms(summary.p50),
+                ms(summary.p99),
+                ms(summary.p999),
+                ms(summary.worst_second),
+                summary.failed_share * 100.0,
+            );
+        }
+    }
+}
--- a/crates/policy/examples/choice.rs
+++ b/crates/policy/examples/choice/model.rs
@@ -1,6 +1,4 @@
-//! Compares strategies of choice in virtual time: one service with six endpoints of ten slots.
-//!
-//! Run with `cargo run --release -p cornelvalve-policy --example choice`.
+//! Discrete-event model of entries, guards and upstreams.
 
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap};
@@ -20,6 +18,9 @@
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 
+use crate::summary::Summary;
+use crate::variant::{Fault, PickerKind, Variant};
+
 const ENDPOINTS: usize = 6;
 const ENTRIES: usize = 6;
 const SLOTS: u16 = 10;
@@ -30,8 +31,10 @@
 const FAULT_AT: Moment = Moment(5_000_000_000);
 const DEADLINE: Duration = Duration::from_secs(1);
 const MEAN_SERVICE: Duration = Duration::from_millis(5);
-/// Share of the capacity of all slots that arrivals ask for.
-const LOAD: f64 = 0.5;
+/// End of an overload.
+const OVERLOAD_END: Moment = Moment(10_000_000_000);
+/// Load during an overload, as a share of the capacity of all slots.
+const OVERLOAD: f64 = 2.0;
 const ONE_WAY: Duration = Duration::from_micros(500);
 const CONNECTION_FAILURE: Duration = Duration::from_micros(200);
 const COLD_REQUESTS: u32 = 500;
@@ -39,111 +42,6 @@
 const STRAGGLER_FACTOR: f64 = 10.0;
 const STALE_HINT: Duration = Duration::from_millis(200);
 
-#[derive(Clone, Copy, Debug, PartialEq)]
-enum Fault {
-    None,
-    Straggler,
-    FailsFast,
-    Cold,
-    StaleHints,
-    StaleStraggler,
-}
-
-#[derive(Clone, Copy, Debug)]
-enum PickerKind {
-    RoundRobin,
-    LeastOutstanding,
-    PowerOfTwo,
-}
-
-#[derive(Clone, Copy)]
-struct Variant {
-    name: &'static str,
-    picker: PickerKind,
-    penalty: bool,
-    ejection: bool,
-    failure_penalty: f64,
-    hints: bool,
-    breaker: bool,
-    hedging: bool,
-    admission: bool,
-}
-
-const PLAIN: Variant = Variant {
-    name: "power of two, plain",
-    picker: PickerKind::PowerOfTwo,
-    penalty: false,
-    ejection: false,
-    failure_penalty: 0.0,
-    hints: true,
-    breaker: false,
-    hedging: false,
-    admission: true,
-};
-
-const CHOSEN: Variant = Variant {
-    name: "chosen (penalties, ejection)",
-    penalty: true,
-    ejection: true,
-    failure_penalty: 4.0,
-    ..PLAIN
-};
-
-const VARIANTS: [Variant; 12] = [
-    Variant {
-        name: "round robin",
-        picker: PickerKind::RoundRobin,
-        ..PLAIN
-    },
-    Variant {
-        name: "least outstanding",
-        picker: PickerKind::LeastOutstanding,
-        ..PLAIN
-    },
-    PLAIN,
-    Variant {
-        name: "plain without hints",
-        hints: false,
-        ..PLAIN
-    },
-    Variant {
-        name: "plain + straggler penalty",
-        penalty: true,
-        ..PLAIN
-    },
-    Variant {
-        name: "plain + failure penalty",
-        failure_penalty: 4.0,
-        ..PLAIN
-    },
-    Variant {
-        name: "plain + ejection",
-        ejection: true,
-        ..PLAIN
-    },
-    Variant {
-        name: "plain + breaker",
-        breaker: true,
-        ..PLAIN
-    },
-    CHOSEN,
-    Variant {
-        name: "chosen without hints",
-        hints: false,
-        ..CHOSEN
-    },
-    Variant {
-        name: "chosen without admission",
-        admission: false,
-        ..CHOSEN
-    },
-    Variant {
-        name: "chosen + hedging",
-        hedging: true,
-        ..CHOSEN
-    },
-];
-
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Event {
     Arrive,
@@ -187,9 +85,11 @@
     hint_at: Moment,
 }
 
-struct Simulation {
+pub(crate) struct Simulation {
     variant: Variant,
     fault: Fault,
+    /// Share of the capacity of all slots that arrivals ask for.
+    load: f64,
     rng: SmallRng,
     now: Moment,
     queue: BinaryHeap<Reverse<(Moment, u64, Event)>>,
@@ -273,7 +173,7 @@
 }
 
 impl Simulation {
-    fn new(variant: Variant, fault: Fault) -> Self {
+    pub(crate) fn new(variant: Variant, fault: Fault, load: f64) -> Self {
         let service = ServiceName::new("estimateur").expect("valid name");
         let endpoints: Vec<Endpoint> = (0..ENDPOINTS).map(endpoint).collect();
         let mut entries: Vec<Entry> = (0..ENTRIES).map(|i| entry(i, variant)).collect();
@@ -283,6 +183,7 @@
         Self {
             variant,
             fault,
+            load,
             rng: SmallRng::seed_from_u64(42),
             now: Moment(0),
             queue: BinaryHeap::new(),
@@ -309,7 +210,7 @@
         mean.mul_f64(-uniform.ln())
     }
 
-    fn run(mut self) -> Summary {
+    pub(crate) fn run(mut self) -> Summary {
         self.after(Duration::ZERO, Event::Arrive);
         let mut fault_pending = self.fault == Fault::Cold;
         while let Some(Reverse((at, _, event))) = self.queue.pop() {
@@ -332,7 +233,10 @@
 
     fn arrive(&mut self) {
         let capacity = ENDPOINTS as f64 * f64::from(SLOTS);
-        let gap = self.exponential(MEAN_SERVICE.div_f64(capacity * LOAD));
+        let overload =
+            self.fault == Fault::Overload && (FAULT_AT..OVERLOAD_END).contains(&self.now);
+        let load = if overload { OVERLOAD } else { self.load };
+        let gap = self.exponential(MEAN_SERVICE.div_f64(capacity * load));
         if self.now + gap < Moment(0) + RUN_TIME {
             self.after(gap, Event::Arrive);
         }
@@ -586,69 +490,3 @@
     let digits = vm.as_str().trim_start_matches("vm-");
     digits.parse().expect("name ends in its index")
 }
-
-struct Summary {
-    p50: Duration,
-    p99: Duration,
-    p999: Duration,
-    /// Largest 99th percentile of the requests that began in the same second.
-    worst_second: Duration,
-    failed_share: f64,
-}
-
-impl Summary {
-    fn of(latencies: &mut [(Moment, Duration)], failed: u64, total: u64) -> Self {
-        let mut seconds: HashMap<u64, Vec<Duration>> = HashMap::new();
-        for (start, latency) in latencies.iter() {
-            seconds
-                .entry(start.0 / 1_000_000_000)
-                .or_default()
-                .push(*latency);
-        }
-        let mut all: Vec<Duration> = latencies.iter().map(|(_, l)| *l).collect();
-        let worst = seconds.values_mut().map(|s| quantile(s, 0.99)).max();
-        Self {
-            p50: quantile(&mut all, 0.5),
-            p99: quantile(&mut all, 0.99),
-            p999: quantile(&mut all, 0.999),
-            worst_second: worst.unwrap_or_default(),
-            failed_share: failed as f64 / total as f64,
-        }
-    }
-}
-
-fn quantile(values: &mut [Duration], q: f64) -> Duration {
-    if values.is_empty() {
-        return Duration::ZERO;
-    }
-    let index = ((values.len() - 1) as f64 * q) as usize;
-    *values.select_nth_unstable(index).1
-}
-
-fn main() {
-    let faults = [
-        Fault::None,
-        Fault::Straggler,
-        Fault::FailsFast,
-        Fault::Cold,
-        Fault::StaleHints,
-        Fault::StaleStraggler,
-    ];
-    for fault in faults {
-        println!("{fault:?}");
-        println!("  variant                         p50     p99    p999  worst s   failed");
-        for variant in VARIANTS {
-            let summary = Simulation::new(variant, fault).run();
-            let ms = |d: Duration| d.as_secs_f64() * 1e3;
-            println!(
-                "  {:28} {:6.1} {:7.1} {:7.1} {:8.1} {:7.3}%",
-                variant.name,
-                ms(summary.p50),
-                ms(summary.p99),
-                ms(summary.p999),
-                ms(summary.worst_second),
-                summary.failed_share * 100.0,
-            );
-        }
-    }
-}
--- /dev/null
+++ b/crates/policy/examples/choice/summary.rs
@@ -0,0 +1,44 @@
+//! Percentiles of a run.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use cornelvalve_model::Moment;
+
+pub(crate) struct Summary {
+    pub(crate) p50: Duration,
+    pub(crate) p99: Duration,
+    pub(crate) p999: Duration,
+    /// Largest 99th percentile of the requests that began in the same second.
+    pub(crate) worst_second: Duration,
+    pub(crate) failed_share: f64,
+}
+
+impl Summary {
+    pub(crate) fn of(latencies: &mut [(Moment, Duration)], failed: u64, total: u64) -> Self {
+        let mut seconds: HashMap<u64, Vec<Duration>> = HashMap::new();
+        for (start, latency) in latencies.iter() {
+            seconds
+                .entry(start.0 / 1_000_000_000)
+                .or_default()
+                .push(*latency);
+        }
+        let mut all: Vec<Duration> = latencies.iter().map(|(_, l)| *l).collect();
+        let worst = seconds.values_mut().map(|s| quantile(s, 0.99)).max();
+        Self {
+            p50: quantile(&mut all, 0.5),
+            p99: quantile(&mut all, 0.99),
+            p999: quantile(&mut all, 0.999),
+            worst_second: worst.unwrap_or_default(),
+            failed_share: failed as f64 / total as f64,
+        }
+    }
+}
+
+fn quantile(values: &mut [Duration], q: f64) -> Duration {
+    if values.is_empty() {
+        return Duration::ZERO;
+    }
+    let index = ((values.len() - 1) as f64 * q) as usize;
+    *values.select_nth_unstable(index).1
+}
