Announce the end of a planned stop and take revisions from membership

A daemon that has drained now reports itself as left, so that others need not suspect it first. The membership service kept a second map of reported revisions beside the one in the state machine; the map is gone.

--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -148,17 +148,23 @@
     ///
     /// It announces that it leaves, finishes what runs within the drain timeout and closes.
     pub async fn stop(self) {
-        if let Ok(membership) = self.kernel.mailbox(MEMBERSHIP) {
-            // Without membership other daemons notice the refusals instead.
-            let _ = membership.send(MembershipMessage::Leave).await;
-        }
+        self.announce_leave().await;
         tokio::time::sleep(LEAVE_NOTICE).await;
         self.drain().await;
+        self.announce_leave().await;
         self.kernel
             .stop(SERVICE_GRACE.max(self.drain_timeout))
             .await;
     }
 
+    /// Announces that the daemon stops or, when called again, that it has stopped.
+    async fn announce_leave(&self) {
+        if let Ok(membership) = self.kernel.mailbox(MEMBERSHIP) {
+            // Without membership other daemons notice the refusals instead.
+            let _ = membership.send(MembershipMessage::Leave).await;
+        }
+    }
+
     async fn drain(&self) {
         let Ok(guard) = self.kernel.mailbox(GUARD) else {
             return;
--- a/crates/daemon/src/membership.rs
+++ b/crates/daemon/src/membership.rs
@@ -1,6 +1,5 @@
 //! Membership service: owns the UDP socket and wraps the membership state machine.
 
-use std::collections::HashMap;
 use std::net::{SocketAddr, UdpSocket as StdSocket};
 use std::sync::Arc;
 
@@ -41,7 +40,7 @@
     Upstreams(Upstreams),
     /// The configuration that this daemon has applied.
     Applied(Revision),
-    /// Announces that this daemon stops.
+    /// Announces that this daemon stops; sent again, that it has stopped.
     Leave,
     /// Sends all member records to the router again.
     Republish,
@@ -86,7 +85,6 @@
     let mut service = MembershipService {
         socket: UdpSocket::from_std(socket.try_clone()?)?,
         membership: Membership::new(settings, own, seed),
-        confirmed: HashMap::new(),
         was_reader: None,
         is_router_behind: false,
         budget: context.registry.mailbox(BUDGET)?,
@@ -120,7 +118,6 @@
 struct MembershipService {
     socket: UdpSocket,
     membership: Membership,
-    confirmed: HashMap<VmName, Revision>,
     was_reader: Option<bool>,
     /// Whether the router missed a message and needs all records again.
     is_router_behind: bool,
@@ -137,8 +134,6 @@
                 self.on(Event::SetUpstreams(upstreams), now).await;
             }
             MembershipMessage::Applied(revision) => {
-                let vm = self.membership.own().vm.clone();
-                self.confirmed.insert(vm, revision);
                 self.on(Event::SetRevision(revision), now).await;
                 self.on(Event::NotifyRevision, now).await;
             }
@@ -180,9 +175,8 @@
                 Action::PeerRevision {
                     operator_addr,
                     revision,
-                    vm,
+                    ..
                 } => {
-                    self.confirmed.insert(vm, revision);
                     let ahead = CatalogMessage::PeerAhead {
                         operator_addr,
                         revision,
@@ -195,9 +189,8 @@
                     log::info!(region = region.as_str(), reachable = reachable; "region changed");
                     self.notify_router(RouterMessage::Region { region, reachable });
                 }
-                Action::RevisionReported { vm, revision } => {
-                    self.confirmed.insert(vm, revision);
-                }
+                // The state machine remembers it for `unconfirmed`.
+                Action::RevisionReported { .. } => {}
             }
         }
         self.publish(changed);
@@ -265,7 +258,6 @@
                 None => removed.push(vm),
             }
         }
-        self.confirmed.retain(|vm, _| !removed.contains(vm));
         if !members.is_empty() {
             self.notify_router(RouterMessage::Members(members));
         }
@@ -309,8 +301,8 @@
         let mut confirmed = 0;
         let mut missing = Vec::new();
         for member in self.membership.members().filter(|m| m.state.takes_work()) {
-            match self.confirmed.get(&member.vm) {
-                Some(applied) if *applied >= revision => confirmed += 1,
+            match self.membership.revision_of(&member.vm) {
+                Some(applied) if applied >= revision => confirmed += 1,
                 _ => missing.push(member.vm.clone()),
             }
         }
--- a/crates/membership/src/membership.rs
+++ b/crates/membership/src/membership.rs
@@ -297,9 +297,13 @@
         self.table.own()
     }
 
-    /// Returns the highest configuration revision that a member reported since its start.
+    /// Returns the highest configuration revision that a member reported since its start, or that
+    /// this daemon has applied.
     #[must_use]
     pub fn revision_of(&self, vm: &VmName) -> Option<Revision> {
+        if self.own().vm == *vm {
+            return Some(self.revision);
+        }
         self.table.get(vm).map(|entry| entry.revision)
     }
 
