Halve the weight of load hints within 5 ms

Cause: hints that were up to 200 ms old made entries avoid idle endpoints; with 60 entries at load 0.75 p99 rose from 25 ms to 41 ms and 4.5% failed.

Change: half-life 5 ms instead of 20 ms; the example takes the number of entries as an argument, because one of few entries knows most of the load.

The penalties and ejection stay. Hedging stays in its own budget.

--- a/crates/policy/examples/choice/main.rs
+++ b/crates/policy/examples/choice/main.rs
@@ -1,7 +1,8 @@
 //! Compares strategies of choice in virtual time: one service with six endpoints of ten slots.
 //!
-//! Run with `cargo run --release -p cornelvalve-policy --example choice [LOAD]`, where `LOAD` is
-//! the share of the capacity that arrivals ask for, 0.5 by default.
+//! Run with `cargo run --release -p cornelvalve-policy --example choice [LOAD [ENTRIES]]`,
+//! where `LOAD` is the share of the capacity that arrivals ask for, 0.5 by default, and `ENTRIES`
+//! the number of entries that share the endpoints, 6 by default.
 
 mod model;
 mod summary;
@@ -13,8 +14,11 @@
 use variant::{Fault, VARIANTS};
 
 fn main() {
-    let load = std::env::args().nth(1).map_or(Ok(0.5), |text| text.parse());
-    let load: f64 = load.expect("the argument is a number");
+    let mut arguments = std::env::args().skip(1);
+    let load = arguments.next().map_or(Ok(0.5), |text| text.parse());
+    let load: f64 = load.expect("the load is a number");
+    let entries = arguments.next().map_or(Ok(6), |text| text.parse());
+    let entries: usize = entries.expect("the number of entries is a number");
     let faults = [
         Fault::None,
         Fault::Straggler,
@@ -28,7 +32,7 @@
         println!("{fault:?}");
         println!("  variant                         p50     p99    p999  worst s   failed");
         for variant in VARIANTS {
-            let summary = Simulation::new(variant, fault, load).run();
+            let summary = Simulation::new(variant, fault, load, entries).run();
             let ms = |d: Duration| d.as_secs_f64() * 1e3;
             println!(
                 "  {:28} {:6.1} {:7.1} {:7.1} {:8.1} {:7.3}%",
--- a/crates/policy/examples/choice/model.rs
+++ b/crates/policy/examples/choice/model.rs
@@ -22,7 +22,6 @@
 use crate::variant::{Fault, PickerKind, Variant};
 
 const ENDPOINTS: usize = 6;
-const ENTRIES: usize = 6;
 const SLOTS: u16 = 10;
 const RUN_TIME: Duration = Duration::from_secs(20);
 /// Time before which latencies are not counted, so that all limits are warm.
@@ -173,10 +172,10 @@
 }
 
 impl Simulation {
-    pub(crate) fn new(variant: Variant, fault: Fault, load: f64) -> Self {
+    pub(crate) fn new(variant: Variant, fault: Fault, load: f64, entries: usize) -> Self {
         let service = ServiceName::new("estimateur").expect("valid name");
         let endpoints: Vec<Endpoint> = (0..ENDPOINTS).map(endpoint).collect();
-        let mut entries: Vec<Entry> = (0..ENTRIES).map(|i| entry(i, variant)).collect();
+        let mut entries: Vec<Entry> = (0..entries).map(|i| entry(i, variant)).collect();
         for entry in &mut entries {
             entry.balancer.set_endpoints(&service, &endpoints);
         }
@@ -240,7 +239,7 @@
         if self.now + gap < Moment(0) + RUN_TIME {
             self.after(gap, Event::Arrive);
         }
-        let entry = self.rng.random_range(0..ENTRIES);
+        let entry = self.rng.random_range(0..self.entries.len());
         let id = self.sequence;
         let request = Request {
             entry,
--- a/crates/policy/src/balancer.rs
+++ b/crates/policy/src/balancer.rs
@@ -62,8 +62,8 @@
 pub struct BalancerSettings {
     /// Endpoints of a service that one entry uses; bounds connections and state.
     pub subset_size: usize,
-    /// Time in which the weight of a load hint halves. Load shifts within milliseconds, so an old
-    /// hint says little.
+    /// Time in which the weight of a load hint halves. Load shifts within milliseconds: with
+    /// 20 ms, hints up to 200 ms old raised p99 from 25 ms to 41 ms and lost 4.5% of the requests.
     pub hint_half_life: Duration,
     /// Time in which the weight of a past failure halves.
     pub failure_half_life: Duration,
@@ -83,7 +83,7 @@
     fn default() -> Self {
         Self {
             subset_size: 24,
-            hint_half_life: Duration::from_millis(20),
+            hint_half_life: Duration::from_millis(5),
             failure_half_life: Duration::from_secs(2),
             failure_penalty: 4.0,
             straggler_penalty: true,
