Add cornelvalve demo

There was no way to see the product work without setting up processes by hand.

The demo runs a log stand-in, eight daemons of the library and eight upstream stand-ins in one process, all on ports that the system chooses. Callers read, file remittances twice with one ticket, and upload, while a failure domain is taken out and returned and an upstream leaves. The report compares what callers saw with what the upstreams ran. The exit code is 0 only if every promise held.

It is a cargo feature that is on by default, so that one command runs it on a fresh clone. A separate program would not be found beside the daemon by those who only read its help; a build for production uses --no-default-features and contains no stand-ins.

Added latency is the time through the daemons less the median of the same reads sent directly to the stand-in.

--- a/src/main.rs
+++ b/src/main.rs
@@ -1,5 +1,8 @@
 //! The daemon that runs beside each upstream.
 
+#[cfg(feature = "demo")]
+mod demo;
+
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
@@ -18,6 +21,8 @@
     match matches.subcommand() {
         Some(("run", args)) => run(file_of(args)),
         Some(("check", args)) => check(file_of(args)),
+        #[cfg(feature = "demo")]
+        Some(("demo", args)) => demo::main(args),
         _ => ExitCode::from(EXIT_SETTINGS),
     }
 }
@@ -27,7 +32,7 @@
         .required(true)
         .value_parser(value_parser!(PathBuf))
         .help("Settings in JSON with comments");
-    Command::new("cornelvalve")
+    let command = Command::new("cornelvalve")
         .about("Load balancer daemon that runs beside an upstream")
         .version(env!("CARGO_PKG_VERSION"))
         .subcommand_required(true)
@@ -41,7 +46,10 @@
             Command::new("check")
                 .about("Checks a settings file and names the line, the key and the remedy")
                 .arg(file),
-        )
+        );
+    #[cfg(feature = "demo")]
+    let command = command.subcommand(demo::command());
+    command
 }
 
 fn file_of(args: &clap::ArgMatches) -> &Path {
--- a/tests/all/support.rs
+++ b/tests/all/support.rs
@@ -6,4 +6,4 @@
 
 pub(crate) use http::{request, send};
 pub(crate) use mesh::{Mesh, VmSpec};
-pub(crate) use process::eventually;
+pub(crate) use process::{eventually, run};
--- a/tests/all/support/process.rs
+++ b/tests/all/support/process.rs
@@ -73,14 +73,20 @@
     daemon.with_file_name(program)
 }
 
-/// Runs the operators' client to its end.
-pub(crate) fn cornelctl(daemon: &str, args: &[&str]) -> Output {
-    Command::new(binary("cornelctl"))
-        .args(["--daemon", daemon])
+/// Runs a program to its end.
+pub(crate) fn run(program: &str, args: &[&str]) -> Output {
+    Command::new(binary(program))
         .args(args)
         .stdin(Stdio::null())
         .output()
-        .expect("cornelctl runs")
+        .unwrap_or_else(|e| panic!("{program} did not run: {e}"))
+}
+
+/// Runs the operators' client to its end.
+pub(crate) fn cornelctl(daemon: &str, args: &[&str]) -> Output {
+    let mut full = vec!["--daemon", daemon];
+    full.extend(args);
+    run("cornelctl", &full)
 }
 
 /// Repeats `check` until it succeeds and panics with its last error after a long time.
