Give a dispatched ticket back when no byte was sent

A connection that the upstream refuses after dispatch ended the ticket as unknown, although the caller was told that the request was not run. TicketTable::retract takes a running entry back; only the holder of the right to run may call it. The fuzz test gets the event ConnectRefused and a count of its visits; a scenario covers repeats, a lost connection, expiry and a drain.

--- a/crates/fuzz/src/generators/tickets.rs
+++ b/crates/fuzz/src/generators/tickets.rs
@@ -48,6 +48,8 @@
     RejectLate(usize),
     /// An upstream answers a running request.
     Complete(usize),
+    /// An upstream refuses the connection for a dispatched request.
+    ConnectRefused(usize),
     /// The connection to an upstream fails during a request.
     Lose(usize),
     /// The caller of a queued or running request leaves.
@@ -82,6 +84,7 @@
         2 => index().prop_map(Event::DispatchAgain),
         2 => index().prop_map(Event::RejectLate),
         14 => index().prop_map(Event::Complete),
+        4 => index().prop_map(Event::ConnectRefused),
         4 => index().prop_map(Event::Lose),
         3 => index().prop_map(Event::Cancel),
         8 => pause().prop_map(Event::Pause),
--- a/crates/fuzz/src/oracles/tickets.rs
+++ b/crates/fuzz/src/oracles/tickets.rs
@@ -139,6 +139,13 @@
         Ok(())
     }
 
+    /// Records that no byte of a run reached the upstream after all.
+    pub fn taken_back(&mut self, ticket: &str) {
+        if let Some(history) = self.tickets.get_mut(ticket) {
+            history.run = None;
+        }
+    }
+
     /// Records the arrival of a request, or of a copy of it, at a daemon.
     pub fn arrived(&mut self, arrival: u64, call: u64) {
         let answered = false;
--- a/crates/fuzz/tests/tickets/world.rs
+++ b/crates/fuzz/tests/tickets/world.rs
@@ -32,10 +32,11 @@
     burned: usize,
     unknown: usize,
     bad_ticket: usize,
+    taken_back: usize,
 }
 
 impl Tally {
-    fn fields(&self) -> [usize; 7] {
+    fn fields(&self) -> [usize; 8] {
         [
             self.runs,
             self.waits,
@@ -44,6 +45,7 @@
             self.burned,
             self.unknown,
             self.bad_ticket,
+            self.taken_back,
         ]
     }
 
@@ -55,6 +57,7 @@
         self.burned += other.burned;
         self.unknown += other.unknown;
         self.bad_ticket += other.bad_ticket;
+        self.taken_back += other.taken_back;
     }
 
     pub(crate) fn reached_all(&self) -> bool {
@@ -181,6 +184,7 @@
             Event::DispatchAgain(n) => return self.dispatch_again(n),
             Event::RejectLate(n) => return self.reject_late(n),
             Event::Complete(n) => return self.complete(n),
+            Event::ConnectRefused(n) => return self.connect_refused(n),
             Event::Lose(n) => return self.lose(n),
             Event::Cancel(n) => self.cancel(n),
             Event::Pause(millis) => {
@@ -394,6 +398,18 @@
         self.respond_all(job.arrival, &waiters, &Answer::Completed(bytes))
     }
 
+    fn connect_refused(&mut self, n: usize) -> Result<()> {
+        let Some(at) = self.pick_job(n, true) else {
+            return Ok(());
+        };
+        let job = self.jobs.remove(at);
+        self.oracle.taken_back(&job.ticket.to_string());
+        self.tally.taken_back += 1;
+        let table = &mut self.daemons[job.daemon].table;
+        let waiters = table.retract(&job.ticket);
+        self.refuse(job.arrival, &waiters, Refusal::not_run(Reason::Connection))
+    }
+
     fn lose(&mut self, n: usize) -> Result<()> {
         let Some(at) = self.pick_job(n, true) else {
             return Ok(());
--- a/crates/policy/src/ticket/table.rs
+++ b/crates/policy/src/ticket/table.rs
@@ -69,7 +69,7 @@
 /// Table of used tickets of one daemon process.
 ///
 /// Each [`Arrival::Run`] is followed by [`Self::at_dispatch`] or [`Self::not_run`], and a
-/// successful dispatch by [`Self::completed`] or [`Self::unknown`]. The returned waiters get the
+/// successful dispatch by [`Self::completed`], [`Self::unknown`] or [`Self::retract`]. The returned waiters get the
 /// same answer as the arrival that ran; the table forgets them.
 #[derive(Debug)]
 pub struct TicketTable {
@@ -171,14 +171,16 @@
     /// The ticket stays usable unless it expired or the table is draining. A request that was
     /// dispatched is not taken back.
     pub fn not_run(&mut self, ticket: &Ticket) -> SmallVec<[Waiter; 2]> {
-        let pending = self
-            .entry(ticket)
-            .is_some_and(|entry| matches!(entry.state, State::Pending));
-        if !pending {
-            return SmallVec::new();
-        }
-        let entry = self.entries.remove(&Key::of(ticket));
-        entry.map(|entry| entry.waiters).unwrap_or_default()
+        self.take_back(ticket, |state| matches!(state, State::Pending))
+    }
+
+    /// Takes back a dispatched request of which no byte was sent after all, as when the upstream
+    /// refused the connection, and returns the waiters, which get the same refusal.
+    ///
+    /// Only the holder of the right to run may call this, and only if it has not used it. The
+    /// ticket stays usable unless it expired or the table is draining.
+    pub fn retract(&mut self, ticket: &Ticket) -> SmallVec<[Waiter; 2]> {
+        self.take_back(ticket, |state| matches!(state, State::Running))
     }
 
     /// Stores the answer of a run and returns the waiters to send it to.
@@ -290,6 +292,19 @@
         self.entry(ticket).filter(|entry| entry.state.is_active())
     }
 
+    /// Removes an entry in an expected state and returns its waiters.
+    fn take_back(
+        &mut self,
+        ticket: &Ticket,
+        expected: impl Fn(&State) -> bool,
+    ) -> SmallVec<[Waiter; 2]> {
+        if !self.entry(ticket).is_some_and(|e| expected(&e.state)) {
+            return SmallVec::new();
+        }
+        let entry = self.entries.remove(&Key::of(ticket));
+        entry.map(|entry| entry.waiters).unwrap_or_default()
+    }
+
     fn first(
         &mut self,
         ticket: &Ticket,
--- a/crates/policy/tests/ticket/scenario.rs
+++ b/crates/policy/tests/ticket/scenario.rs
@@ -35,6 +35,8 @@
     Complete(String, String),
     /// Loses the connection to the upstream after the first byte.
     Lose(String),
+    /// Takes back a dispatched request because the upstream refused the connection.
+    Retract(String),
     /// Refuses admission.
     NotRun(String),
     /// The caller of a call goes away.
@@ -152,6 +154,10 @@
                 let (ticket, table) = self.resolve(name);
                 return waiters(&table.unknown(&ticket, now));
             }
+            Step::Retract(name) => {
+                let (ticket, table) = self.resolve(name);
+                return waiters(&table.retract(&ticket));
+            }
             Step::NotRun(name) => {
                 let (ticket, table) = self.resolve(name);
                 return waiters(&table.not_run(&ticket));
@@ -236,6 +242,12 @@
     run("answer-lost");
 }
 
+/// Guards against a ticket that is lost, or runs twice, after the upstream refused the connection.
+#[test]
+fn connect_refused() {
+    run("connect-refused");
+}
+
 /// Guards against eviction of a live entry to make room for another.
 #[test]
 fn table_full() {
