Keep every refusal that says not run true

Cause and change, each first seen to fail against the code before: - A refused connection after dispatch burned the ticket. The guard gives it back on NotSent and Unused. Before: the repeat got 502, cornelvalve-outcome: unknown; expected 200. - An entry that could not reach the issuer of a ticket answered not-run to a repeat whose first request may have run: 'round 0: 502, cornelvalve-outcome: not-run'. Only the issuer may say so now; the entry and a guard that gives no reply say unknown. - A ticket of remise let a purchase on ledger run (200, 'report 7'). The guard refuses bad-ticket. - Two connections that broke made every 'GET /' a refused suspect: '422, not-run, crash-suspect'. Suspects follow only when the upstream refused a connection or announced a new incarnation within 3 s, and one death counts once however many requests it cut off. - Callers could not tell a refusal from a problem document that an upstream relays. Refusals carry the headers cornelvalve-outcome and -reason, which guards strip from upstreams. - A suspect whose ticket had expired at dispatch kept its isolation; it is released. - A ticket older than a residency rule was sent to its issuer in a forbidden region. The entry checks the region. HTTP/2 callers' host reaches the upstream.

With the mechanisms off in a scratch build: without the strip, relayed_marker_is_no_refusal fails ('503, cornelvalve-outcome: not-run, no-upstream' from the upstream's own answer); with unknown outcomes of POST retried, killed_daemon_leaves_the_outcome_open fails (200 instead of unknown).

guard/state.rs is split into admission, tickets, rules and crashes.

--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -9,7 +9,8 @@
 
 use cornelvalve_kernel::{Clock, Context, Mailbox, ServiceResult};
 use cornelvalve_model::{Reason, Refusal};
-use cornelvalve_wire::hop::CallerHead;
+use cornelvalve_policy::Ticket;
+use cornelvalve_wire::hop::{self, CallerHead};
 use http::header::HOST;
 use http::{Request, Response};
 use hyper::body::Incoming;
@@ -59,15 +60,35 @@
 
 impl Handler for EntryHandler {
     async fn handle(&self, request: Request<Incoming>) -> Response<Body> {
-        let handled = if request.uri().path() == TICKETS_PATH {
-            tickets::issue(self, request).await
-        } else {
-            self.serve(request).await
-        };
-        handled.unwrap_or_else(|e| respond::refusal(e.refusal, e.detail))
+        if request.uri().path() == TICKETS_PATH {
+            let issued = tickets::issue(self, request).await;
+            return issued.unwrap_or_else(|e| respond::refusal(e.refusal, e.detail));
+        }
+        let ticketed = carries_ticket(&request);
+        let served = self.serve(request).await;
+        served.unwrap_or_else(|e| {
+            let refusal = match ticketed {
+                true => without_issuer(e.refusal),
+                false => e.refusal,
+            };
+            respond::refusal(refusal, e.detail)
+        })
     }
 }
 
+/// Tells whether an earlier request with the same key may have run.
+fn carries_ticket(request: &Request<Incoming>) -> bool {
+    let key = request.headers().get(hop::KEY);
+    let key = key.and_then(|key| key.to_str().ok()).map(hop::unquote);
+    key.is_some_and(|key| Ticket::parse(key).is_ok())
+}
+
+/// Returns what an entry may say about a ticket without its issuer, which alone knows whether an
+/// earlier request with it ran.
+fn without_issuer(refusal: Refusal) -> Refusal {
+    Refusal::unknown(refusal.reason)
+}
+
 impl EntryHandler {
     async fn serve(&self, request: Request<Incoming>) -> Result<Response<Body>> {
         let head = caller_head(&request)?;
--- a/crates/daemon/src/entry/forward.rs
+++ b/crates/daemon/src/entry/forward.rs
@@ -7,7 +7,7 @@
 use cornelvalve_model::{Fingerprint, LoadHint, Moment, Reason, Refusal};
 use cornelvalve_policy::{AttemptEnd, AttemptId, AttemptReport, Endpoint, Ticket};
 use cornelvalve_wire::hop::{self, CallerHead, HopHead};
-use http::header::{EXPECT, HeaderValue};
+use http::header::{EXPECT, HOST, HeaderValue};
 use http::request::Parts;
 use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
 use http_body_util::BodyExt;
@@ -21,6 +21,7 @@
 use crate::completion::Completion;
 use crate::exchange::HeadTimeout;
 use crate::peers::ticket_of;
+use crate::respond;
 use crate::router::{self, Attempt, AttemptQuery, RoutePlan, RouterMessage, Tried};
 
 /// Time without upload progress after which a streamed request counts as stalled.
@@ -43,8 +44,10 @@
 enum AttemptResult {
     /// The response of the upstream.
     Answered(Response<Body>, Duration),
-    /// The upstream did not answer.
+    /// The other daemon refused.
     Refused(Refusal, Option<LoadHint>, Duration),
+    /// No response came from the other daemon.
+    Failed(Refusal, Duration),
 }
 
 /// Forwards a request until it is answered or must not be tried again.
@@ -67,8 +70,8 @@
         plan: Arc::new(plan),
         head,
         uri: origin_form(&parts),
+        headers: forwarded_headers(parts.headers, &parts.uri),
         method: parts.method,
-        headers: forwarded_headers(parts.headers),
         fingerprint,
         body,
         deadline,
@@ -84,7 +87,12 @@
     path.map(Uri::from).unwrap_or_default()
 }
 
-fn forwarded_headers(mut headers: HeaderMap) -> HeaderMap {
+fn forwarded_headers(mut headers: HeaderMap, uri: &Uri) -> HeaderMap {
+    // HTTP/2 names the host in the target instead.
+    let authority = uri.authority().map(|a| HeaderValue::try_from(a.as_str()));
+    if let (false, Some(Ok(host))) = (headers.contains_key(HOST), authority) {
+        headers.insert(HOST, host);
+    }
     hop::strip_connection(&mut headers);
     hop::strip_internal(&mut headers);
     headers.remove(EXPECT);
@@ -93,6 +101,8 @@
 
 impl Forwarding<'_> {
     /// Sends the request to the daemon that issued its ticket, once.
+    ///
+    /// A refusal by that daemon goes to the caller as it is. Errors are those of this entry.
     async fn run_at_issuer(mut self, ticket: Ticket) -> Result<Response<Body>> {
         let asked = self
             .entry
@@ -101,9 +111,22 @@
         let endpoint = asked
             .await
             .map_err(|_| Refusal::not_run(Reason::Internal))??;
+        self.check_region(&endpoint)?;
         match self.attempt(&endpoint).await {
             AttemptResult::Answered(response, _) => Ok(clean(response)),
-            AttemptResult::Refused(refusal, ..) => Err(refusal.into()),
+            AttemptResult::Refused(refusal, ..) => Ok(respond::refusal(refusal, None)),
+            AttemptResult::Failed(refusal, _) => Err(refusal.into()),
+        }
+    }
+
+    /// Checks that the request may be sent to the region of its issuer; a rule may be younger than
+    /// the ticket.
+    fn check_region(&self, endpoint: &Endpoint) -> std::result::Result<(), Refusal> {
+        match &self.plan.regions {
+            Some(regions) if !regions.contains(&endpoint.region) => {
+                Err(Refusal::not_run(Reason::HomeRegion))
+            }
+            _ => Ok(()),
         }
     }
 
@@ -118,21 +141,21 @@
                 id,
                 report,
             } = attempt;
-            match self.attempt(&endpoint).await {
+            let (refusal, hint, latency) = match self.attempt(&endpoint).await {
                 AttemptResult::Answered(response, latency) => {
                     return Ok(observe(response, latency, id, report));
                 }
-                AttemptResult::Refused(refusal, hint, latency) => {
-                    let attempt = AttemptReport {
-                        ended: attempt_end(refusal),
-                        latency,
-                        hint,
-                    };
-                    report.finish((id, attempt));
-                    tried.push(endpoint.vm);
-                    failure = Some((refusal, self.body.is_available()));
-                }
-            }
+                AttemptResult::Refused(refusal, hint, latency) => (refusal, hint, latency),
+                AttemptResult::Failed(refusal, latency) => (refusal, None, latency),
+            };
+            let attempt = AttemptReport {
+                ended: attempt_end(refusal),
+                latency,
+                hint,
+            };
+            report.finish((id, attempt));
+            tried.push(endpoint.vm);
+            failure = Some((refusal, self.body.is_available()));
         }
     }
 
@@ -160,7 +183,7 @@
         let started = clock.now();
         if self.deadline <= started {
             let refusal = Refusal::not_run(Reason::Deadline);
-            return AttemptResult::Refused(refusal, None, Duration::ZERO);
+            return AttemptResult::Failed(refusal, Duration::ZERO);
         }
         let (request, timeout, gate) = self.request(started);
         let sent = self
@@ -181,7 +204,7 @@
             },
             Err(e) => {
                 self.body.recover(gate).await;
-                AttemptResult::Refused(e.refusal(), None, latency)
+                AttemptResult::Failed(e.refusal(), latency)
             }
         }
     }
--- a/crates/daemon/src/exchange.rs
+++ b/crates/daemon/src/exchange.rs
@@ -9,6 +9,7 @@
 use http::{Request, Response};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
+use tokio::net::TcpStream;
 use tokio::sync::watch;
 use tokio::time::Instant;
 
@@ -18,6 +19,13 @@
 /// Time that a reused connection gets to finish its previous exchange.
 const READY_WAIT: Duration = Duration::from_millis(5);
 
+/// Pauses before the attempts to connect that tell a dead server from a lost connection.
+const PROBE_PAUSES: [Duration; 3] = [
+    Duration::ZERO,
+    Duration::from_millis(5),
+    Duration::from_millis(20),
+];
+
 /// Result alias of this module.
 pub(crate) type Result<T> = std::result::Result<T, ExchangeError>;
 
@@ -147,6 +155,21 @@
         response.map(|body| Observed::new(body, returning).boxed_unsync())
     }
 
+    /// Tells whether a server takes no connections after it lost one.
+    ///
+    /// A process that dies may close its connections before its listener, so a server that still
+    /// takes a connection is asked again.
+    pub(crate) async fn is_dead(&self, addr: SocketAddr) -> bool {
+        for pause in PROBE_PAUSES {
+            tokio::time::sleep(pause).await;
+            if TcpStream::connect(addr).await.is_err() {
+                self.forget(addr);
+                return true;
+            }
+        }
+        false
+    }
+
     /// Closes idle connections to an address.
     pub(crate) fn forget(&self, addr: SocketAddr) {
         // A pool that is full or restarting closes them by time-out instead.
--- a/crates/daemon/src/guard.rs
+++ b/crates/daemon/src/guard.rs
@@ -3,8 +3,12 @@
 //! The guard knows the exact number of running requests because every one of them holds a
 //! [`Permit`], which reports its end even if the task that holds it is cancelled.
 
+mod admission;
 mod calls;
+mod crashes;
+mod rules;
 mod state;
+mod tickets;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -72,6 +76,8 @@
     NotSent,
     /// The connection was lost after the request was sent.
     Lost,
+    /// The connection was lost after the request was sent, and the upstream refused the next one.
+    Died,
     /// The caller went away before the answer was complete.
     Cancelled,
 }
@@ -200,7 +206,7 @@
             reply,
         } => reply.send(state.issue(&service, count, now)),
         GuardMessage::Upstreams(upstreams) => state.set_upstreams(upstreams, now),
-        GuardMessage::Catalog(catalog) => state.set_catalog(catalog, now),
+        GuardMessage::Catalog(catalog) => state.set_catalog(catalog),
         GuardMessage::Confirmed => state.confirm(),
         GuardMessage::Drain { reply } => state.drain(reply, now),
         GuardMessage::Load { reply } => reply.send(state.load()),
--- /dev/null
+++ b/crates/daemon/src/guard/admission.rs
@@ -0,0 +1,253 @@
+//! Admission of requests: from their arrival to the end of their run.
+
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::time::Duration;
+
+use cornelvalve_kernel::Reply;
+use cornelvalve_model::{Moment, Reason, Refusal, ServiceName};
+use cornelvalve_policy::{
+    Admission, AdmissionAction, AdmissionActions, AdmissionEvent, FinishResult, RequestId, Start,
+};
+
+use super::calls::{PendingCall, call_id, request_id};
+use super::crashes::Running;
+use super::state::GuardState;
+use super::{Admitted, Call, Permit, PermitEnd, PermitReport};
+use crate::completion::Completion;
+
+/// Result alias of this module.
+type Result<T> = std::result::Result<T, Refusal>;
+
+impl GuardState {
+    /// Decides on a request; the reply may come later, when a place is free.
+    pub(super) fn admit(&mut self, call: Call, reply: Reply<Admitted>, now: Moment) {
+        self.rules.note_pause(now);
+        let id = self.calls.insert(call, reply);
+        if let Err(refusal) = self.arrive(id, now) {
+            self.refuse(id, refusal);
+        }
+    }
+
+    fn arrive(&mut self, id: RequestId, now: Moment) -> Result<()> {
+        let Some(pending) = self.calls.get(id) else {
+            return Ok(());
+        };
+        let call = pending.call.clone();
+        if let Some(ticket) = &call.ticket
+            && !self.arrive_ticket(id, &call, ticket, now)?
+        {
+            return Ok(());
+        }
+        self.rules.check(&call)?;
+        let admission = self.admission(&call.service)?;
+        let deadline = call.deadline;
+        let actions = admission.on(AdmissionEvent::Arrived { id, deadline }, now);
+        self.apply(&call.service, actions, now);
+        Ok(())
+    }
+
+    fn admission(&mut self, service: &ServiceName) -> Result<&mut Admission> {
+        let local = self.locals.get_mut(service);
+        let local = local.ok_or(Refusal::not_run(Reason::NoUpstream))?;
+        Ok(&mut local.admission)
+    }
+
+    /// Carries out what the admission of a service decided.
+    fn apply(&mut self, service: &ServiceName, actions: AdmissionActions, now: Moment) {
+        for action in actions {
+            match action {
+                AdmissionAction::Start(id) => self.start(service, id, now),
+                AdmissionAction::Refuse(id, reason) => self.refuse(id, Refusal::not_run(reason)),
+            }
+        }
+    }
+
+    fn start(&mut self, service: &ServiceName, id: RequestId, now: Moment) {
+        let Some(local) = self.locals.get(service) else {
+            return;
+        };
+        let upstream = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), local.upstream.port);
+        let hint = local.admission.hint();
+        let incarnation = local.upstream.incarnation;
+        if let Err(refusal) = self.check_start(id, now) {
+            self.refuse(id, refusal);
+            self.free_place(service, id, FinishResult::Cancelled, Duration::ZERO, now);
+            return;
+        }
+        let unused = PermitReport {
+            id,
+            end: PermitEnd::Unused,
+        };
+        let permit = Permit {
+            upstream,
+            hint,
+            granted: now,
+            id,
+            report: Completion::new(self.reports.clone(), unused),
+        };
+        if let Some(pending) = self.calls.get_mut(id) {
+            pending.started = Some(now);
+            pending.incarnation = incarnation;
+            if let Some(reply) = pending.reply.take() {
+                // If the asker has gone, dropping the permit reports that nothing was sent.
+                reply.send(Admitted::Run(permit));
+            }
+        }
+    }
+
+    /// Checks the right to run at the moment of dispatch, after any queueing or pause.
+    fn check_start(&mut self, id: RequestId, now: Moment) -> Result<()> {
+        let Some(pending) = self.calls.get(id) else {
+            return Err(Refusal::not_run(Reason::Internal));
+        };
+        let call = &pending.call;
+        let running = self.calls.running().count();
+        match self.crashes.suspects.start(call.fingerprint, running, now) {
+            Start::Run => {}
+            Start::Hold => return Err(Refusal::not_run(Reason::Overloaded)),
+            Start::Refuse(refusal) => return Err(refusal),
+        }
+        let checked = match &call.ticket {
+            Some(ticket) => self.tickets.at_dispatch(ticket, now),
+            None => Ok(()),
+        };
+        if checked.is_err() {
+            // A suspect that does not start must not keep the others waiting.
+            self.crashes.suspects.released(call.fingerprint);
+        }
+        checked
+    }
+
+    fn refuse(&mut self, id: RequestId, refusal: Refusal) {
+        let Some(pending) = self.calls.get(id) else {
+            return;
+        };
+        let hint = self
+            .locals
+            .get(&pending.call.service)
+            .map(|l| l.admission.hint())
+            .unwrap_or_default();
+        let waiters = match &pending.call.ticket {
+            Some(ticket) => self.tickets.not_run(ticket),
+            None => Default::default(),
+        };
+        self.calls.refuse(id, refusal, hint);
+        for waiter in waiters {
+            self.calls.refuse(request_id(waiter.id), refusal, hint);
+        }
+    }
+
+    /// Takes the end of a request that had a permit.
+    pub(super) fn finish(&mut self, id: RequestId, end: PermitEnd, now: Moment) {
+        let Some(pending) = self.calls.remove(id) else {
+            return;
+        };
+        let service = pending.call.service.clone();
+        let service_time = pending.started.map(|at| now.since(at)).unwrap_or_default();
+        self.judge_upstream(&pending, &end, now);
+        let result = match &end {
+            PermitEnd::Answered(_) => FinishResult::Success,
+            PermitEnd::Failed(_) => FinishResult::Failure,
+            PermitEnd::NotSent | PermitEnd::Lost | PermitEnd::Died => FinishResult::ConnectionLost,
+            PermitEnd::Unused | PermitEnd::Cancelled => FinishResult::Cancelled,
+        };
+        if let Some(ticket) = &pending.call.ticket {
+            self.finish_ticket(ticket, end, now);
+        }
+        self.free_place(&service, id, result, service_time, now);
+        self.report_drained();
+    }
+
+    /// Learns from the end of a request whether the upstream lives.
+    fn judge_upstream(&mut self, ended: &PendingCall, end: &PermitEnd, now: Moment) {
+        let Call {
+            service,
+            fingerprint,
+            ..
+        } = &ended.call;
+        let crashes = &mut self.crashes;
+        match end {
+            PermitEnd::Answered(_) | PermitEnd::Failed(_) => {
+                crashes.answered(service, ended.incarnation);
+                crashes.suspects.succeeded(*fingerprint);
+            }
+            PermitEnd::Unused | PermitEnd::Cancelled => crashes.suspects.released(*fingerprint),
+            PermitEnd::NotSent => {
+                crashes.refused(service, now);
+                crashes.suspects.released(*fingerprint);
+            }
+            PermitEnd::Lost | PermitEnd::Died => {
+                let running = self.running_beside(ended);
+                let crashes = &mut self.crashes;
+                crashes.lost(service, ended.incarnation, running, now);
+                if *end == PermitEnd::Died {
+                    crashes.refused(service, now);
+                }
+                crashes.suspects.released(*fingerprint);
+            }
+        }
+    }
+
+    /// Lists a request and those that run at the same incarnation of its upstream.
+    fn running_beside(&self, ended: &PendingCall) -> Running {
+        let same = |p: &&PendingCall| {
+            p.call.service == ended.call.service && p.incarnation == ended.incarnation
+        };
+        std::iter::once(ended)
+            .chain(self.calls.running().filter(same))
+            .map(|p| (p.call.fingerprint, self.rules.home_regions(&p.call)))
+            .collect()
+    }
+
+    fn free_place(
+        &mut self,
+        service: &ServiceName,
+        id: RequestId,
+        result: FinishResult,
+        service_time: Duration,
+        now: Moment,
+    ) {
+        let event = AdmissionEvent::Finished {
+            id,
+            result,
+            service_time,
+        };
+        let Some(local) = self.locals.get_mut(service) else {
+            return;
+        };
+        let actions = local.admission.on(event, now);
+        self.apply(service, actions, now);
+    }
+
+    /// Tells the admission of one service about an event.
+    pub(super) fn admission_event(
+        &mut self,
+        service: &ServiceName,
+        event: AdmissionEvent,
+        now: Moment,
+    ) {
+        if let Some(local) = self.locals.get_mut(service) {
+            let actions = local.admission.on(event, now);
+            self.apply(service, actions, now);
+        }
+    }
+
+    /// Drops calls whose asker no longer waits for admission.
+    pub(super) fn forget_abandoned(&mut self, now: Moment) {
+        for id in self.calls.abandoned() {
+            let Some(pending) = self.calls.get(id) else {
+                continue;
+            };
+            let service = pending.call.service.clone();
+            match &pending.call.ticket {
+                Some(ticket) if pending.joined => {
+                    self.tickets.cancelled(ticket, call_id(id));
+                    self.calls.remove(id);
+                }
+                // Calls that joined this one are told that it did not run.
+                _ => self.refuse(id, Refusal::not_run(Reason::Overloaded)),
+            }
+            self.admission_event(&service, AdmissionEvent::Cancelled { id }, now);
+        }
+    }
+}
--- a/crates/daemon/src/guard/calls.rs
+++ b/crates/daemon/src/guard/calls.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 
 use cornelvalve_kernel::Reply;
-use cornelvalve_model::{LoadHint, Moment, Refusal};
+use cornelvalve_model::{Incarnation, LoadHint, Moment, Refusal};
 use cornelvalve_policy::{CallId, RequestId, StoredAnswer};
 
 use super::{Admitted, Call};
@@ -17,6 +17,8 @@
     pub(super) reply: Option<Reply<Admitted>>,
     /// Moment at which the request started to run.
     pub(super) started: Option<Moment>,
+    /// Incarnation of the upstream that runs it.
+    pub(super) incarnation: Incarnation,
     /// Whether it waits for the run of another call with the same ticket.
     pub(super) joined: bool,
 }
@@ -37,6 +39,7 @@
             call,
             reply: Some(reply),
             started: None,
+            incarnation: Incarnation(0),
             joined: false,
         };
         self.pending.insert(id, pending);
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -102,10 +102,13 @@
             call: Box::new(call),
             reply,
         });
-        // A guard that gives no reply has not let the request run.
-        let admitted = asked
-            .await
-            .map_err(|_| Refusal::not_run(Reason::Internal))?;
+        // A guard that gives no reply has not let the request run, but an earlier request with
+        // the same ticket may have run.
+        let no_reply = match ticketed {
+            true => Refusal::unknown(Reason::Internal),
+            false => Refusal::not_run(Reason::Internal),
+        };
+        let admitted = asked.await.map_err(|_| no_reply)?;
         match admitted {
             Admitted::Refused(refusal, hint) => Ok(respond::hop_refusal(refusal, hint)),
             Admitted::Replay(stored) => {
--- a/crates/daemon/src/peers/deliver.rs
+++ b/crates/daemon/src/peers/deliver.rs
@@ -1,5 +1,6 @@
 //! Delivery of an admitted request to the local upstream.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use cornelvalve_kernel::Clock;
@@ -96,23 +97,33 @@
     {
         Ok(response) => Ok(observe(response, permit)),
         Err(e) => {
-            let refusal = e.refusal();
-            if matches!(e, ExchangeError::NotSent(_)) {
-                handler.exchanger.forget(permit.upstream);
-            }
-            permit.finish(end_of(&e));
+            let (end, refusal) = failed(handler, permit.upstream, &e).await;
+            permit.finish(end);
             Ok(crate::respond::hop_refusal(refusal, hint))
         }
     }
 }
 
-/// Returns the end of a request whose exchange failed.
-pub(super) fn end_of(error: &ExchangeError) -> PermitEnd {
-    match error {
-        ExchangeError::NotSent(_) => PermitEnd::NotSent,
+/// Returns the end of a request whose exchange failed, and what its caller is told.
+pub(super) async fn failed(
+    handler: &PeerHandler,
+    upstream: SocketAddr,
+    error: &ExchangeError,
+) -> (PermitEnd, Refusal) {
+    let exchanger = &handler.exchanger;
+    let end = match error {
+        ExchangeError::NotSent(_) => {
+            exchanger.forget(upstream);
+            PermitEnd::NotSent
+        }
+        // The entry must not try a request elsewhere that may have killed this upstream.
+        ExchangeError::Lost(_) if exchanger.is_dead(upstream).await => {
+            return (PermitEnd::Died, Refusal::unknown(Reason::CrashSuspect));
+        }
         ExchangeError::Lost(_) => PermitEnd::Lost,
         ExchangeError::TimedOut => PermitEnd::Cancelled,
-    }
+    };
+    (end, error.refusal())
 }
 
 /// Removes what an upstream must not say and adds the load.
--- a/crates/daemon/src/peers/ticketed.rs
+++ b/crates/daemon/src/peers/ticketed.rs
@@ -72,12 +72,8 @@
             pass_on(response, permit, handler.max_answer_bytes, respond).await;
         }
         Err(e) => {
-            let refusal = e.refusal();
-            permit.finish(match deliver::end_of(&e) {
-                // The upstream may still run the request, so the ticket must not be used again.
-                PermitEnd::Cancelled => PermitEnd::Lost,
-                end => end,
-            });
+            let (end, refusal) = deliver::failed(&handler, permit.upstream, &e).await;
+            permit.finish(end);
             let _ = respond.send(Err(refusal));
         }
     }
--- a/crates/daemon/src/respond.rs
+++ b/crates/daemon/src/respond.rs
@@ -8,20 +8,23 @@
 
 use crate::body::{self, Body};
 
-/// Creates the problem document for a caller.
+/// Creates the problem document for a caller, with outcome and reason as headers.
+///
+/// An upstream can send such a document, or relay that of a nested call, after it has done work
+/// itself. It cannot send the headers, because guards remove them.
 pub(crate) fn refusal(refusal: Refusal, detail: Option<String>) -> Response<Body> {
     let document = problem::Problem::new(refusal, detail);
     let mut response = Response::new(body::full(document.encode()));
     *response.status_mut() = problem::status(refusal.reason);
     let media_type = HeaderValue::from_static(problem::MEDIA_TYPE);
     response.headers_mut().insert(CONTENT_TYPE, media_type);
+    hop::encode_refusal(response.headers_mut(), refusal);
     response
 }
 
-/// Creates the problem document for another daemon, with outcome and load as headers.
+/// Creates the problem document for another daemon, which also carries the load.
 pub(crate) fn hop_refusal(refused: Refusal, hint: LoadHint) -> Response<Body> {
     let mut response = refusal(refused, None);
-    hop::encode_refusal(response.headers_mut(), refused);
     hop::encode_hint(response.headers_mut(), hint);
     response
 }
--- a/crates/wire/src/hop.rs
+++ b/crates/wire/src/hop.rs
@@ -294,7 +294,8 @@
 }
 
 /// Removes the quotes of a structured-field string, the usual form of an idempotency key.
-fn unquote(text: &str) -> &str {
+#[must_use]
+pub fn unquote(text: &str) -> &str {
     text.strip_prefix('"')
         .and_then(|rest| rest.strip_suffix('"'))
         .unwrap_or(text)
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -1,5 +1,7 @@
 //! Integration tests, one module a topic.
 
+mod outcome;
 mod path;
 mod stop;
 mod support;
+mod tickets;
--- a/tests/all/support/http.rs
+++ b/tests/all/support/http.rs
@@ -1,17 +1,23 @@
 //! Callers' side of HTTP/1.1.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
-use hyper::{Request, StatusCode};
+use hyper::body::Body;
+use hyper::{HeaderMap, Request, StatusCode};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 
+/// Longest wait for one response; a lost one fails the test instead of blocking it.
+const RESPONSE_WAIT: Duration = Duration::from_secs(60);
+
 /// Complete response.
 #[derive(Debug)]
 pub(crate) struct Answer {
     pub(crate) status: StatusCode,
+    pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
 }
 
@@ -21,6 +27,20 @@
         serde_json::from_slice(&self.body)
             .unwrap_or_else(|e| panic!("body {:?} is not JSON: {e}", self.body))
     }
+
+    /// Returns the outcome that the system vouches for; `None` stands for a complete answer.
+    pub(crate) fn outcome(&self) -> Option<&str> {
+        let value = self.headers.get("cornelvalve-outcome")?;
+        Some(value.to_str().unwrap_or("malformed"))
+    }
+
+    /// Returns the reason of a refusal.
+    pub(crate) fn reason(&self) -> String {
+        self.json()["reason"]
+            .as_str()
+            .unwrap_or_default()
+            .to_owned()
+    }
 }
 
 /// Creates a request.
@@ -44,10 +64,21 @@
 }
 
 /// Sends a request over a connection of its own and reads the whole response.
-pub(crate) async fn send(
-    addr: SocketAddr,
-    request: Request<Full<Bytes>>,
-) -> Result<Answer, String> {
+pub(crate) async fn send<B>(addr: SocketAddr, request: Request<B>) -> Result<Answer, String>
+where
+    B: Body<Data = Bytes> + Send + 'static,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    tokio::time::timeout(RESPONSE_WAIT, exchange(addr, request))
+        .await
+        .unwrap_or_else(|_| Err("no response within the wait".to_owned()))
+}
+
+async fn exchange<B>(addr: SocketAddr, request: Request<B>) -> Result<Answer, String>
+where
+    B: Body<Data = Bytes> + Send + 'static,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
     let stream = TcpStream::connect(addr).await.map_err(|e| e.to_string())?;
     let (mut sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(stream))
         .await
@@ -62,6 +93,7 @@
     driver.abort();
     Ok(Answer {
         status: parts.status,
+        headers: parts.headers,
         body,
     })
 }
--- a/tests/all/support/mesh.rs
+++ b/tests/all/support/mesh.rs
@@ -15,6 +15,15 @@
     pub(crate) domain: &'static str,
 }
 
+/// What a test sets for one daemon.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct DaemonOptions<'a> {
+    /// Address for announcements; needed by a daemon that takes the place of an earlier one.
+    pub(crate) upstream: Option<SocketAddr>,
+    /// Further settings, such as `"tickets": { ... },`.
+    pub(crate) settings: &'a str,
+}
+
 /// Running daemon.
 #[derive(Debug)]
 pub(crate) struct DaemonProcess {
@@ -28,7 +37,7 @@
 /// Log stand-in with a folder for settings files.
 #[derive(Debug)]
 pub(crate) struct Mesh {
-    _log: Process,
+    pub(crate) log: Process,
     pub(crate) log_addr: SocketAddr,
     folder: PathBuf,
 }
@@ -40,7 +49,7 @@
         let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
         std::fs::create_dir_all(&folder).expect("folder can be created");
         Self {
-            _log: log,
+            log,
             log_addr: addr(&ready, "listen"),
             folder,
         }
@@ -48,27 +57,42 @@
 
     /// Starts a daemon that knows nothing but the log and one peer.
     pub(crate) fn daemon(&self, spec: VmSpec, seeds: &[SocketAddr]) -> DaemonProcess {
+        self.daemon_with(spec, seeds, &DaemonOptions::default())
+    }
+
+    /// Starts a daemon with options of its own.
+    pub(crate) fn daemon_with(
+        &self,
+        spec: VmSpec,
+        seeds: &[SocketAddr],
+        options: &DaemonOptions<'_>,
+    ) -> DaemonProcess {
         let seeds: Vec<String> = seeds
             .iter()
             .map(|s| format!("{:?}", s.to_string()))
             .collect();
+        let upstream_port = options.upstream.map_or(0, |addr| addr.port());
         let settings = format!(
             r#"{{
                 // Written by a test.
                 "vm": "{}", "region": "{}", "failure_domain": "{}",
                 "listen": {{
-                    "callers": "127.0.0.1:0", "peers": "127.0.0.1:0", "upstream": "127.0.0.1:0",
+                    "callers": "127.0.0.1:0", "peers": "127.0.0.1:0",
+                    "upstream": "127.0.0.1:{}",
                     "operators": "127.0.0.1:0", "metrics": "127.0.0.1:0",
                 }},
                 "log_store": {{ "addr": "{}" }},
                 "seeds": [{}],
                 "drain_timeout_ms": 20000,
+                {}
             }}"#,
             spec.vm,
             spec.region,
             spec.domain,
+            upstream_port,
             self.log_addr,
-            seeds.join(",")
+            seeds.join(","),
+            options.settings
         );
         let file = self.folder.join(format!("{}.jsonc", spec.vm));
         std::fs::write(&file, settings).expect("settings can be written");
@@ -94,9 +118,20 @@
 impl DaemonProcess {
     /// Starts an upstream stand-in beside the daemon.
     pub(crate) fn start_upstream(&self, service: &str, slots: u16) -> (Process, SocketAddr) {
+        self.start_upstream_with(service, slots, &[])
+    }
+
+    /// Starts an upstream stand-in with further arguments.
+    pub(crate) fn start_upstream_with(
+        &self,
+        service: &str,
+        slots: u16,
+        more: &[&str],
+    ) -> (Process, SocketAddr) {
         let daemon = self.upstream.to_string();
         let slots = slots.to_string();
-        let args = ["--daemon", &daemon, "--service", service, "--slots", &slots];
+        let mut args = vec!["--daemon", &daemon, "--service", service, "--slots", &slots];
+        args.extend(more);
         let (process, ready) = Process::start("standin-upstream", &args);
         let port = ready["port"].as_u64().and_then(|p| u16::try_from(p).ok());
         let port = port.unwrap_or_else(|| panic!("ready line {ready} has no port"));
