Carry the hybrid logical clock between daemons and wire events and metrics

The timeline had a hybrid logical clock that no daemon passed on, and most kinds of events and the metrics of requests were never recorded.

Change: - Forwarded requests and answers carry the hop header cornelvalve-clock; operators' answers carry it too, and a pull of configuration records follows the clock of the peer that answered. The header is stripped from callers and upstreams. The reading is asked from the timeline service, so that it exceeds every event recorded before. - The entry counts each request once by outcome and reason, also if its caller goes away, its attempts, and the latency beyond what the guard measured at the upstream. - Events: refusals at the entry, upstreams that come, drain and go, failure domains that leave and return, pauses, drains, and admission limits that changed by a factor of two. MemberChanged is recorded for changes of the state only. - Daemon::start_with_clock takes a clock, so that tests use daemons whose wall clocks differ.

The label reason is added to cornelvalve_requests_total; the test of the exported text is changed accordingly and is as strict as before.

--- a/crates/daemon/src/announcer.rs
+++ b/crates/daemon/src/announcer.rs
@@ -1,5 +1,6 @@
 //! Announcer service: upstreams on the same VM announce themselves over loopback HTTP.
 
+mod events;
 mod http_api;
 mod leases;
 
@@ -14,6 +15,7 @@
 use crate::guard::{GuardMessage, Upstreams};
 use crate::membership::MembershipMessage;
 use crate::names::{ANNOUNCER, GUARD, MEMBERSHIP};
+use crate::timeline::{self, TIMELINE, TimelineMessage};
 use leases::Leases;
 
 /// Period in which leases are checked.
@@ -90,7 +92,9 @@
     let subscribers = Subscribers {
         guard: context.registry.mailbox(GUARD)?,
         membership: context.registry.mailbox(MEMBERSHIP)?,
+        timeline: context.registry.mailbox(TIMELINE)?,
     };
+    let mut published = Upstreams::new();
     let listener = TcpListener::from_std(listener.try_clone()?)?;
     let server = tokio::spawn(http_api::serve(listener, own));
     let mut leases = Leases::new(lease_max);
@@ -103,7 +107,10 @@
             break Ok(());
         };
         if handle(&mut leases, message, context.clock.now()) {
-            subscribers.publish(leases.upstreams()).await;
+            let upstreams = leases.upstreams();
+            subscribers.record(&published, &upstreams);
+            published.clone_from(&upstreams);
+            subscribers.publish(upstreams).await;
         }
     };
     server.abort();
@@ -129,9 +136,16 @@
 struct Subscribers {
     guard: Mailbox<GuardMessage>,
     membership: Mailbox<MembershipMessage>,
+    timeline: Mailbox<TimelineMessage>,
 }
 
 impl Subscribers {
+    fn record(&self, before: &Upstreams, after: &Upstreams) {
+        for event in events::changes(before, after) {
+            timeline::record(&self.timeline, event);
+        }
+    }
+
     async fn publish(&self, upstreams: Upstreams) {
         // The guard comes first, so that it admits what other daemons send on the news.
         let guard = self.guard.send(GuardMessage::Upstreams(upstreams.clone()));
--- /dev/null
+++ b/crates/daemon/src/announcer/events.rs
@@ -0,0 +1,31 @@
+//! Events of upstreams that come, drain and go.
+
+use cornelvalve_api::Event;
+use cornelvalve_model::{Upstream, UpstreamState};
+
+use crate::guard::Upstreams;
+
+/// Lists what changed between two announcements.
+pub(super) fn changes(before: &Upstreams, after: &Upstreams) -> impl Iterator<Item = Event> {
+    after
+        .iter()
+        .filter(|now| !before.iter().any(|old| is_same(old, now)))
+        .map(event)
+}
+
+fn is_same(old: &Upstream, now: &Upstream) -> bool {
+    old.service == now.service
+        && old.state == now.state
+        && old.incarnation == now.incarnation
+        && old.port == now.port
+}
+
+fn event(upstream: &Upstream) -> Event {
+    let service = upstream.service.clone();
+    let port = upstream.port;
+    match upstream.state {
+        UpstreamState::Ready => Event::UpstreamAnnounced { service, port },
+        UpstreamState::Draining => Event::UpstreamDraining { service, port },
+        UpstreamState::Lost => Event::UpstreamLost { service, port },
+    }
+}
--- a/crates/daemon/src/catalog.rs
+++ b/crates/daemon/src/catalog.rs
@@ -1,5 +1,6 @@
 //! Catalog service: applies configuration records and publishes the accepted configuration.
 
+mod domains;
 mod follower;
 mod recent;
 mod state;
--- a/crates/daemon/src/catalog/state.rs
+++ b/crates/daemon/src/catalog/state.rs
@@ -10,9 +10,12 @@
 use cornelvalve_logstore::{LogStore, Page, Record};
 use cornelvalve_model::{ChangeId, LogEntry, Offset, Revision};
 use cornelvalve_wire::log::decode_entry;
+use http::Response;
+use hyper::body::Incoming;
 use jsonrpsee::http_client::HttpClientBuilder;
 use tokio::task::JoinHandle;
 
+use super::domains::{DomainView, domain_event};
 use super::follower::follow;
 use super::recent::RecentRecords;
 use super::{CatalogMessage, LogRead};
@@ -20,7 +23,7 @@
 use crate::guard::GuardMessage;
 use crate::membership::MembershipMessage;
 use crate::router::RouterMessage;
-use crate::timeline::{self, TimelineMessage};
+use crate::timeline::{self, ClockLink, TimelineMessage};
 
 /// Records pulled from a peer at once.
 const PULL_RECORDS: u32 = 256;
@@ -170,6 +173,16 @@
     }
 
     fn apply(&mut self, offset: Offset, entry: Result<&LogEntry, &str>) -> Progress {
+        let before = DomainView::of(&self.catalog, entry.ok());
+        let progress = self.apply_entry(offset, entry);
+        let after = DomainView::of(&self.catalog, entry.ok());
+        if let Some(event) = domain_event(before, after) {
+            timeline::record(&self.outbound.timeline, event);
+        }
+        progress
+    }
+
+    fn apply_entry(&mut self, offset: Offset, entry: Result<&LogEntry, &str>) -> Progress {
         match self.catalog.apply(offset, entry) {
             Verdict::OutOfOrder { .. } => {}
             Verdict::Gap(gap) => log::debug!("configuration record was not applied: {gap}"),
@@ -241,8 +254,9 @@
         let after = self.catalog.next_offset();
         let own = self.outbound.own.clone();
         let budget = self.outbound.budget.clone();
+        let link = ClockLink::new(self.outbound.timeline.clone());
         tokio::spawn(async move {
-            let pulled = pull_from(operator_addr, after, &budget).await;
+            let pulled = pull_from(operator_addr, after, &budget, link).await;
             // If the catalog restarted meanwhile, it pulls again by itself.
             let _ = own.send(CatalogMessage::Pulled(pulled)).await;
         });
@@ -288,6 +302,7 @@
     operator_addr: SocketAddr,
     after: Offset,
     budget: &Mailbox<BudgetMessage>,
+    link: ClockLink,
 ) -> Option<PeerRecords> {
     let charged = budget.ask(|reply| BudgetMessage::Charge {
         class: TrafficClass::Configuration,
@@ -298,7 +313,13 @@
     if !matches!(charged.await, Ok(BudgetVerdict::Send)) {
         return None;
     }
+    // What the peer did before it answered comes before what its records cause here.
+    let observe = tower::ServiceBuilder::new().map_response(move |response: Response<Incoming>| {
+        link.observe(response.headers());
+        response
+    });
     let client = HttpClientBuilder::default()
+        .set_http_middleware(observe)
         .build(format!("http://{operator_addr}"))
         .ok()?;
     match client.peer_records(after, PULL_RECORDS).await {
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -6,7 +6,7 @@
 
 use cornelvalve_api::Event;
 use cornelvalve_kernel::{
-    Clock, Kernel, KernelBuilder, OnFailure, ServiceOptions, StopReason, SystemClock,
+    Clock, Kernel, KernelBuilder, Mailbox, OnFailure, ServiceOptions, StopReason, SystemClock,
 };
 use cornelvalve_logstore::{HttpLogStore, LogStore};
 use cornelvalve_model::{Incarnation, Member, MemberKey, MemberState};
@@ -102,11 +102,23 @@
     ///
     /// Returns [`StartError`] if an address cannot be bound or the metrics cannot be set up.
     pub fn start_with(config: &Config, store: Arc<dyn LogStore>) -> Result<Self> {
+        Self::start_with_clock(config, store, Arc::new(SystemClock::new()))
+    }
+
+    /// Starts a daemon over a log store and a clock of the embedder's own.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`StartError`] if an address cannot be bound or the metrics cannot be set up.
+    pub fn start_with_clock(
+        config: &Config,
+        store: Arc<dyn LogStore>,
+        clock: Arc<dyn Clock>,
+    ) -> Result<Self> {
         let sockets = Sockets::bind(&config.listen)?;
         let addresses = sockets.addresses;
         let metrics = Metrics::new().map_err(StartError::Metrics)?;
         let (leave_sender, leave) = mpsc::channel(1);
-        let clock: Arc<dyn Clock> = Arc::new(SystemClock::new());
         let own = own_member(config, &addresses, &*clock);
         let assembly = Assembly {
             config,
@@ -117,15 +129,14 @@
             leave: leave_sender,
         };
         let kernel = assembly.add_services(Kernel::builder(clock)).start();
-        if let Ok(timeline) = kernel.mailbox(TIMELINE) {
-            timeline::record(&timeline, Event::Started);
-        }
-        Ok(Self {
+        let daemon = Self {
             kernel,
             addresses,
             drain_timeout: config.drain_timeout,
             leave,
-        })
+        };
+        daemon.record(Event::Started);
+        Ok(daemon)
     }
 
     /// Returns the addresses on which the daemon listens.
@@ -163,23 +174,38 @@
         let Ok(guard) = self.kernel.mailbox(GUARD) else {
             return;
         };
+        let running = running(&guard).await;
+        log::info!(running = running; "drain started");
+        // Recorded first, so that it precedes the refusals that the drain causes.
+        self.record(Event::DrainStarted { running });
         let drained = guard.ask(|reply| GuardMessage::Drain { reply });
-        if tokio::time::timeout(self.drain_timeout, drained)
-            .await
-            .is_ok()
-        {
-            return;
+        let drained = tokio::time::timeout(self.drain_timeout, drained).await;
+        let running = match drained {
+            Ok(_) => 0,
+            Err(_) => self::running(&guard).await,
+        };
+        self.record(Event::DrainFinished { running });
+        if running > 0 {
+            log::warn!(running = running; "drain timeout reached with requests still running");
+        } else {
+            log::info!("drain finished");
+        }
+    }
+
+    fn record(&self, event: Event) {
+        if let Ok(timeline) = self.kernel.mailbox(TIMELINE) {
+            timeline::record(&timeline, event);
         }
-        let loads = guard.ask(|reply| GuardMessage::Load { reply }).await;
-        let running: u32 = loads
-            .iter()
-            .flatten()
-            .map(|l| u32::from(l.load.running))
-            .sum();
-        log::warn!(running = running; "drain timeout reached with requests still running");
     }
 }
 
+/// Counts the requests that run at the local upstreams.
+async fn running(guard: &Mailbox<GuardMessage>) -> u32 {
+    let loads = guard.ask(|reply| GuardMessage::Load { reply }).await;
+    let loads = loads.iter().flatten();
+    loads.map(|l| u32::from(l.load.running)).sum()
+}
+
 /// Bound sockets, kept across restarts of the services that use them.
 struct Sockets {
     callers: Arc<TcpListener>,
@@ -385,6 +411,7 @@
             ..
         } = self.sockets;
         let (leave, metrics) = (self.leave, self.metrics);
+        let entry_metrics = metrics.clone();
         builder
             .service(SCRAPE, options, move |context| {
                 scrape::run_scrape(context, Arc::clone(&scrapes), metrics.clone())
@@ -397,7 +424,8 @@
                 peers::run_peers(context, Arc::clone(&peers), limits, max_answer_bytes)
             })
             .service(ENTRY, options, move |context| {
-                entry::run_entry(context, Arc::clone(&callers), limits, body_buffer_bytes)
+                let (listener, metrics) = (Arc::clone(&callers), entry_metrics.clone());
+                entry::run_entry(context, listener, limits, body_buffer_bytes, metrics)
             })
     }
 }
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -2,6 +2,7 @@
 
 mod forward;
 mod hold;
+mod record;
 mod tickets;
 
 use std::net::TcpListener as StdListener;
@@ -17,9 +18,12 @@
 use crate::body::Body;
 use crate::exchange::Exchanger;
 use crate::listener::{self, Handler, ListenerLimits};
+use crate::metrics::Metrics;
 use crate::names::{POOL, ROUTER};
 use crate::respond;
 use crate::router::{RoutePlan, RouteQuery, RouteRefusal, RouterMessage};
+use crate::timeline::{ClockLink, TIMELINE, TimelineMessage};
+use record::RequestRecord;
 
 /// Path on which callers ask for tickets.
 const TICKETS_PATH: &str = "/.well-known/cornelvalve/tickets";
@@ -37,12 +41,17 @@
     listener: Arc<StdListener>,
     limits: ListenerLimits,
     body_buffer_bytes: usize,
+    metrics: Metrics,
 ) -> ServiceResult {
+    let timeline = context.registry.mailbox(TIMELINE)?;
     let handler = EntryHandler {
         router: context.registry.mailbox(ROUTER)?,
         exchanger: Exchanger::new(context.registry.mailbox(POOL)?),
         clock: Arc::clone(&context.clock),
         body_buffer_bytes,
+        metrics,
+        link: ClockLink::new(timeline.clone()),
+        timeline,
     };
     listener::serve(&listener, handler, limits, &mut context.stop).await?;
     Ok(())
@@ -55,21 +64,35 @@
     exchanger: Exchanger,
     clock: Arc<dyn Clock>,
     body_buffer_bytes: usize,
+    metrics: Metrics,
+    timeline: Mailbox<TimelineMessage>,
+    link: ClockLink,
 }
 
 impl Handler for EntryHandler {
     async fn handle(&self, request: Request<Incoming>) -> Response<Body> {
+        let mut record = RequestRecord::new(self.metrics.clone(), self.timeline.clone());
         let handled = if request.uri().path() == TICKETS_PATH {
             tickets::issue(self, request).await
         } else {
-            self.serve(request).await
+            self.serve(request, &mut record).await
         };
-        handled.unwrap_or_else(|e| respond::refusal(e.refusal, e.detail))
+        match handled {
+            Ok(response) => record.answered(response),
+            Err(e) => {
+                record.refused(e.refusal);
+                respond::refusal(e.refusal, e.detail)
+            }
+        }
     }
 }
 
 impl EntryHandler {
-    async fn serve(&self, request: Request<Incoming>) -> Result<Response<Body>> {
+    async fn serve(
+        &self,
+        request: Request<Incoming>,
+        record: &mut RequestRecord,
+    ) -> Result<Response<Body>> {
         let head = caller_head(&request)?;
         let query = RouteQuery {
             host: host_of(&request)?,
@@ -78,7 +101,8 @@
             team: head.team.clone(),
         };
         let plan = self.route(query).await?;
-        forward::forward(self, request, head, plan).await
+        record.set_service(&plan.service);
+        forward::forward(self, request, head, plan, record).await
     }
 
     async fn route(&self, query: RouteQuery) -> Result<RoutePlan> {
--- a/crates/daemon/src/entry/forward.rs
+++ b/crates/daemon/src/entry/forward.rs
@@ -16,6 +16,7 @@
 use tokio::time::Instant;
 
 use super::hold::{Gate, HeldBody};
+use super::record::RequestRecord;
 use super::{EntryHandler, Result};
 use crate::body::{Body, BodyEnd, BodyObserver, Observed, ProgressObserver};
 use crate::completion::Completion;
@@ -37,6 +38,7 @@
     fingerprint: Fingerprint,
     body: HeldBody,
     deadline: Moment,
+    record: &'a mut RequestRecord,
 }
 
 /// What one attempt brought.
@@ -53,6 +55,7 @@
     request: Request<Incoming>,
     head: CallerHead,
     plan: RoutePlan,
+    record: &mut RequestRecord,
 ) -> Result<Response<Body>> {
     let deadline = entry.clock.now() + head.time_left.unwrap_or(plan.timeout);
     let (parts, body) = request.into_parts();
@@ -72,6 +75,7 @@
         fingerprint,
         body,
         deadline,
+        record,
     };
     match ticket {
         Some(ticket) => forwarding.run_at_issuer(ticket).await,
@@ -162,13 +166,20 @@
             let refusal = Refusal::not_run(Reason::Deadline);
             return AttemptResult::Refused(refusal, None, Duration::ZERO);
         }
-        let (request, timeout, gate) = self.request(started);
+        let (mut request, timeout, gate) = self.request(started);
+        self.record.attempted();
+        self.entry.link.stamp(request.headers_mut()).await;
         let sent = self
             .entry
             .exchanger
             .send(endpoint.peer_addr, request, &timeout);
         let result = sent.await;
         let latency = clock.now().since(started);
+        if let Ok(response) = &result {
+            self.entry.link.observe(response.headers());
+            let upstream = hop::decode_upstream_time(response.headers());
+            self.record.answered_after(latency, upstream);
+        }
         match result {
             Ok(response) => match hop::decode_refusal(response.headers()) {
                 Some(refusal) => {
--- a/crates/daemon/src/guard.rs
+++ b/crates/daemon/src/guard.rs
@@ -4,6 +4,7 @@
 //! [`Permit`], which reports its end even if the task that holds it is cancelled.
 
 mod calls;
+mod events;
 mod state;
 
 use std::net::SocketAddr;
@@ -22,6 +23,8 @@
 use crate::catalog::CatalogMessage;
 use crate::completion::Completion;
 use crate::names::{CATALOG, GUARD};
+use crate::timeline::TIMELINE;
+use events::GuardEvents;
 pub(crate) use state::GuardSettings;
 use state::GuardState;
 
@@ -175,6 +178,7 @@
         .await?;
     let catalog = context.registry.mailbox(CATALOG)?;
     let _ = catalog.try_send(CatalogMessage::Republish);
+    let mut events = GuardEvents::new(context.registry.mailbox(TIMELINE)?);
     let (reports, mut finished) = mpsc::unbounded_channel();
     let mut state = GuardState::new(settings, reports, context.clock.now());
     loop {
@@ -184,7 +188,12 @@
                 state.finish(id, end, context.clock.now());
             }
             message = context.inbox.recv() => match message {
-                Some(message) => handle(&mut state, message, context.clock.now()),
+                Some(message) => {
+                    if let GuardMessage::Tick(tick) = &message {
+                        events.tick(*tick, &state.load());
+                    }
+                    handle(&mut state, message, context.clock.now());
+                }
                 None => return Ok(()),
             },
         }
--- /dev/null
+++ b/crates/daemon/src/guard/events.rs
@@ -0,0 +1,61 @@
+//! Events of the guard.
+
+use std::collections::BTreeMap;
+
+use cornelvalve_api::Event;
+use cornelvalve_kernel::{Mailbox, Tick};
+use cornelvalve_model::ServiceName;
+
+use super::UpstreamLoad;
+use super::state::PAUSE_THRESHOLD;
+use crate::timeline::{self, TimelineMessage};
+
+/// Factor by which a limit must have changed to be recorded, so that the steps of its search do
+/// not push other events out of the timeline.
+const LIMIT_FACTOR: u16 = 2;
+
+/// Records what operators should see.
+pub(super) struct GuardEvents {
+    timeline: Mailbox<TimelineMessage>,
+    limits: BTreeMap<ServiceName, u16>,
+}
+
+impl GuardEvents {
+    /// Creates the recorder.
+    pub(super) fn new(timeline: Mailbox<TimelineMessage>) -> Self {
+        Self {
+            timeline,
+            limits: BTreeMap::new(),
+        }
+    }
+
+    /// Records what a tick shows.
+    pub(super) fn tick(&mut self, tick: Tick, loads: &[UpstreamLoad]) {
+        if tick.late > PAUSE_THRESHOLD {
+            let millis = u64::try_from(tick.late.as_millis()).unwrap_or(u64::MAX);
+            log::warn!(millis = millis; "process was paused");
+            timeline::record(&self.timeline, Event::Paused { millis });
+        }
+        for load in loads {
+            self.limit(&load.upstream.service, load.load.limit);
+        }
+    }
+
+    fn limit(&mut self, service: &ServiceName, limit: u16) {
+        let recorded = self.limits.get(service).copied();
+        if !recorded.is_none_or(|old| is_notable(old, limit)) {
+            return;
+        }
+        self.limits.insert(service.clone(), limit);
+        let event = Event::AdmissionChanged {
+            service: service.clone(),
+            limit: limit.into(),
+        };
+        timeline::record(&self.timeline, event);
+    }
+}
+
+fn is_notable(old: u16, new: u16) -> bool {
+    let (low, high) = (old.min(new), old.max(new));
+    low != high && high >= low.saturating_mul(LIMIT_FACTOR)
+}
--- a/crates/daemon/src/guard/state.rs
+++ b/crates/daemon/src/guard/state.rs
@@ -26,7 +26,7 @@
 type Result<T> = std::result::Result<T, Refusal>;
 
 /// Delay of a tick from which the process counts as paused; longer than any delay under full load.
-const PAUSE_THRESHOLD: Duration = Duration::from_secs(1);
+pub(super) const PAUSE_THRESHOLD: Duration = Duration::from_secs(1);
 
 /// Time after a pause for which the guard waits for a confirmed configuration before it goes on
 /// without one, so that an outage of log and peers does not stop service.
--- a/crates/daemon/src/membership.rs
+++ b/crates/daemon/src/membership.rs
@@ -8,7 +8,7 @@
 use cornelvalve_budget::Verdict;
 use cornelvalve_kernel::{Context, Mailbox, Reply, ServiceResult, TIMER, TimerMessage};
 use cornelvalve_membership::{Action, Event, Membership, MembershipSettings, Message};
-use cornelvalve_model::{Member, Moment, Revision, VmName};
+use cornelvalve_model::{Member, MemberState, Moment, Revision, VmName};
 use cornelvalve_wire::datagram;
 use tokio::net::UdpSocket;
 
@@ -87,6 +87,7 @@
         socket: UdpSocket::from_std(socket.try_clone()?)?,
         membership: Membership::new(settings, own, seed),
         confirmed: HashMap::new(),
+        recorded: HashMap::new(),
         was_reader: None,
         budget: context.registry.mailbox(BUDGET)?,
         router: context.registry.mailbox(ROUTER)?,
@@ -120,6 +121,7 @@
     socket: UdpSocket,
     membership: Membership,
     confirmed: HashMap<VmName, Revision>,
+    recorded: HashMap<VmName, MemberState>,
     was_reader: Option<bool>,
     budget: Mailbox<BudgetMessage>,
     router: Mailbox<RouterMessage>,
@@ -235,17 +237,21 @@
         for vm in changed {
             match self.membership.get(&vm) {
                 Some(member) => {
-                    let event = TimelineEvent::MemberChanged {
-                        member: vm,
-                        state: member.state,
-                    };
-                    timeline::record(&self.timeline, event);
+                    // A record also changes with its upstreams; the timeline shows states only.
+                    if self.recorded.insert(vm.clone(), member.state) != Some(member.state) {
+                        let event = TimelineEvent::MemberChanged {
+                            member: vm,
+                            state: member.state,
+                        };
+                        timeline::record(&self.timeline, event);
+                    }
                     members.push(member.clone());
                 }
                 None => removed.push(vm),
             }
         }
         self.confirmed.retain(|vm, _| !removed.contains(vm));
+        self.recorded.retain(|vm, _| !removed.contains(vm));
         if !members.is_empty() {
             self.notify_router(RouterMessage::Members(members));
         }
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use cornelvalve_model::{LoadHint, MemberState, Outcome, Revision, ServiceName};
+use cornelvalve_model::{LoadHint, MemberState, Outcome, Reason, Revision, ServiceName};
 use derive_more::{Debug, Display, Error};
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Gauge, Histogram, Meter, MeterProvider};
@@ -18,6 +18,9 @@
     0.000_1, 0.000_2, 0.000_4, 0.000_6, 0.000_8, 0.001, 0.001_1, 0.001_5, 0.002, 0.005, 0.02, 0.1,
 ];
 
+/// Label of requests that were not refused: completed, or given up by their caller.
+const NO_REASON: &str = "none";
+
 /// Reports that the metrics cannot be set up or written.
 #[derive(Debug, Display, Error)]
 pub enum MetricsError {
@@ -75,7 +78,10 @@
         Self {
             registry,
             _provider: provider,
-            requests: counter("cornelvalve_requests", "Requests of callers by outcome"),
+            requests: counter(
+                "cornelvalve_requests",
+                "Requests of callers by outcome and reason",
+            ),
             attempts: counter(
                 "cornelvalve_attempts",
                 "Requests sent to a daemon or upstream",
@@ -99,14 +105,19 @@
         }
     }
 
-    /// Counts a request of a caller by its outcome.
-    pub fn count_request(&self, outcome: Outcome) {
-        let label = match outcome {
+    /// Counts a request of a caller by its outcome and the reason for a refusal.
+    pub fn count_request(&self, outcome: Outcome, reason: Option<Reason>) {
+        let outcome = match outcome {
             Outcome::NotRun => "not-run",
             Outcome::Completed => "completed",
             Outcome::Unknown => "unknown",
         };
-        self.requests.add(1, &[KeyValue::new("outcome", label)]);
+        let reason = reason.map_or_else(|| NO_REASON.to_owned(), |r| r.to_string());
+        let labels = [
+            KeyValue::new("outcome", outcome),
+            KeyValue::new("reason", reason),
+        ];
+        self.requests.add(1, &labels);
     }
 
     /// Counts an attempt, the first or a later one.
--- a/crates/daemon/src/operators.rs
+++ b/crates/daemon/src/operators.rs
@@ -8,9 +8,10 @@
 use cornelvalve_api::OperatorsServer;
 use cornelvalve_kernel::{Context, ServiceResult};
 use cornelvalve_model::{FailureDomain, Incarnation, Region, VmName};
-use jsonrpsee::server::{ServerBuilder, ServerConfig};
+use jsonrpsee::server::{HttpBody, HttpRequest, HttpResponse, ServerBuilder, ServerConfig};
 use tokio::sync::mpsc;
 
+use crate::timeline::{ClockLink, TIMELINE};
 use calls::Calls;
 
 /// Longest request; a change is far shorter.
@@ -49,7 +50,23 @@
         .max_response_body_size(MAX_RESPONSE_BYTES)
         .http_only()
         .build();
-    let server = ServerBuilder::with_config(config).build_from_tcp(listener.try_clone()?)?;
+    let link = ClockLink::new(context.registry.mailbox(TIMELINE)?);
+    let observing = link.clone();
+    let clock = tower::ServiceBuilder::new()
+        .map_request(move |request: HttpRequest<HttpBody>| {
+            observing.observe(request.headers());
+            request
+        })
+        .and_then(move |mut response: HttpResponse| {
+            let link = link.clone();
+            async move {
+                link.stamp(response.headers_mut()).await;
+                Ok(response)
+            }
+        });
+    let server = ServerBuilder::with_config(config)
+        .set_http_middleware(clock)
+        .build_from_tcp(listener.try_clone()?)?;
     let handle = server.start(calls.into_rpc());
     tokio::select! {
         () = context.stop.requested() => {
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -21,6 +21,7 @@
 use crate::listener::{self, Handler, ListenerLimits};
 use crate::names::{GUARD, POOL};
 use crate::respond;
+use crate::timeline::{ClockLink, TIMELINE};
 
 /// Path of requests for tickets between daemons; cannot be routed, because forwarded requests
 /// carry hop headers and this one does not.
@@ -52,6 +53,7 @@
         exchanger: Exchanger::new(context.registry.mailbox(POOL)?),
         clock: Arc::clone(&context.clock),
         max_answer_bytes,
+        link: ClockLink::new(context.registry.mailbox(TIMELINE)?),
     };
     listener::serve(&listener, handler, limits, &mut context.stop).await?;
     Ok(())
@@ -64,16 +66,21 @@
     exchanger: Exchanger,
     clock: Arc<dyn Clock>,
     max_answer_bytes: usize,
+    link: ClockLink,
 }
 
 impl Handler for PeerHandler {
     async fn handle(&self, request: Request<Incoming>) -> Response<Body> {
+        self.link.observe(request.headers());
         let handled = if request.uri().path() == TICKETS_PATH {
             self.issue(request).await
         } else {
             self.forward(request).await
         };
-        handled.unwrap_or_else(|refusal| respond::hop_refusal(refusal, LoadHint::default()))
+        let mut response =
+            handled.unwrap_or_else(|refusal| respond::hop_refusal(refusal, LoadHint::default()));
+        self.link.stamp(response.headers_mut()).await;
+        response
     }
 }
 
--- a/crates/daemon/src/peers/deliver.rs
+++ b/crates/daemon/src/peers/deliver.rs
@@ -89,12 +89,18 @@
     let (request, timeout) = prepare(request, head, time_left);
     permit.set_on_drop(PermitEnd::Cancelled);
     let hint = permit.hint;
+    let started = handler.clock.now();
     match handler
         .exchanger
         .send(permit.upstream, request, &timeout)
         .await
     {
-        Ok(response) => Ok(observe(response, permit)),
+        Ok(response) => {
+            let mut response = observe(response, permit);
+            let upstream_time = handler.clock.now().since(started);
+            hop::encode_upstream_time(response.headers_mut(), upstream_time);
+            Ok(response)
+        }
         Err(e) => {
             let refusal = e.refusal();
             if matches!(e, ExchangeError::NotSent(_)) {
--- a/crates/daemon/src/timeline.rs
+++ b/crates/daemon/src/timeline.rs
@@ -8,9 +8,11 @@
 use cornelvalve_model::VmName;
 
 mod clock;
+mod link;
 mod ring;
 
 pub use clock::HybridClock;
+pub(crate) use link::ClockLink;
 pub use ring::Ring;
 
 /// Name of the timeline service.
--- a/crates/daemon/tests/all/metrics.rs
+++ b/crates/daemon/tests/all/metrics.rs
@@ -3,15 +3,15 @@
 use std::time::Duration;
 
 use cornelvalve_daemon::metrics::Metrics;
-use cornelvalve_model::{LoadHint, MemberState, Outcome, Revision, ServiceName};
+use cornelvalve_model::{LoadHint, MemberState, Outcome, Reason, Revision, ServiceName};
 use insta::assert_snapshot;
 
 #[test]
 fn all_instruments_are_exported() {
     let metrics = Metrics::new().expect("metrics");
     let service: ServiceName = "remise".parse().expect("valid");
-    metrics.count_request(Outcome::Completed);
-    metrics.count_request(Outcome::NotRun);
+    metrics.count_request(Outcome::Completed, None);
+    metrics.count_request(Outcome::NotRun, Some(Reason::HomeRegion));
     metrics.count_attempt(false);
     metrics.count_attempt(true);
     metrics.record_added_latency(Duration::from_micros(700));
@@ -51,8 +51,8 @@
     cornelvalve_control_dropped_bytes_total{class="news"} 80
     cornelvalve_control_sent_bytes_total{class="probe"} 120
     cornelvalve_members{state="alive"} 6
-    cornelvalve_requests_total{outcome="completed"} 1
-    cornelvalve_requests_total{outcome="not-run"} 1
+    cornelvalve_requests_total{outcome="completed",reason="none"} 1
+    cornelvalve_requests_total{outcome="not-run",reason="home-region"} 1
     cornelvalve_retries_total 1
     "#);
 }
--- a/crates/wire/src/hop.rs
+++ b/crates/wire/src/hop.rs
@@ -26,7 +26,10 @@
 pub const OUTCOME: HeaderName = HeaderName::from_static("cornelvalve-outcome");
 /// Reason that goes with [`OUTCOME`].
 pub const REASON: HeaderName = HeaderName::from_static("cornelvalve-reason");
+/// Reading of the sender's hybrid logical clock, which orders the events of all daemons.
+pub const CLOCK: HeaderName = HeaderName::from_static("cornelvalve-clock");
 
+const UPSTREAM_TIME: HeaderName = HeaderName::from_static("cornelvalve-upstream-us");
 const SERVICE: HeaderName = HeaderName::from_static("cornelvalve-service");
 const ROUTE: HeaderName = HeaderName::from_static("cornelvalve-route");
 const CLASS: HeaderName = HeaderName::from_static("cornelvalve-class");
@@ -35,7 +38,7 @@
 const HINT: HeaderName = HeaderName::from_static("cornelvalve-hint");
 
 /// Headers that only daemons may set; removed from whatever callers and upstreams send.
-const INTERNAL: [HeaderName; 8] = [
+const INTERNAL: [HeaderName; 10] = [
     OUTCOME,
     REASON,
     SERVICE,
@@ -44,6 +47,8 @@
     FINGERPRINT,
     REVISION,
     HINT,
+    CLOCK,
+    UPSTREAM_TIME,
 ];
 
 /// Largest nesting of calls; the deepest chain among the services in use has nine.
@@ -231,6 +236,18 @@
     })
 }
 
+/// Writes the time that the upstream took to answer.
+pub fn encode_upstream_time(headers: &mut HeaderMap, time: Duration) {
+    set(headers, UPSTREAM_TIME, &time.as_micros());
+}
+
+/// Reads the time that the upstream took to answer; a malformed one is treated as absent.
+#[must_use]
+pub fn decode_upstream_time(headers: &HeaderMap) -> Option<Duration> {
+    let text = headers.get(&UPSTREAM_TIME)?.to_str().ok()?;
+    text.parse().ok().map(Duration::from_micros)
+}
+
 /// Writes outcome and reason of a refusal.
 pub fn encode_refusal(headers: &mut HeaderMap, refusal: Refusal) {
     set(headers, OUTCOME, &refusal.outcome);
--- a/tests/all/support.rs
+++ b/tests/all/support.rs
@@ -3,7 +3,9 @@
 mod http;
 mod mesh;
 mod process;
+mod raw;
 
 pub(crate) use http::{request, send};
-pub(crate) use mesh::{Mesh, VmSpec};
-pub(crate) use process::{eventually, run};
+pub(crate) use mesh::{DaemonProcess, Mesh, VmSpec};
+pub(crate) use process::{ctl_json, eventually, run};
+pub(crate) use raw::raw_upstream;
--- a/tests/all/support/http.rs
+++ b/tests/all/support/http.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
-use hyper::{Request, StatusCode};
+use hyper::{HeaderMap, Request, StatusCode};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 
@@ -12,6 +12,7 @@
 #[derive(Debug)]
 pub(crate) struct Answer {
     pub(crate) status: StatusCode,
+    pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
 }
 
@@ -62,6 +63,7 @@
     driver.abort();
     Ok(Answer {
         status: parts.status,
+        headers: parts.headers,
         body,
     })
 }
--- a/tests/all/support/mesh.rs
+++ b/tests/all/support/mesh.rs
@@ -5,6 +5,7 @@
 
 use serde_json::Value;
 
+use super::http::{request, send};
 use super::process::{Process, cornelctl, eventually};
 
 /// Where a VM stands.
@@ -23,6 +24,8 @@
     pub(crate) peers: SocketAddr,
     pub(crate) upstream: SocketAddr,
     pub(crate) operators: SocketAddr,
+    pub(crate) metrics: SocketAddr,
+    log_file: PathBuf,
 }
 
 /// Log stand-in with a folder for settings files.
@@ -63,6 +66,7 @@
                 "log_store": {{ "addr": "{}" }},
                 "seeds": [{}],
                 "drain_timeout_ms": 20000,
+                "logging": {{ "level": "debug" }},
             }}"#,
             spec.vm,
             spec.region,
@@ -73,13 +77,17 @@
         let file = self.folder.join(format!("{}.jsonc", spec.vm));
         std::fs::write(&file, settings).expect("settings can be written");
         let path = file.to_str().expect("path is UTF-8");
-        let (process, ready) = Process::start("cornelvalve", &["run", path]);
+        let log_file = self.folder.join(format!("{}.log", spec.vm));
+        let stderr = std::fs::File::create(&log_file).expect("log file can be created");
+        let (process, ready) = Process::start_logged("cornelvalve", &["run", path], stderr.into());
         DaemonProcess {
             process,
             callers: addr(&ready, "callers"),
             peers: addr(&ready, "peers"),
             upstream: addr(&ready, "upstream"),
             operators: addr(&ready, "operators"),
+            metrics: addr(&ready, "metrics"),
+            log_file,
         }
     }
 }
@@ -92,6 +100,49 @@
 }
 
 impl DaemonProcess {
+    /// Returns the log lines that the daemon has written, at debug level.
+    pub(crate) fn log_lines(&self) -> String {
+        std::fs::read_to_string(&self.log_file).expect("log file is readable")
+    }
+
+    /// Returns the metrics as text.
+    pub(crate) async fn scrape(&self) -> String {
+        let get = request("GET", "metrics.test", "/metrics", &[], "");
+        let answer = send(self.metrics, get).await.expect("metrics are served");
+        assert!(answer.status.is_success(), "{answer:?}");
+        String::from_utf8(answer.body.to_vec()).expect("metrics are text")
+    }
+
+    /// Returns the value of a metric, or 0 if it is absent.
+    pub(crate) async fn metric(&self, sample: &str) -> f64 {
+        let text = self.scrape().await;
+        let values = text.lines().filter_map(|line| line.strip_prefix(sample));
+        let value = values.filter_map(|rest| rest.trim().parse().ok()).next();
+        value.unwrap_or(0.0)
+    }
+
+    /// Creates the region and a service `NAME` with the host `NAME.test`.
+    pub(crate) fn put_service(&self, name: &str, routes: &[&str]) {
+        self.ctl(&["region", "put", "qc-est"]);
+        let host = format!("{name}.test");
+        let mut args = vec!["service", "put", "--name", name, "--host", &host];
+        for route in routes {
+            args.extend(["--route", route]);
+        }
+        self.ctl(&args);
+    }
+
+    /// Sends requests until one is answered by an upstream.
+    pub(crate) async fn wait_for_service(&self, name: &str) {
+        let host = format!("{name}.test");
+        eventually("first answer", || async {
+            let answer = send(self.callers, request("GET", &host, "/", &[], "")).await?;
+            let answered = answer.status.is_success();
+            answered.then_some(()).ok_or(format!("{answer:?}"))
+        })
+        .await;
+    }
+
     /// Starts an upstream stand-in beside the daemon.
     pub(crate) fn start_upstream(&self, service: &str, slots: u16) -> (Process, SocketAddr) {
         let daemon = self.upstream.to_string();
--- a/tests/all/support/process.rs
+++ b/tests/all/support/process.rs
@@ -20,11 +20,20 @@
 impl Process {
     /// Starts a program and reads the JSON line that it prints when it is ready.
     pub(crate) fn start(program: &str, args: &[&str]) -> (Self, serde_json::Value) {
+        Self::start_logged(program, args, Stdio::null())
+    }
+
+    /// Starts a program with a destination for its log lines.
+    pub(crate) fn start_logged(
+        program: &str,
+        args: &[&str],
+        stderr: Stdio,
+    ) -> (Self, serde_json::Value) {
         let mut child = Command::new(binary(program))
             .args(args)
             .stdin(Stdio::null())
             .stdout(Stdio::piped())
-            .stderr(Stdio::null())
+            .stderr(stderr)
             .spawn()
             .unwrap_or_else(|e| panic!("{program} did not start: {e}"));
         let stdout = child.stdout.take().expect("stdout is piped");
@@ -89,6 +98,24 @@
     run("cornelctl", &full)
 }
 
+/// Runs the operators' client beside daemons of this process and returns what it prints as JSON.
+pub(crate) async fn ctl_json(daemon: std::net::SocketAddr, args: &[&str]) -> serde_json::Value {
+    let mut full = vec!["--output".to_owned(), "json".to_owned()];
+    full.extend(args.iter().map(|a| (*a).to_owned()));
+    let waiting = tokio::task::spawn_blocking(move || {
+        let args: Vec<&str> = full.iter().map(String::as_str).collect();
+        cornelctl(&daemon.to_string(), &args)
+    });
+    let output = waiting.await.expect("client runs");
+    let text = String::from_utf8_lossy(&output.stdout);
+    let errors = String::from_utf8_lossy(&output.stderr);
+    assert!(
+        output.status.success(),
+        "cornelctl {args:?}: {text} {errors}"
+    );
+    serde_json::from_str(&text).unwrap_or_else(|e| panic!("{text:?} is not JSON: {e}"))
+}
+
 /// Repeats `check` until it succeeds and panics with its last error after a long time.
 pub(crate) async fn eventually<T, F, R>(what: &str, mut check: F) -> T
 where
