--- /dev/null
+++ b/tests/all/events.rs
@@ -0,0 +1,132 @@
+//! Events that operators see on the timeline.
+
+use std::net::SocketAddr;
+
+use cornelvalve_standins::{LogFaults, LogStandIn};
+use serde_json::Value;
+
+use crate::support::{DaemonProcess, Mesh, VmSpec, eventually, request, send};
+
+const EST_A: VmSpec = VmSpec {
+    vm: "est-a-1",
+    region: "qc-est",
+    domain: "est-a",
+};
+
+const EST_B: VmSpec = VmSpec {
+    vm: "est-b-1",
+    region: "qc-est",
+    domain: "est-b",
+};
+
+const LOOPBACK: SocketAddr =
+    SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 0);
+
+/// Waits until a daemon has recorded an event that `found` accepts.
+async fn wait_for_event(daemon: &DaemonProcess, what: &str, found: impl Fn(&Value) -> bool) {
+    eventually(what, || async {
+        let timeline = daemon.ctl_json(&["timeline"]);
+        let events = timeline.as_array().expect("list of events");
+        let seen = events.iter().any(|e| found(&e["event"]));
+        seen.then_some(()).ok_or(timeline.to_string())
+    })
+    .await;
+}
+
+fn has<'a>(kind: &'a str) -> impl Fn(&Value) -> bool + 'a {
+    move |event| event == kind || !event[kind].is_null()
+}
+
+/// Guards against changes of upstreams, failure domains and members that leave no event.
+#[tokio::test]
+async fn changes_of_the_mesh_are_recorded() {
+    let mesh = Mesh::start("events");
+    let entry = mesh.daemon(EST_A, &[]);
+    let mut beside = mesh.daemon(EST_B, &[entry.peers]);
+    wait_for_event(&entry, "start", has("started")).await;
+    let is_alive = |e: &Value| e["member-changed"]["state"] == "alive";
+    wait_for_event(&entry, "member", |e| {
+        is_alive(e) && e["member-changed"]["member"] == "est-b-1"
+    })
+    .await;
+    let (upstream, _) = beside.start_upstream("estimateur", 10);
+    wait_for_event(&beside, "announcement", has("upstream-announced")).await;
+    wait_for_event(&beside, "admission", has("admission-changed")).await;
+
+    entry.put_service("estimateur", &[]);
+    entry.ctl(&["domain", "put", "est-a", "--region", "qc-est"]);
+    entry.ctl(&["domain", "out", "est-a"]);
+    entry.ctl(&["domain", "in", "est-a"]);
+    for daemon in [&entry, &beside] {
+        wait_for_event(daemon, "configuration", has("configuration-applied")).await;
+        wait_for_event(daemon, "domain out", has("domain-taken-out")).await;
+        wait_for_event(daemon, "domain in", has("domain-returned")).await;
+    }
+
+    // The stand-in leaves gracefully: it drains and then withdraws its announcement.
+    upstream.signal("TERM");
+    wait_for_event(&beside, "drain", has("upstream-draining")).await;
+    wait_for_event(&beside, "loss", has("upstream-lost")).await;
+
+    // A running request holds the drain open, so that its start can be read.
+    let (_upstream, _) = beside.start_upstream("estimateur", 10);
+    entry.wait_for_service("estimateur").await;
+    let headers = [("x-work-ms", "4000")];
+    let slow = request("POST", "estimateur.test", "/", &headers, "slow");
+    let running = tokio::spawn(send(entry.callers, slow));
+    eventually("request runs", || async {
+        let status = beside.ctl_json(&["status"]);
+        let running = status["upstreams"][0]["running"].as_u64();
+        (running == Some(1)).then_some(()).ok_or(status.to_string())
+    })
+    .await;
+    beside.process.signal("TERM");
+    wait_for_event(&beside, "drain start", |e| {
+        e["drain-started"]["running"] == 1
+    })
+    .await;
+    assert_eq!(running.await.unwrap().expect("answer").status, 200);
+    assert!(beside.process.wait(), "the daemon ends without an error");
+    let lines = beside.log_lines();
+    assert!(lines.contains("drain finished"), "{lines}");
+    wait_for_event(&entry, "left", |e| e["member-changed"]["state"] == "left").await;
+}
+
+/// Guards against a pause that operators cannot tell from a slow upstream.
+#[tokio::test]
+async fn a_pause_is_recorded() {
+    let mesh = Mesh::start("events-pause");
+    let daemon = mesh.daemon(EST_A, &[]);
+    wait_for_event(&daemon, "start", has("started")).await;
+    daemon.process.signal("STOP");
+    tokio::time::sleep(std::time::Duration::from_millis(2500)).await;
+    daemon.process.signal("CONT");
+    wait_for_event(&daemon, "pause", |e| {
+        e["paused"]["millis"].as_u64().is_some_and(|ms| ms >= 1000)
+    })
+    .await;
+}
+
+/// Guards against an outage of the log store without a sign.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_outage_of_the_log_store_is_recorded() {
+    let (addr, log) = LogStandIn::start(LOOPBACK).await.unwrap();
+    let mesh = Mesh::with_log("events-log", addr);
+    let daemon = mesh.daemon(EST_A, &[]);
+    eventually("log is read", || async {
+        let status = daemon.ctl_json(&["status"]);
+        let state = &status["log_store"];
+        (state == "reachable")
+            .then_some(())
+            .ok_or(state.to_string())
+    })
+    .await;
+    let down = LogFaults {
+        down: true,
+        ..LogFaults::default()
+    };
+    log.set_faults(down).await;
+    wait_for_event(&daemon, "outage", has("log-store-lost")).await;
+    log.set_faults(LogFaults::default()).await;
+    wait_for_event(&daemon, "return", has("log-store-returned")).await;
+}
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -1,6 +1,7 @@
 //! Integration tests, one module a topic.
 
 mod demo;
+mod events;
 mod metrics;
 mod path;
 mod privacy;
--- a/tests/all/support/mesh.rs
+++ b/tests/all/support/mesh.rs
@@ -31,7 +31,7 @@
 /// Log stand-in with a folder for settings files.
 #[derive(Debug)]
 pub(crate) struct Mesh {
-    _log: Process,
+    _log: Option<Process>,
     pub(crate) log_addr: SocketAddr,
     folder: PathBuf,
 }
@@ -40,11 +40,19 @@
     /// Starts the log stand-in.
     pub(crate) fn start(name: &str) -> Self {
         let (log, ready) = Process::start("standin-log", &["--listen", "127.0.0.1:0"]);
+        Self {
+            _log: Some(log),
+            ..Self::with_log(name, addr(&ready, "listen"))
+        }
+    }
+
+    /// Uses a log stand-in that the test runs itself, so that it can set faults.
+    pub(crate) fn with_log(name: &str, log_addr: SocketAddr) -> Self {
         let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
         std::fs::create_dir_all(&folder).expect("folder can be created");
         Self {
-            _log: log,
-            log_addr: addr(&ready, "listen"),
+            _log: None,
+            log_addr,
             folder,
         }
     }
