--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -2,6 +2,7 @@
 
 mod forward;
 mod hold;
+mod record;
 mod tickets;
 
 use std::net::TcpListener as StdListener;
@@ -18,9 +19,12 @@
 use crate::body::Body;
 use crate::exchange::Exchanger;
 use crate::listener::{self, Handler, ListenerLimits};
+use crate::metrics::Metrics;
 use crate::names::{POOL, ROUTER};
 use crate::respond;
 use crate::router::{RoutePlan, RouteQuery, RouteRefusal, RouterMessage};
+use crate::timeline::{ClockLink, TIMELINE, TimelineMessage};
+use record::RequestRecord;
 
 /// Path on which callers ask for tickets.
 const TICKETS_PATH: &str = "/.well-known/cornelvalve/tickets";
@@ -38,12 +42,17 @@
     listener: Arc<StdListener>,
     limits: ListenerLimits,
     body_buffer_bytes: usize,
+    metrics: Metrics,
 ) -> ServiceResult {
+    let timeline = context.registry.mailbox(TIMELINE)?;
     let handler = EntryHandler {
         router: context.registry.mailbox(ROUTER)?,
         exchanger: Exchanger::new(context.registry.mailbox(POOL)?),
         clock: Arc::clone(&context.clock),
         body_buffer_bytes,
+        metrics,
+        link: ClockLink::new(timeline.clone()),
+        timeline,
     };
     listener::serve(&listener, handler, limits, &mut context.stop).await?;
     Ok(())
@@ -56,23 +65,31 @@
     exchanger: Exchanger,
     clock: Arc<dyn Clock>,
     body_buffer_bytes: usize,
+    metrics: Metrics,
+    timeline: Mailbox<TimelineMessage>,
+    link: ClockLink,
 }
 
 impl Handler for EntryHandler {
     async fn handle(&self, request: Request<Incoming>) -> Response<Body> {
-        if request.uri().path() == TICKETS_PATH {
-            let issued = tickets::issue(self, request).await;
-            return issued.unwrap_or_else(|e| respond::refusal(e.refusal, e.detail));
-        }
+        let mut record = RequestRecord::new(self.metrics.clone(), self.timeline.clone());
         let ticketed = carries_ticket(&request);
-        let served = self.serve(request).await;
-        served.unwrap_or_else(|e| {
-            let refusal = match ticketed {
-                true => without_issuer(e.refusal),
-                false => e.refusal,
-            };
-            respond::refusal(refusal, e.detail)
-        })
+        let handled = if request.uri().path() == TICKETS_PATH {
+            tickets::issue(self, request).await
+        } else {
+            self.serve(request, &mut record).await
+        };
+        match handled {
+            Ok(response) => record.answered(response),
+            Err(e) => {
+                let refusal = match ticketed && !e.by_issuer {
+                    true => without_issuer(e.refusal),
+                    false => e.refusal,
+                };
+                record.refused(refusal);
+                respond::refusal(refusal, e.detail)
+            }
+        }
     }
 }
 
@@ -90,7 +107,11 @@
 }
 
 impl EntryHandler {
-    async fn serve(&self, request: Request<Incoming>) -> Result<Response<Body>> {
+    async fn serve(
+        &self,
+        request: Request<Incoming>,
+        record: &mut RequestRecord,
+    ) -> Result<Response<Body>> {
         let head = caller_head(&request)?;
         let query = RouteQuery {
             host: host_of(&request)?,
@@ -99,7 +120,8 @@
             team: head.team.clone(),
         };
         let plan = self.route(query).await?;
-        forward::forward(self, request, head, plan).await
+        record.set_service(&plan.service);
+        forward::forward(self, request, head, plan, record).await
     }
 
     async fn route(&self, query: RouteQuery) -> Result<RoutePlan> {
@@ -114,21 +136,18 @@
 
 /// Reads the caller's headers.
 fn caller_head(request: &Request<Incoming>) -> Result<CallerHead> {
-    CallerHead::decode(request.headers()).map_err(|e| RouteRefusal {
-        refusal: e.refusal(),
-        detail: Some(e.to_string()),
-    })
+    CallerHead::decode(request.headers())
+        .map_err(|e| RouteRefusal::with_detail(e.refusal(), Some(e.to_string())))
 }
 
 /// Returns the host that the request names, from its target or its header.
 fn host_of(request: &Request<Incoming>) -> Result<String> {
     let target = request.uri().authority().map(|a| a.as_str());
     let header = request.headers().get(HOST).and_then(|v| v.to_str().ok());
-    target
-        .or(header)
-        .map(str::to_owned)
-        .ok_or_else(|| RouteRefusal {
-            refusal: Refusal::not_run(Reason::BadRequest),
-            detail: Some("header host is missing; name the service in it".to_owned()),
-        })
+    target.or(header).map(str::to_owned).ok_or_else(|| {
+        RouteRefusal::with_detail(
+            Refusal::not_run(Reason::BadRequest),
+            Some("header host is missing; name the service in it".to_owned()),
+        )
+    })
 }
--- a/crates/daemon/src/entry/forward.rs
+++ b/crates/daemon/src/entry/forward.rs
@@ -16,13 +16,13 @@
 use tokio::time::Instant;
 
 use super::hold::{Gate, HeldBody};
+use super::record::RequestRecord;
 use super::{EntryHandler, Result};
 use crate::body::{Body, BodyEnd, BodyObserver, Observed, ProgressObserver};
 use crate::completion::Completion;
 use crate::exchange::HeadTimeout;
 use crate::peers::ticket_of;
-use crate::respond;
-use crate::router::{self, Attempt, AttemptQuery, RoutePlan, RouterMessage, Tried};
+use crate::router::{self, Attempt, AttemptQuery, RoutePlan, RouteRefusal, RouterMessage, Tried};
 
 /// Time without upload progress after which a streamed request counts as stalled.
 const UPLOAD_ALLOWANCE: Duration = Duration::from_secs(30);
@@ -38,6 +38,7 @@
     fingerprint: Fingerprint,
     body: HeldBody,
     deadline: Moment,
+    record: &'a mut RequestRecord,
 }
 
 /// What one attempt brought.
@@ -56,6 +57,7 @@
     request: Request<Incoming>,
     head: CallerHead,
     plan: RoutePlan,
+    record: &mut RequestRecord,
 ) -> Result<Response<Body>> {
     let deadline = entry.clock.now() + head.time_left.unwrap_or(plan.timeout);
     let (parts, body) = request.into_parts();
@@ -75,6 +77,7 @@
         fingerprint,
         body,
         deadline,
+        record,
     };
     match ticket {
         Some(ticket) => forwarding.run_at_issuer(ticket).await,
@@ -102,7 +105,7 @@
 impl Forwarding<'_> {
     /// Sends the request to the daemon that issued its ticket, once.
     ///
-    /// A refusal by that daemon goes to the caller as it is. Errors are those of this entry.
+    /// A refusal by that daemon is marked as such.
     async fn run_at_issuer(mut self, ticket: Ticket) -> Result<Response<Body>> {
         let asked = self
             .entry
@@ -114,7 +117,10 @@
         self.check_region(&endpoint)?;
         match self.attempt(&endpoint).await {
             AttemptResult::Answered(response, _) => Ok(clean(response)),
-            AttemptResult::Refused(refusal, ..) => Ok(respond::refusal(refusal, None)),
+            AttemptResult::Refused(refusal, ..) => Err(RouteRefusal {
+                by_issuer: true,
+                ..refusal.into()
+            }),
             AttemptResult::Failed(refusal, _) => Err(refusal.into()),
         }
     }
@@ -185,13 +191,20 @@
             let refusal = Refusal::not_run(Reason::Deadline);
             return AttemptResult::Failed(refusal, Duration::ZERO);
         }
-        let (request, timeout, gate) = self.request(started);
+        let (mut request, timeout, gate) = self.request(started);
+        self.record.attempted();
+        self.entry.link.stamp(request.headers_mut()).await;
         let sent = self
             .entry
             .exchanger
             .send(endpoint.peer_addr, request, &timeout);
         let result = sent.await;
         let latency = clock.now().since(started);
+        if let Ok(response) = &result {
+            self.entry.link.observe(response.headers());
+            let upstream = hop::decode_upstream_time(response.headers());
+            self.record.answered_after(latency, upstream);
+        }
         match result {
             Ok(response) => match hop::decode_refusal(response.headers()) {
                 Some(refusal) => {
--- a/crates/daemon/src/entry/tickets.rs
+++ b/crates/daemon/src/entry/tickets.rs
@@ -80,10 +80,10 @@
 }
 
 fn bad_request(detail: &str) -> RouteRefusal {
-    RouteRefusal {
-        refusal: Refusal::not_run(Reason::BadRequest),
-        detail: Some(detail.to_owned()),
-    }
+    RouteRefusal::with_detail(
+        Refusal::not_run(Reason::BadRequest),
+        Some(detail.to_owned()),
+    )
 }
 
 /// Asks the daemon beside a chosen upstream for tickets, and others if it refuses.
--- a/crates/daemon/src/membership.rs
+++ b/crates/daemon/src/membership.rs
@@ -1,5 +1,6 @@
 //! Membership service: owns the UDP socket and wraps the membership state machine.
 
+use std::collections::HashMap;
 use std::net::{SocketAddr, UdpSocket as StdSocket};
 use std::sync::Arc;
 
@@ -7,7 +8,7 @@
 use cornelvalve_budget::Verdict;
 use cornelvalve_kernel::{Context, Mailbox, Reply, ServiceResult, TIMER, TimerMessage};
 use cornelvalve_membership::{Action, Event, Membership, MembershipSettings, Message};
-use cornelvalve_model::{Member, Moment, Revision, VmName};
+use cornelvalve_model::{Member, MemberState, Moment, Revision, VmName};
 use cornelvalve_wire::datagram;
 use tokio::net::UdpSocket;
 
@@ -85,6 +86,7 @@
     let mut service = MembershipService {
         socket: UdpSocket::from_std(socket.try_clone()?)?,
         membership: Membership::new(settings, own, seed),
+        recorded: HashMap::new(),
         was_reader: None,
         is_router_behind: false,
         budget: context.registry.mailbox(BUDGET)?,
@@ -118,6 +120,7 @@
 struct MembershipService {
     socket: UdpSocket,
     membership: Membership,
+    recorded: HashMap<VmName, MemberState>,
     was_reader: Option<bool>,
     /// Whether the router missed a message and needs all records again.
     is_router_behind: bool,
@@ -248,16 +251,20 @@
         for vm in changed {
             match self.membership.get(&vm) {
                 Some(member) => {
-                    let event = TimelineEvent::MemberChanged {
-                        member: vm,
-                        state: member.state,
-                    };
-                    timeline::record(&self.timeline, event);
+                    // A record also changes with its upstreams; the timeline shows states only.
+                    if self.recorded.insert(vm.clone(), member.state) != Some(member.state) {
+                        let event = TimelineEvent::MemberChanged {
+                            member: vm,
+                            state: member.state,
+                        };
+                        timeline::record(&self.timeline, event);
+                    }
                     members.push(member.clone());
                 }
                 None => removed.push(vm),
             }
         }
+        self.recorded.retain(|vm, _| !removed.contains(vm));
         if !members.is_empty() {
             self.notify_router(RouterMessage::Members(members));
         }
--- a/crates/daemon/src/router.rs
+++ b/crates/daemon/src/router.rs
@@ -67,17 +67,28 @@
     pub(crate) refusal: Refusal,
     /// Particulars, such as an address in a home region.
     pub(crate) detail: Option<String>,
+    /// Whether it comes from the daemon that issued the request's ticket, which alone knows whether
+    /// an earlier request with it ran.
+    pub(crate) by_issuer: bool,
 }
 
-impl From<Refusal> for RouteRefusal {
-    fn from(refusal: Refusal) -> Self {
+impl RouteRefusal {
+    /// Creates a refusal with particulars.
+    pub(crate) fn with_detail(refusal: Refusal, detail: Option<String>) -> Self {
         Self {
             refusal,
-            detail: None,
+            detail,
+            by_issuer: false,
         }
     }
 }
 
+impl From<Refusal> for RouteRefusal {
+    fn from(refusal: Refusal) -> Self {
+        Self::with_detail(refusal, None)
+    }
+}
+
 /// Request for a first or a further attempt.
 #[derive(Clone, Debug)]
 pub(crate) struct AttemptQuery {
--- a/crates/daemon/src/router/state.rs
+++ b/crates/daemon/src/router/state.rs
@@ -171,10 +171,12 @@
 
     fn check_region(&self, allowed: &AllowedRegions) -> std::result::Result<(), RouteRefusal> {
         match allowed {
-            Some(regions) if !regions.contains(&self.locality.region) => Err(RouteRefusal {
-                refusal: Refusal::not_run(Reason::HomeRegion),
-                detail: self.addresses_in(regions),
-            }),
+            Some(regions) if !regions.contains(&self.locality.region) => {
+                Err(RouteRefusal::with_detail(
+                    Refusal::not_run(Reason::HomeRegion),
+                    self.addresses_in(regions),
+                ))
+            }
             _ => Ok(()),
         }
     }
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -1,8 +1,12 @@
 //! Integration tests, one module a topic.
 
 mod demo;
+mod events;
+mod metrics;
 mod outcome;
 mod path;
+mod privacy;
 mod stop;
 mod support;
 mod tickets;
+mod timeline;
--- a/tests/all/support.rs
+++ b/tests/all/support.rs
@@ -1,5 +1,6 @@
 //! Processes of a small mesh: log stand-in, daemons, upstream stand-ins and the operators' client.
 
+mod fixed;
 mod http;
 mod mesh;
 mod process;
@@ -7,9 +8,10 @@
 mod standin;
 mod tickets;
 
+pub(crate) use fixed::raw_upstream;
 pub(crate) use http::{Answer, request, send};
 pub(crate) use mesh::{DaemonOptions, DaemonProcess, Mesh, VmSpec};
-pub(crate) use process::{Process, eventually, run};
+pub(crate) use process::{Process, ctl_json, eventually, run};
 pub(crate) use raw::{RawUpstream, Stage};
 pub(crate) use standin::{runs, set_faults};
 pub(crate) use tickets::{ticket, with_ticket};
