Keep drains and withdrawals of an upstream across its lease

Cause: the announcer kept only the state of an upstream. A lapse of the lease replaced draining by lost, so the next renewal made the upstream ready again, and a renewal that arrived after the withdrawal revived it.

Change: a lease records what its incarnation asked for (serve, drain, leave); only a higher incarnation resets it. A renewal after a withdrawal is answered with status 409.

Conclusion: an upstream that leaves gets no new work.

--- a/crates/daemon/src/announcer.rs
+++ b/crates/daemon/src/announcer.rs
@@ -41,6 +41,8 @@
     Accepted(Duration),
     /// A later start of the same upstream was announced before.
     Superseded,
+    /// This start of the upstream has left.
+    Left,
     /// No such upstream is announced.
     Unknown,
 }
--- a/crates/daemon/src/announcer/http_api.rs
+++ b/crates/daemon/src/announcer/http_api.rs
@@ -112,6 +112,10 @@
             StatusCode::CONFLICT,
             "a later start of this upstream was announced; stop this process",
         ),
+        Ok(AnnounceResult::Left) => error(
+            StatusCode::CONFLICT,
+            "this upstream has left; announce it again with a higher incarnation",
+        ),
         Ok(AnnounceResult::Unknown) => error(
             StatusCode::NOT_FOUND,
             "no upstream of this service is announced; announce it first",
--- a/crates/daemon/src/announcer/leases.rs
+++ b/crates/daemon/src/announcer/leases.rs
@@ -1,5 +1,6 @@
 //! Leases of the local upstreams.
 
+use std::cmp::Ordering;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -20,9 +21,28 @@
     pub(super) changed: bool,
 }
 
+impl Change {
+    fn none(result: AnnounceResult) -> Self {
+        Self {
+            result,
+            changed: false,
+        }
+    }
+}
+
+/// What an incarnation has asked for; it holds until the next incarnation, also across a lapse of
+/// the lease.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Intent {
+    Serve,
+    Drain,
+    Leave,
+}
+
 struct Lease {
     upstream: Upstream,
     until: Moment,
+    intent: Intent,
 }
 
 /// Upstreams by service with the end of their leases.
@@ -54,58 +74,56 @@
             state: UpstreamState::Ready,
         };
         let result = AnnounceResult::Accepted(lease);
-        match self.leases.get_mut(&announcement.service) {
-            Some(current) if upstream.incarnation < current.upstream.incarnation => Change {
-                result: AnnounceResult::Superseded,
-                changed: false,
-            },
-            Some(current) => {
-                // A renewal does not end a drain; only a new incarnation does.
-                if upstream.incarnation == current.upstream.incarnation
-                    && current.upstream.state == UpstreamState::Draining
-                {
-                    upstream.state = UpstreamState::Draining;
-                }
-                let changed = current.upstream != upstream;
-                *current = Lease { upstream, until };
-                Change { result, changed }
-            }
-            None => {
-                let lease = Lease { upstream, until };
-                self.leases.insert(announcement.service.clone(), lease);
-                Change {
-                    result,
-                    changed: true,
-                }
-            }
+        let known = self.leases.get(&announcement.service);
+        let known =
+            known.map(|lease| (lease.upstream.incarnation.cmp(&upstream.incarnation), lease));
+        let intent = match known {
+            Some((Ordering::Greater, _)) => return Change::none(AnnounceResult::Superseded),
+            Some((Ordering::Equal, lease)) => lease.intent,
+            Some((Ordering::Less, _)) | None => Intent::Serve,
+        };
+        match intent {
+            Intent::Serve => {}
+            // A pause past the lease must not end a drain.
+            Intent::Drain => upstream.state = UpstreamState::Draining,
+            // A renewal that was under way may arrive after the withdrawal.
+            Intent::Leave => return Change::none(AnnounceResult::Left),
         }
+        let changed = known.is_none_or(|(_, lease)| lease.upstream != upstream);
+        let lease = Lease {
+            upstream,
+            until,
+            intent,
+        };
+        self.leases.insert(announcement.service.clone(), lease);
+        Change { result, changed }
     }
 
     /// Marks an upstream as draining.
     pub(super) fn drain(&mut self, service: &ServiceName) -> Change {
-        self.set_state(service, UpstreamState::Draining)
+        self.end(service, Intent::Drain)
     }
 
     /// Marks an upstream as gone.
     pub(super) fn leave(&mut self, service: &ServiceName) -> Change {
-        self.set_state(service, UpstreamState::Lost)
+        self.end(service, Intent::Leave)
     }
 
-    fn set_state(&mut self, service: &ServiceName, state: UpstreamState) -> Change {
-        match self.leases.get_mut(service) {
-            Some(lease) => {
-                let changed = lease.upstream.state != state;
-                lease.upstream.state = state;
-                let left = Duration::ZERO;
-                Change {
-                    result: AnnounceResult::Accepted(left),
-                    changed,
-                }
-            }
-            None => Change {
-                result: AnnounceResult::Unknown,
-                changed: false,
-            },
+    fn end(&mut self, service: &ServiceName, intent: Intent) -> Change {
+        let Some(lease) = self.leases.get_mut(service) else {
+            return Change::none(AnnounceResult::Unknown);
+        };
+        lease.intent = lease.intent.max(intent);
+        let state = match (intent, lease.upstream.state) {
+            (Intent::Drain, UpstreamState::Ready) => UpstreamState::Draining,
+            (Intent::Leave, _) => UpstreamState::Lost,
+            (_, state) => state,
+        };
+        let changed = lease.upstream.state != state;
+        lease.upstream.state = state;
+        Change {
+            result: AnnounceResult::Accepted(Duration::ZERO),
+            changed,
         }
     }
 
--- a/tests/all/support.rs
+++ b/tests/all/support.rs
@@ -3,7 +3,9 @@
 mod http;
 mod mesh;
 mod process;
+mod upstream;
 
 pub(crate) use http::{request, send};
-pub(crate) use mesh::{Mesh, VmSpec};
-pub(crate) use process::eventually;
+pub(crate) use mesh::{DaemonProcess, Mesh, VmSpec};
+pub(crate) use process::{Process, eventually};
+pub(crate) use upstream::{announce, runs};
--- a/tests/all/support/mesh.rs
+++ b/tests/all/support/mesh.rs
@@ -28,7 +28,7 @@
 /// Log stand-in with a folder for settings files.
 #[derive(Debug)]
 pub(crate) struct Mesh {
-    _log: Process,
+    pub(crate) log: Process,
     pub(crate) log_addr: SocketAddr,
     folder: PathBuf,
 }
@@ -40,7 +40,7 @@
         let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
         std::fs::create_dir_all(&folder).expect("folder can be created");
         Self {
-            _log: log,
+            log,
             log_addr: addr(&ready, "listen"),
             folder,
         }
@@ -94,9 +94,20 @@
 impl DaemonProcess {
     /// Starts an upstream stand-in beside the daemon.
     pub(crate) fn start_upstream(&self, service: &str, slots: u16) -> (Process, SocketAddr) {
+        self.start_leased(service, slots, 10_000)
+    }
+
+    /// Starts an upstream stand-in that renews a lease of the given length.
+    pub(crate) fn start_leased(
+        &self,
+        service: &str,
+        slots: u16,
+        lease_ms: u32,
+    ) -> (Process, SocketAddr) {
         let daemon = self.upstream.to_string();
-        let slots = slots.to_string();
-        let args = ["--daemon", &daemon, "--service", service, "--slots", &slots];
+        let (slots, lease) = (slots.to_string(), lease_ms.to_string());
+        let mut args = vec!["--daemon", &daemon, "--service", service];
+        args.extend(["--slots", &slots, "--lease-ms", &lease]);
         let (process, ready) = Process::start("standin-upstream", &args);
         let port = ready["port"].as_u64().and_then(|p| u16::try_from(p).ok());
         let port = port.unwrap_or_else(|| panic!("ready line {ready} has no port"));
@@ -123,6 +134,37 @@
         serde_json::from_str(&text).unwrap_or_else(|e| panic!("{text:?} is not JSON: {e}"))
     }
 
+    /// Creates a service whose host is its name in the domain `test`, in the region `qc-est`.
+    pub(crate) fn put_service(&self, name: &str) {
+        let host = format!("{name}.test");
+        self.ctl(&["region", "put", "qc-est"]);
+        self.ctl(&["service", "put", "--name", name, "--host", &host]);
+    }
+
+    /// Lists the VMs to which the daemon would send a request for a host.
+    pub(crate) fn candidates(&self, host: &str) -> Vec<String> {
+        let args = ["explain", "--host", host, "--path", "/", "--method", "GET"];
+        let explained = self.ctl_json(&args);
+        let listed = explained["candidates"].as_array().into_iter().flatten();
+        let vms = listed.filter_map(|c| c["vm"].as_str().map(str::to_owned));
+        let mut vms: Vec<String> = vms.collect();
+        vms.sort_unstable();
+        vms
+    }
+
+    /// Waits until the daemon would send requests for a host to exactly these VMs.
+    pub(crate) async fn wait_for_candidates(&self, host: &str, vms: &[&str]) {
+        eventually("candidates", || async {
+            let candidates = self.candidates(host);
+            if candidates == vms {
+                Ok(())
+            } else {
+                Err(format!("{candidates:?} instead of {vms:?}"))
+            }
+        })
+        .await;
+    }
+
     /// Waits until the daemon sees so many members alive.
     pub(crate) async fn wait_for_members(&self, alive: u64) {
         eventually("members", || async {
--- /dev/null
+++ b/tests/all/support/upstream.rs
@@ -0,0 +1,29 @@
+//! What upstream stand-ins report and what they announce.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use super::http::{Answer, request, send};
+
+/// Returns how often each request ran at a stand-in, by request id.
+pub(crate) async fn runs(upstream: SocketAddr) -> Result<BTreeMap<String, u64>, String> {
+    let answer = send(
+        upstream,
+        request("GET", "standin", "/_standin/runs", &[], ""),
+    )
+    .await?;
+    serde_json::from_slice(&answer.body).map_err(|e| e.to_string())
+}
+
+/// Sends an announcement to the daemon that listens for them at `daemon`.
+pub(crate) async fn announce(
+    daemon: SocketAddr,
+    method: &str,
+    path: &str,
+    body: &serde_json::Value,
+) -> Result<Answer, String> {
+    let path = format!("/v1/upstreams/{path}");
+    let headers = [("content-type", "application/json")];
+    let request = request(method, "daemon", &path, &headers, body.to_string());
+    send(daemon, request).await
+}
