--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -2,6 +2,7 @@
 
 mod demo;
 mod events;
+mod leaving;
 mod metrics;
 mod outcome;
 mod path;
--- a/tests/all/support/mesh.rs
+++ b/tests/all/support/mesh.rs
@@ -217,6 +217,30 @@
         serde_json::from_str(&text).unwrap_or_else(|e| panic!("{text:?} is not JSON: {e}"))
     }
 
+    /// Lists the VMs to which the daemon would send a request for a host.
+    pub(crate) fn candidates(&self, host: &str) -> Vec<String> {
+        let args = ["explain", "--host", host, "--path", "/", "--method", "GET"];
+        let explained = self.ctl_json(&args);
+        let listed = explained["candidates"].as_array().into_iter().flatten();
+        let vms = listed.filter_map(|c| c["vm"].as_str().map(str::to_owned));
+        let mut vms: Vec<String> = vms.collect();
+        vms.sort_unstable();
+        vms
+    }
+
+    /// Waits until the daemon would send requests for a host to exactly these VMs.
+    pub(crate) async fn wait_for_candidates(&self, host: &str, vms: &[&str]) {
+        eventually("candidates", || async {
+            let candidates = self.candidates(host);
+            if candidates == vms {
+                Ok(())
+            } else {
+                Err(format!("{candidates:?} instead of {vms:?}"))
+            }
+        })
+        .await;
+    }
+
     /// Waits until the daemon sees so many members alive.
     pub(crate) async fn wait_for_members(&self, alive: u64) {
         eventually("members", || async {
--- a/tests/all/tickets.rs
+++ b/tests/all/tickets.rs
@@ -3,8 +3,7 @@
 use std::net::SocketAddr;
 
 use crate::support::{
-    Answer, DaemonOptions, DaemonProcess, Mesh, VmSpec, eventually, request, runs, send, ticket,
-    with_ticket,
+    Answer, DaemonOptions, DaemonProcess, Mesh, VmSpec, eventually, runs, send, ticket, with_ticket,
 };
 
 const REMISE: &str = "remise.test";
