Report an unknown outcome once any attempt may have run

Cause: the entry reported the refusal of the last attempt. A read that was lost at one upstream and then refused by another was called not run, though the first had run it. Seen failing: 'read-0 ran: 503, cornelvalve-outcome: not-run, no-configuration'. An unknown outcome now stays for the rest of the request.

--- a/crates/daemon/src/entry/forward.rs
+++ b/crates/daemon/src/entry/forward.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use cornelvalve_kernel::Clock;
-use cornelvalve_model::{Fingerprint, LoadHint, Moment, Reason, Refusal};
+use cornelvalve_model::{Fingerprint, LoadHint, Moment, Outcome, Reason, Refusal};
 use cornelvalve_policy::{AttemptEnd, AttemptId, AttemptReport, Endpoint, Ticket};
 use cornelvalve_wire::hop::{self, CallerHead, HopHead};
 use http::header::{EXPECT, HOST, HeaderValue};
@@ -139,7 +139,7 @@
     /// Tries upstreams of the service until one answers or no further attempt is allowed.
     async fn run_anywhere(mut self) -> Result<Response<Body>> {
         let mut tried = Tried::new();
-        let mut failure = None;
+        let mut failure: Option<(Refusal, bool)> = None;
         loop {
             let attempt = self.next_attempt(&tried, failure).await?;
             let Attempt {
@@ -161,6 +161,7 @@
             };
             report.finish((id, attempt));
             tried.push(endpoint.vm);
+            let refusal = after_earlier(failure.map(|(earlier, _)| earlier), refusal);
             failure = Some((refusal, self.body.is_available()));
         }
     }
@@ -260,6 +261,15 @@
     }
 }
 
+/// Returns what a further refusal means for the request as a whole: once an attempt may have run,
+/// no later one makes it "not run" again.
+fn after_earlier(earlier: Option<Refusal>, refusal: Refusal) -> Refusal {
+    match earlier {
+        Some(earlier) if earlier.outcome == Outcome::Unknown => Refusal::unknown(refusal.reason),
+        _ => refusal,
+    }
+}
+
 /// Removes what concerns only the daemons.
 fn clean(mut response: Response<Body>) -> Response<Body> {
     hop::strip_internal(response.headers_mut());
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -7,6 +7,7 @@
 mod outcome;
 mod path;
 mod privacy;
+mod retry;
 mod stop;
 mod support;
 mod tickets;
--- /dev/null
+++ b/tests/all/retry.rs
@@ -0,0 +1,63 @@
+//! Outcome of requests that were tried more than once.
+
+use std::net::TcpListener;
+
+use serde_json::json;
+
+use crate::support::{
+    DaemonProcess, Mesh, RawUpstream, Stage, VmSpec, announce, eventually, request, send,
+};
+
+const HOST: &str = "cardview.test";
+
+/// Requests sent; the order in which the two upstreams are tried differs between them.
+const REQUESTS: usize = 40;
+
+const fn vm(vm: &'static str) -> VmSpec {
+    VmSpec {
+        vm,
+        region: "ishikari",
+        domain: "ishikari-a",
+    }
+}
+
+/// Announces an upstream on a port that refuses connections.
+async fn announce_dead_upstream(daemon: &DaemonProcess) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    let port = listener.local_addr().expect("socket is bound").port();
+    drop(listener);
+    let body = json!({"port": port, "slots": 10, "incarnation": 1, "lease_ms": 600_000});
+    let answer = announce(daemon.upstream, "PUT", "cardview", &body).await;
+    assert!(answer.expect("daemon answers").status.is_success());
+}
+
+/// Guards against a request that ran in its first attempt and is called not run, because its last
+/// attempt was refused.
+#[tokio::test]
+async fn last_refusal_does_not_hide_an_earlier_run() {
+    let mesh = Mesh::start("retry");
+    let entry = mesh.daemon(vm("ishikari-a-1"), &[]);
+    let breaking = mesh.daemon(vm("ishikari-a-2"), &[entry.peers]);
+    let refusing = mesh.daemon(vm("ishikari-a-3"), &[entry.peers]);
+    entry.wait_for_members(3).await;
+    let upstream = RawUpstream::start(&breaking, "cardview", Stage::AfterRequest).await;
+    announce_dead_upstream(&refusing).await;
+    entry.ctl(&["region", "put", "ishikari"]);
+    entry.ctl(&["service", "put", "--name", "cardview", "--host", HOST]);
+    entry
+        .wait_for_candidates(HOST, &["ishikari-a-2", "ishikari-a-3"])
+        .await;
+    for n in 0..REQUESTS {
+        let id = format!("read-{n}");
+        let get = request("GET", HOST, "/", &[("x-request-id", &id)], "");
+        let answer = send(entry.callers, get).await.expect("entry answers");
+        let ran = upstream.runs().await.contains_key(&id);
+        let outcome = answer.outcome();
+        assert!(!(ran && outcome == Some("not-run")), "{id} ran: {answer:?}");
+    }
+    eventually("a request that ran", || async {
+        let ran = upstream.runs().await.len();
+        (ran > 0).then_some(()).ok_or("none".to_owned())
+    })
+    .await;
+}
