Let embedders choose the picker of the router

Cause: comparing strategies with real daemons needs a router that takes any Picker; it built power of two choices itself. Change: Daemon::start_balanced takes Balancing (settings of the balancer and a factory of the picker); Daemon::start and start_with keep the default. Settings files cannot set it.

--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -25,6 +25,7 @@
     ROUTER, SCRAPE,
 };
 use crate::operators::Identity;
+use crate::router::Balancing;
 use crate::timeline::{self, TIMELINE, run_timeline};
 use crate::{announcer, budget, catalog, entry, guard, membership, operators, peers, pool};
 use crate::{publisher, router, scrape};
@@ -102,6 +103,19 @@
     ///
     /// Returns [`StartError`] if an address cannot be bound or the metrics cannot be set up.
     pub fn start_with(config: &Config, store: Arc<dyn LogStore>) -> Result<Self> {
+        Self::start_balanced(config, store, Balancing::default())
+    }
+
+    /// Starts a daemon with its own way to choose among upstreams.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`StartError`] if an address cannot be bound or the metrics cannot be set up.
+    pub fn start_balanced(
+        config: &Config,
+        store: Arc<dyn LogStore>,
+        balancing: Balancing,
+    ) -> Result<Self> {
         let sockets = Sockets::bind(&config.listen)?;
         let addresses = sockets.addresses;
         let metrics = Metrics::new().map_err(StartError::Metrics)?;
@@ -112,6 +126,7 @@
             config,
             sockets,
             store,
+            balancing,
             metrics,
             own,
             leave: leave_sender,
@@ -278,6 +293,7 @@
     config: &'a Config,
     sockets: Sockets,
     store: Arc<dyn LogStore>,
+    balancing: Balancing,
     metrics: Metrics,
     own: Member,
     leave: mpsc::Sender<()>,
@@ -343,13 +359,14 @@
             domain: self.own.domain.clone(),
         };
         let seed = self.seed();
+        let balancing = self.balancing.clone();
         builder
             .service(POOL, options, pool::run_pool)
             .service(GUARD, guard_options, move |context| {
                 guard::run_guard(context, guard_settings.clone())
             })
             .service(ROUTER, options, move |context| {
-                router::run_router(context, locality.clone(), seed)
+                router::run_router(context, locality.clone(), balancing.clone(), seed)
             })
     }
 
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -31,3 +31,4 @@
 pub mod timeline;
 
 pub use daemon::{Addresses, Daemon, Result, StartError};
+pub use router::{Balancing, PickerFactory};
--- a/crates/daemon/src/router.rs
+++ b/crates/daemon/src/router.rs
@@ -12,7 +12,10 @@
     Fingerprint, Member, Moment, Refusal, Region, RequestClass, Revision, RouteName, ServiceName,
     TeamName, VmName,
 };
-use cornelvalve_policy::{AttemptId, AttemptReport, Endpoint, Locality, Ticket};
+use cornelvalve_policy::{
+    AttemptId, AttemptReport, BalancerSettings, Endpoint, Locality, Picker, PowerOfTwo, Ticket,
+};
+use derive_more::Debug;
 use smallvec::SmallVec;
 use tokio::sync::mpsc;
 
@@ -22,6 +25,32 @@
 use crate::names::{CATALOG, MEMBERSHIP};
 use state::RouterState;
 
+/// Creates the picker of a router from a seed; called once for each start of the service.
+pub type PickerFactory = Arc<dyn Fn(u64) -> Box<dyn Picker + Send> + Send + Sync>;
+
+/// How the router chooses among upstreams; the default is power of two choices with all parts of
+/// the score.
+///
+/// Operators cannot set it: a program that embeds the daemon can, for example to compare
+/// strategies.
+#[derive(Clone, Debug)]
+pub struct Balancing {
+    /// Settings of the score and of ejection.
+    pub settings: BalancerSettings,
+    /// Strategy that selects one of the candidates.
+    #[debug(skip)]
+    pub picker: PickerFactory,
+}
+
+impl Default for Balancing {
+    fn default() -> Self {
+        Self {
+            settings: BalancerSettings::default(),
+            picker: Arc::new(|seed| Box::new(PowerOfTwo::new(seed))),
+        }
+    }
+}
+
 /// Regions in which a request may be served; `None` stands for all.
 pub(crate) type AllowedRegions = Option<SmallVec<[Region; 2]>>;
 
@@ -160,10 +189,11 @@
 pub(crate) async fn run_router(
     mut context: Context<RouterMessage>,
     locality: Locality,
+    balancing: Balancing,
     seed: u64,
 ) -> ServiceResult {
     let (reports, mut finished) = mpsc::unbounded_channel();
-    let mut state = RouterState::new(locality, seed, reports);
+    let mut state = RouterState::new(locality, balancing, seed, reports);
     let catalog = context.registry.mailbox(CATALOG)?;
     let membership = context.registry.mailbox(MEMBERSHIP)?;
     // After a restart the router has no state, so it asks for all of it.
--- a/crates/daemon/src/router/state.rs
+++ b/crates/daemon/src/router/state.rs
@@ -9,14 +9,16 @@
     DomainState, FailureDomain, Member, Moment, Reason, Refusal, Region, Revision, VmName,
 };
 use cornelvalve_policy::{
-    AttemptEnd, AttemptId, AttemptReport, Balancer, BalancerSettings, ChoiceRequest, Endpoint,
-    Locality, PowerOfTwo, RetryBudget, RetryDecision, Ticket, retry_decision,
+    AttemptEnd, AttemptId, AttemptReport, Balancer, ChoiceRequest, Endpoint, Locality, RetryBudget,
+    RetryDecision, Ticket, retry_decision,
 };
 use smallvec::SmallVec;
 use tokio::sync::mpsc;
 
 use super::endpoints::{ChangedServices, EndpointIndex};
-use super::{AllowedRegions, Attempt, AttemptQuery, RoutePlan, RouteQuery, RouteRefusal};
+use super::{
+    AllowedRegions, Attempt, AttemptQuery, Balancing, RoutePlan, RouteQuery, RouteRefusal,
+};
 use crate::completion::Completion;
 
 /// Result alias of this module.
@@ -43,11 +45,12 @@
     /// Creates a router that knows nothing yet and refuses everything.
     pub(super) fn new(
         locality: Locality,
+        balancing: Balancing,
         seed: u64,
         reports: mpsc::UnboundedSender<(AttemptId, AttemptReport)>,
     ) -> Self {
-        let picker = Box::new(PowerOfTwo::new(seed));
-        let balancer = Balancer::new(BalancerSettings::default(), locality.clone(), picker, seed);
+        let Balancing { settings, picker } = balancing;
+        let balancer = Balancer::new(settings, locality.clone(), picker(seed), seed);
         Self {
             locality,
             reports,
