--- /dev/null
+++ b/crates/bench/src/script.rs
@@ -0,0 +1,216 @@
+//! Scripted events and noise; the task that runs them owns the upstreams of its mesh.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use cornelvalve_logstore::HttpLogStore;
+use cornelvalve_model::{DomainState, Operation};
+use cornelvalve_standins::{
+    UpstreamFaults, UpstreamHandle, UpstreamOptions, UpstreamPeak, UpstreamStandIn,
+};
+use tokio::sync::oneshot;
+
+use crate::mesh::append;
+use crate::{Action, Experiment, Noise, ScriptEvent, UpstreamReport};
+
+/// Upstream of one VM, with what earlier incarnations of it did.
+pub(crate) struct LocalUpstream {
+    addr: SocketAddr,
+    /// `None` for an upstream that makes nested calls, which takes no faults.
+    running: Option<(UpstreamOptions, UpstreamHandle)>,
+    past_runs: BTreeMap<String, u64>,
+    past_peak: UpstreamPeak,
+}
+
+impl LocalUpstream {
+    pub(crate) fn new(options: UpstreamOptions, handle: UpstreamHandle) -> Self {
+        Self {
+            addr: handle.addr(),
+            running: Some((options, handle)),
+            past_runs: BTreeMap::new(),
+            past_peak: UpstreamPeak::default(),
+        }
+    }
+
+    pub(crate) fn nested(addr: SocketAddr) -> Self {
+        Self {
+            addr,
+            running: None,
+            past_runs: BTreeMap::new(),
+            past_peak: UpstreamPeak::default(),
+        }
+    }
+
+    pub(crate) fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    async fn set_faults(&self, faults: UpstreamFaults) {
+        if let Some((_, handle)) = &self.running {
+            handle.set_faults(faults).await;
+        }
+    }
+
+    /// Ends the upstream like a crash and starts the next incarnation.
+    async fn replace(&mut self, faults: UpstreamFaults) {
+        self.past_runs = self.runs().await;
+        self.past_peak = self.peak().await;
+        let Some((mut options, handle)) = self.running.take() else {
+            return;
+        };
+        handle.crash().await;
+        options.incarnation = options.incarnation.next();
+        options.faults = faults;
+        if let Ok(handle) = UpstreamStandIn::start(options.clone()).await {
+            self.running = Some((options, handle));
+        }
+    }
+
+    /// Returns how often each request ran.
+    pub(crate) async fn runs(&self) -> BTreeMap<String, u64> {
+        let mut runs = self.past_runs.clone();
+        if let Some((_, handle)) = &self.running {
+            for (id, count) in handle.runs().await {
+                *runs.entry(id).or_default() += count;
+            }
+        }
+        runs
+    }
+
+    async fn peak(&self) -> UpstreamPeak {
+        let Some((_, handle)) = &self.running else {
+            return self.past_peak;
+        };
+        let now = handle.peak().await;
+        UpstreamPeak {
+            peak: now.peak.max(self.past_peak.peak),
+            peak_cold: now.peak_cold.max(self.past_peak.peak_cold),
+            overruns: now.overruns + self.past_peak.overruns,
+            ..now
+        }
+    }
+
+    /// Returns the concurrency for the report.
+    pub(crate) async fn report(&self, vm: usize) -> UpstreamReport {
+        let peak = self.peak().await;
+        UpstreamReport {
+            vm,
+            slots: peak.slots,
+            peak: peak.peak,
+            peak_cold: peak.peak_cold,
+            overruns: peak.overruns,
+        }
+    }
+}
+
+/// Mesh parts that a script acts on.
+pub(crate) struct Scene {
+    pub(crate) upstreams: Vec<Option<LocalUpstream>>,
+    pub(crate) store: HttpLogStore,
+}
+
+/// Runs the script and the noise until told to stop and hands the upstreams back.
+pub(crate) async fn run_script(
+    mut scene: Scene,
+    experiment: &Experiment,
+    spared: bool,
+    measured_from: Instant,
+    mut stop: oneshot::Receiver<()>,
+) -> Scene {
+    let mut events = experiment.script.iter();
+    let mut next = events.next().filter(|_| !spared);
+    let noise = experiment.noise.filter(|_| !spared);
+    let mut noisy = None;
+    loop {
+        let event_at = next.map(|e| measured_from + Duration::from_millis(e.at_ms));
+        tokio::select! {
+            _ = &mut stop => return scene,
+            () = sleep_until(event_at) => {
+                if let Some(event) = next {
+                    scene.act(event, experiment).await;
+                }
+                next = events.next();
+            }
+            () = sleep_for(noise) => {
+                noisy = scene.move_noise(noisy, noise).await;
+            }
+        }
+    }
+}
+
+async fn sleep_until(at: Option<Instant>) {
+    match at {
+        Some(at) => tokio::time::sleep_until(at.into()).await,
+        None => std::future::pending().await,
+    }
+}
+
+async fn sleep_for(noise: Option<Noise>) {
+    match noise {
+        Some(noise) => tokio::time::sleep(Duration::from_millis(noise.every_ms)).await,
+        None => std::future::pending().await,
+    }
+}
+
+impl Scene {
+    async fn act(&mut self, event: &ScriptEvent, experiment: &Experiment) {
+        match &event.action {
+            Action::Faults { vm, faults } => {
+                if let Some(Some(upstream)) = self.upstreams.get(*vm) {
+                    upstream.set_faults(faults.clone()).await;
+                }
+            }
+            Action::Replace { vm, faults } => {
+                if let Some(Some(upstream)) = self.upstreams.get_mut(*vm) {
+                    upstream.replace(faults.clone()).await;
+                }
+            }
+            Action::Drain { vm } => {
+                if let Some(Some(upstream)) = self.upstreams.get(*vm)
+                    && let Some((_, handle)) = &upstream.running
+                {
+                    // A daemon that does not answer shows in the results.
+                    let _ = handle.drain().await;
+                }
+            }
+            Action::DomainOut { domain } | Action::DomainIn { domain } => {
+                let spec = experiment.vms.iter().find(|v| v.domain == *domain);
+                let Some(spec) = spec else {
+                    return;
+                };
+                let state = match event.action {
+                    Action::DomainOut { .. } => DomainState::OutOfService,
+                    _ => DomainState::InService,
+                };
+                let operation = Operation::PutDomain {
+                    domain: domain.clone(),
+                    region: spec.region.clone(),
+                    state,
+                };
+                // A log that does not answer shows in the results.
+                let _ = append(&self.store, vec![operation]).await;
+            }
+        }
+    }
+
+    /// Moves the straggling to the next upstream and returns its index.
+    async fn move_noise(&self, from: Option<usize>, noise: Option<Noise>) -> Option<usize> {
+        let noise = noise?;
+        let present: Vec<usize> = (0..self.upstreams.len())
+            .filter(|i| self.upstreams[*i].is_some())
+            .collect();
+        let after = |i: usize| present.iter().copied().find(|p| *p > i);
+        let next = from.and_then(after).or(present.first().copied())?;
+        for (index, straggle_ms) in [(from, 0), (Some(next), noise.straggle_ms)] {
+            if let Some(Some(upstream)) = index.and_then(|i| self.upstreams.get(i)) {
+                let faults = UpstreamFaults {
+                    straggle_ms,
+                    ..UpstreamFaults::default()
+                };
+                upstream.set_faults(faults).await;
+            }
+        }
+        Some(next)
+    }
+}
--- /dev/null
+++ b/crates/bench/src/table.rs
@@ -0,0 +1,189 @@
+//! Report as a table for people.
+
+use std::fmt::Write;
+
+use crate::{Report, VariantReport};
+
+/// Returns the report as text.
+///
+/// Latencies are in milliseconds; the first variant is the reference of the differences.
+#[must_use]
+pub fn render(report: &Report) -> String {
+    let mut text = String::new();
+    // Writing to a string cannot fail.
+    let _ = write_report(&mut text, report);
+    text
+}
+
+fn write_report(text: &mut String, report: &Report) -> std::fmt::Result {
+    writeln!(
+        text,
+        "{}: {}/s for {} ms each, {} cores, load before {:.1}",
+        report.experiment,
+        report.rate,
+        report.duration_ms,
+        report.machine.cores,
+        report.machine.load_before
+    )?;
+    writeln!(
+        text,
+        "{:<34} {:>7} {:>7} {:>6} {:>6} {:>6} {:>6} {:>6} {:>8} {:>8} {:>8} {:>8}",
+        "variant / kind",
+        "sent",
+        "done",
+        "failed",
+        "refus.",
+        "unkn.",
+        "broken",
+        "late",
+        "p50",
+        "p99",
+        "p999",
+        "max"
+    )?;
+    for variant in &report.variants {
+        write_line(text, &variant.name, &variant.counts, &variant.latency)?;
+        if variant.kinds.len() > 1 {
+            for kind in &variant.kinds {
+                let name = format!("  {}", kind.name);
+                write_line(text, &name, &kind.counts, &kind.latency)?;
+            }
+        }
+    }
+    write_added(text, report)?;
+    for variant in &report.variants {
+        write_details(text, variant)?;
+    }
+    Ok(())
+}
+
+fn write_line(
+    text: &mut String,
+    name: &str,
+    counts: &crate::Counts,
+    latency: &crate::Latency,
+) -> std::fmt::Result {
+    writeln!(
+        text,
+        "{:<34} {:>7} {:>7} {:>6} {:>6} {:>6} {:>6} {:>6} {:>8.3} {:>8.3} {:>8.3} {:>8.3}",
+        name,
+        counts.sent,
+        counts.completed,
+        counts.failed,
+        counts.refused,
+        counts.unknown,
+        counts.broken,
+        counts.late,
+        millis(latency.p50_us),
+        millis(latency.p99_us),
+        millis(latency.p999_us),
+        millis(latency.max_us)
+    )
+}
+
+fn millis(micros: u64) -> f64 {
+    micros as f64 / 1e3
+}
+
+fn write_added(text: &mut String, report: &Report) -> std::fmt::Result {
+    let Some((first, others)) = report.variants.split_first() else {
+        return Ok(());
+    };
+    for other in others {
+        let (a, b) = (first.latency, other.latency);
+        let added = |before: u64, after: u64| millis(after) - millis(before);
+        writeln!(
+            text,
+            "{} less {}: p50 {:+.3} p90 {:+.3} p99 {:+.3} p999 {:+.3} ms",
+            other.name,
+            first.name,
+            added(a.p50_us, b.p50_us),
+            added(a.p90_us, b.p90_us),
+            added(a.p99_us, b.p99_us),
+            added(a.p999_us, b.p999_us)
+        )?;
+    }
+    Ok(())
+}
+
+fn write_details(text: &mut String, variant: &VariantReport) -> std::fmt::Result {
+    let name = &variant.name;
+    for (reason, count) in &variant.reasons {
+        writeln!(text, "{name}: {count} {reason}")?;
+    }
+    if let Some(count) = variant.false_refusals {
+        writeln!(text, "{name}: {count} refused as not run but run")?;
+    }
+    if let Some(count) = variant.repeated {
+        writeln!(text, "{name}: {count} run more than once")?;
+    }
+    for event in &variant.events {
+        let settled = event
+            .settled_ms
+            .map_or("not settled".to_owned(), |ms| format!("settled in {ms} ms"));
+        writeln!(
+            text,
+            "{name}: at {} ms {}: {settled}, {} sent, {} lost, {} late",
+            event.at_ms,
+            event.event,
+            event.counts.sent,
+            event.counts.lost(),
+            event.counts.late
+        )?;
+    }
+    for upstream in variant.upstreams.iter().filter(|u| u.peak_cold > 0) {
+        writeln!(
+            text,
+            "{name}: vm {}: at most {} at once while cold, {} when warm, {} slots",
+            upstream.vm, upstream.peak_cold, upstream.peak, upstream.slots
+        )?;
+    }
+    write_control(text, variant)
+}
+
+fn write_control(text: &mut String, variant: &VariantReport) -> std::fmt::Result {
+    let daemons = variant.control.len();
+    if daemons == 0 {
+        return Ok(());
+    }
+    let sum = |class: &str| -> f64 {
+        let rates = variant.control.iter().map(|c| c.sent_per_s.get(class));
+        rates.flatten().sum()
+    };
+    let of_daemon = |c: &crate::ControlReport| -> f64 {
+        c.sent_per_s
+            .iter()
+            .filter(|(k, _)| *k != "region-link")
+            .map(|(_, v)| v)
+            .sum()
+    };
+    let total: f64 = variant.control.iter().map(of_daemon).sum();
+    let most = variant.control.iter().map(of_daemon).fold(0.0, f64::max);
+    let dropped: f64 = variant
+        .control
+        .iter()
+        .flat_map(|c| c.dropped_per_s.values())
+        .sum();
+    writeln!(
+        text,
+        "{}: control {:.0} B/s per daemon (most {:.0}), region link {:.0} B/s in all, dropped {:.0} B/s",
+        variant.name,
+        total / daemons as f64,
+        most,
+        sum("region-link"),
+        dropped
+    )?;
+    let shares: Vec<f64> = variant.control.iter().filter_map(|c| c.cpu_share).collect();
+    if shares.is_empty() {
+        return Ok(());
+    }
+    let rss = variant.control.iter().filter_map(|c| c.rss_kib).max();
+    writeln!(
+        text,
+        "{}: processor {:.2}% of a core per daemon (most {:.2}%), at most {} KiB resident",
+        variant.name,
+        shares.iter().sum::<f64>() / shares.len() as f64 * 100.0,
+        shares.iter().copied().fold(0.0, f64::max) * 100.0,
+        rss.unwrap_or(0)
+    )
+}
--- /dev/null
+++ b/crates/bench/src/usage.rs
@@ -0,0 +1,117 @@
+//! Figures of the machine, of processes and of the daemons' metrics.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::Request;
+use http_body_util::Full;
+
+use crate::client::exchange;
+use crate::host::DaemonHost;
+use crate::{ControlReport, Machine};
+
+/// Clock ticks per second in `/proc/PID/stat`; fixed by the Linux interface for user space.
+const TICKS_PER_S: f64 = 100.0;
+
+/// Fields between the end of the program name and the user time in `/proc/PID/stat`.
+const FIELDS_BEFORE_UTIME: usize = 11;
+
+/// Returns cores, memory and load of the machine.
+pub(crate) fn machine() -> Machine {
+    let meminfo = std::fs::read_to_string("/proc/meminfo").unwrap_or_default();
+    let loadavg = std::fs::read_to_string("/proc/loadavg").unwrap_or_default();
+    Machine {
+        cores: std::thread::available_parallelism().map_or(0, usize::from),
+        memory_mib: kib_field(&meminfo, "MemTotal:").unwrap_or(0) / 1024,
+        load_before: loadavg
+            .split(' ')
+            .next()
+            .and_then(|l| l.parse().ok())
+            .unwrap_or(0.0),
+    }
+}
+
+fn kib_field(text: &str, key: &str) -> Option<u64> {
+    let line = text.lines().find(|l| l.starts_with(key))?;
+    line.split_whitespace().nth(1)?.parse().ok()
+}
+
+/// Returns the processor time that a process has used.
+fn cpu_time(pid: u32) -> Option<Duration> {
+    let stat = std::fs::read_to_string(format!("/proc/{pid}/stat")).ok()?;
+    let (_, fields) = stat.rsplit_once(") ")?;
+    let mut fields = fields.split(' ').skip(FIELDS_BEFORE_UTIME);
+    let user: f64 = fields.next()?.parse().ok()?;
+    let system: f64 = fields.next()?.parse().ok()?;
+    Some(Duration::from_secs_f64((user + system) / TICKS_PER_S))
+}
+
+fn rss_kib(pid: u32) -> Option<u64> {
+    let status = std::fs::read_to_string(format!("/proc/{pid}/status")).ok()?;
+    kib_field(&status, "VmRSS:")
+}
+
+/// Counters of one daemon at one moment.
+pub(crate) struct Reading {
+    at: Instant,
+    cpu: Option<Duration>,
+    sent: BTreeMap<String, f64>,
+    dropped: BTreeMap<String, f64>,
+}
+
+/// Reads the counters of a daemon.
+pub(crate) async fn read(host: &dyn DaemonHost) -> Reading {
+    let text = metrics(host.addresses().metrics).await.unwrap_or_default();
+    Reading {
+        at: Instant::now(),
+        cpu: host.pid().and_then(cpu_time),
+        sent: by_class(&text, "cornelvalve_control_sent_bytes_total"),
+        dropped: by_class(&text, "cornelvalve_control_dropped_bytes_total"),
+    }
+}
+
+async fn metrics(addr: SocketAddr) -> Option<String> {
+    let request = Request::get("/metrics")
+        .header("host", addr.to_string())
+        .body(Full::new(Bytes::new()))
+        .ok()?;
+    let (answer, _) = exchange(addr, None, request).await.ok()?;
+    String::from_utf8(answer.body.to_vec()).ok()
+}
+
+/// Returns the samples of a counter by their label `class`.
+fn by_class(text: &str, counter: &str) -> BTreeMap<String, f64> {
+    let lines = text.lines().filter_map(|line| {
+        let labelled = line.strip_prefix(counter)?.strip_prefix("{class=\"")?;
+        let (class, value) = labelled.split_once("\"} ")?;
+        Some((class.to_owned(), value.parse().ok()?))
+    });
+    lines.collect()
+}
+
+/// Returns the cost between two readings.
+pub(crate) fn control(
+    vm: usize,
+    host: &dyn DaemonHost,
+    before: &Reading,
+    after: &Reading,
+) -> ControlReport {
+    let seconds = (after.at - before.at).as_secs_f64();
+    let per_second = |before: &BTreeMap<String, f64>, after: &BTreeMap<String, f64>| {
+        let rates = after.iter().map(|(class, bytes)| {
+            let earlier = before.get(class).copied().unwrap_or(0.0);
+            (class.clone(), (bytes - earlier) / seconds)
+        });
+        rates.collect()
+    };
+    let cpu = after.cpu.zip(before.cpu);
+    ControlReport {
+        vm,
+        sent_per_s: per_second(&before.sent, &after.sent),
+        dropped_per_s: per_second(&before.dropped, &after.dropped),
+        cpu_share: cpu.map(|(after, before)| (after - before).as_secs_f64() / seconds),
+        rss_kib: host.pid().and_then(rss_kib),
+    }
+}
--- /dev/null
+++ b/crates/bench/tests/all/bounds.rs
@@ -0,0 +1,93 @@
+//! Bounds that make every run end by itself.
+
+use std::path::PathBuf;
+
+use cornelvalve_bench::{Error, Experiment, builtin, read, run};
+
+fn path() -> Experiment {
+    builtin("path").expect("the experiment is built in")
+}
+
+/// Guards against a run that takes the machine for itself or never ends.
+#[tokio::test]
+async fn experiments_out_of_bounds_do_not_run() {
+    let cases = [
+        (
+            "rate",
+            Experiment {
+                rate: 1e6,
+                ..path()
+            },
+        ),
+        (
+            "rate",
+            Experiment {
+                rate: f64::NAN,
+                ..path()
+            },
+        ),
+        (
+            "duration_ms",
+            Experiment {
+                duration_ms: 3_600_000,
+                ..path()
+            },
+        ),
+        (
+            "rate",
+            Experiment {
+                rate: 19_000.0,
+                duration_ms: 100_000,
+                ..path()
+            },
+        ),
+        (
+            "vms",
+            Experiment {
+                vms: vec![path().vms[0].clone(); 65],
+                ..path()
+            },
+        ),
+        (
+            "callers",
+            Experiment {
+                callers: 0,
+                ..path()
+            },
+        ),
+        (
+            "variants",
+            Experiment {
+                variants: vec![path().variants[0].clone()],
+                ..path()
+            },
+        ),
+        (
+            "mix",
+            Experiment {
+                mix: Vec::new(),
+                ..path()
+            },
+        ),
+    ];
+    for (expected, experiment) in cases {
+        match run(experiment).await {
+            Err(Error::Bounds { key, .. }) => assert_eq!(key, expected),
+            other => panic!("{expected}: {other:?}"),
+        }
+    }
+}
+
+/// Guards against a misspelt key that is ignored, so that another experiment runs than was meant.
+#[test]
+fn files_with_comments_are_read_and_unknown_keys_refused() {
+    let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
+    let good = folder.join("good.jsonc");
+    let text = serde_json::to_string_pretty(&path()).expect("it is JSON");
+    std::fs::write(&good, format!("// An experiment.\n{text}")).expect("file is written");
+    assert_eq!(read(&good).expect("it is read").name, "path");
+    let bad = folder.join("bad.jsonc");
+    std::fs::write(&bad, text.replacen("\"rate\"", "\"rates\"", 1)).expect("file is written");
+    let error = read(&bad).expect_err("the key is unknown").to_string();
+    assert!(error.contains("rates"), "{error}");
+}
--- /dev/null
+++ b/crates/bench/tests/all/main.rs
@@ -0,0 +1,4 @@
+//! Tests of the experiment tool.
+
+mod bounds;
+mod short;
--- /dev/null
+++ b/crates/bench/tests/all/short.rs
@@ -0,0 +1,52 @@
+//! A short run from end to end.
+
+use cornelvalve_bench::{BUILTINS, Experiment, Placement, builtin, render, run};
+
+fn short(name: &str) -> Experiment {
+    Experiment {
+        rate: 40.0,
+        warmup_ms: 200,
+        duration_ms: 1000,
+        slice_ms: 0,
+        placement: Placement::Threads,
+        track_runs: true,
+        ..builtin(name).expect("the experiment is built in")
+    }
+}
+
+/// Guards against requests that a report counts twice or not at all, and against columns that
+/// stay empty. Says nothing about speed.
+#[tokio::test(flavor = "multi_thread")]
+async fn report_of_a_short_run_is_complete_and_consistent() {
+    let report = run(short("path")).await.expect("the run ends");
+    assert_eq!(report.faults(), Vec::<String>::new());
+    assert_eq!(report.variants.len(), 2);
+    for variant in &report.variants {
+        assert_eq!(variant.counts.sent, 40, "{}", variant.name);
+        assert!(variant.counts.completed > 0, "{variant:?}");
+        assert!(variant.latency.p50_us > 0);
+    }
+    let system = &report.variants[1];
+    assert_eq!(system.control.len(), 2);
+    assert_eq!(system.false_refusals, Some(0));
+    assert_eq!(system.upstreams.len(), 1);
+    let text = render(&report);
+    for column in ["direct", "system", "p99", "system less direct", "control"] {
+        assert!(text.contains(column), "{column:?} is missing in:\n{text}");
+    }
+    let json = serde_json::to_string(&report).expect("the report is JSON");
+    assert!(json.contains("\"experiment\":\"path\""));
+}
+
+/// Guards against a built-in experiment that its own checks refuse or that cannot be written as a
+/// file and read again.
+#[test]
+fn built_in_experiments_are_valid_files() {
+    for name in BUILTINS {
+        let experiment = builtin(name).expect("the name is known");
+        assert_eq!(experiment.check(), Ok(()), "{name}");
+        let text = serde_json::to_string(&experiment).expect("it is JSON");
+        let again: Experiment = serde_json::from_str(&text).expect("it is read back");
+        assert_eq!(again.name, *name);
+    }
+}
