Compare builds and worker counts in one run and count thread waits

Cause: on a shared machine the figures of separate runs differ more than the builds do; before and after must share a run.

--- a/crates/bench/src/builtin.rs
+++ b/crates/bench/src/builtin.rs
@@ -101,6 +101,8 @@
         picker: PickerKind::PowerOfTwo,
         plain: false,
         spared: false,
+        program: None,
+        workers: None,
     }
 }
 
--- a/crates/bench/src/experiment.rs
+++ b/crates/bench/src/experiment.rs
@@ -21,6 +21,9 @@
 /// Most VMs of one mesh.
 const MAX_VMS: usize = 64;
 
+/// Most worker threads of one daemon.
+const MAX_WORKERS: usize = 64;
+
 /// Most bytes of one request body.
 const MAX_BODY_BYTES: usize = 4 * 1024 * 1024;
 
@@ -204,6 +207,13 @@
     /// Whether the script and the noise leave this variant alone, for a reference.
     #[serde(default)]
     pub spared: bool,
+    /// Program of the daemons beside this one, such as an earlier build; only for processes.
+    #[serde(default)]
+    pub program: Option<String>,
+    /// Worker threads of each daemon; the default is the runtime's for processes and 2 for
+    /// threads.
+    #[serde(default)]
+    pub workers: Option<usize>,
 }
 
 /// Where daemons run.
@@ -379,6 +389,21 @@
                 "script.vm",
                 "must be a VM with an upstream",
             ),
+            (
+                self.variants
+                    .iter()
+                    .any(|v| v.workers.is_some_and(|w| w == 0 || w > MAX_WORKERS)),
+                "variants.workers",
+                "must be 1 to 64",
+            ),
+            (
+                self.variants.iter().any(|v| {
+                    let program = v.program.as_deref();
+                    program.is_some_and(|p| p.contains(std::path::is_separator))
+                }),
+                "variants.program",
+                "must be the name of a program beside this one, without a folder",
+            ),
             (
                 self.placement == Placement::Processes && self.variants.iter().any(tuned),
                 "placement",
--- a/crates/bench/src/host.rs
+++ b/crates/bench/src/host.rs
@@ -24,6 +24,12 @@
 /// exchange would wait for each other.
 const WORKERS: usize = 2;
 
+/// Program of the daemon.
+const PROGRAM: &str = "cornelvalve";
+
+/// Variable from which the runtime of the daemon program reads its number of workers.
+const WORKERS_VARIABLE: &str = "TOKIO_WORKER_THREADS";
+
 /// Place of a daemon.
 #[derive(Clone, Debug)]
 pub(crate) struct HostSpec {
@@ -91,9 +97,10 @@
         .build()
         .map_err(|e| failed(e.to_string()))?;
     let balancing = balancing(variant);
+    let workers = variant.workers.unwrap_or(WORKERS);
     let (ready, started) = oneshot::channel();
     let (stop, stopped) = oneshot::channel();
-    std::thread::spawn(move || serve(&config, balancing, ready, stopped));
+    std::thread::spawn(move || serve(&config, balancing, workers, ready, stopped));
     let addresses = started
         .await
         .map_err(|_| failed("its thread ended".to_owned()))?
@@ -107,11 +114,12 @@
 fn serve(
     config: &Config,
     balancing: Balancing,
+    workers: usize,
     ready: oneshot::Sender<std::result::Result<HostAddresses, String>>,
     stopped: oneshot::Receiver<()>,
 ) {
     let runtime = tokio::runtime::Builder::new_multi_thread()
-        .worker_threads(WORKERS)
+        .worker_threads(workers)
         .enable_all()
         .build();
     let runtime = match runtime {
@@ -194,7 +202,7 @@
 }
 
 /// Starts the daemon program that stands beside this one.
-pub(crate) fn start_process(spec: &HostSpec) -> Result<Box<dyn DaemonHost>> {
+pub(crate) fn start_process(spec: &HostSpec, variant: &Variant) -> Result<Box<dyn DaemonHost>> {
     let start = || error::start("daemon process");
     let file = std::env::temp_dir().join(format!(
         "cornelbench-{}-{}-{}.jsonc",
@@ -208,8 +216,12 @@
         .map_err(start())?;
     let program = std::env::current_exe()
         .map_err(start())?
-        .with_file_name("cornelvalve");
-    let mut child = Command::new(program)
+        .with_file_name(variant.program.as_deref().unwrap_or(PROGRAM));
+    let mut command = Command::new(program);
+    if let Some(workers) = variant.workers {
+        command.env(WORKERS_VARIABLE, workers.to_string());
+    }
+    let mut child = command
         .arg("run")
         .arg(&file)
         .stdin(Stdio::null())
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -5,7 +5,7 @@
 
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use cornelvalve_bench::{
-    BUILTINS, Error, Experiment, Placement, Report, builtin, read, render, run,
+    BUILTINS, Error, Experiment, Placement, Report, Variant, builtin, read, render, run,
 };
 
 /// Most repetitions of one call.
@@ -51,6 +51,20 @@
                 .action(ArgAction::SetTrue)
                 .help("Runs the daemons as processes of the program beside this one"),
         )
+        .arg(
+            Arg::new("against")
+                .long("against")
+                .value_name("PROGRAM")
+                .help("Adds a variant with another daemon program beside this one"),
+        )
+        .arg(
+            Arg::new("workers")
+                .long("workers")
+                .value_name("COUNT")
+                .action(ArgAction::Append)
+                .value_parser(value_parser!(usize))
+                .help("Adds a variant with so many worker threads in each daemon"),
+        )
         .arg(
             Arg::new("json")
                 .long("json")
@@ -85,10 +99,32 @@
     if matches.get_flag("processes") {
         experiment.placement = Placement::Processes;
     }
+    add_variants(&mut experiment, matches);
     experiment.check()?;
     Ok(experiment)
 }
 
+/// Adds variants of the last one of the experiment.
+fn add_variants(experiment: &mut Experiment, matches: &ArgMatches) {
+    let Some(last) = experiment.variants.last().cloned() else {
+        return;
+    };
+    if let Some(program) = matches.get_one::<String>("against") {
+        experiment.variants.push(Variant {
+            name: program.clone(),
+            program: Some(program.clone()),
+            ..last.clone()
+        });
+    }
+    for workers in matches.get_many::<usize>("workers").unwrap_or_default() {
+        experiment.variants.push(Variant {
+            name: format!("{workers} workers"),
+            workers: Some(*workers),
+            ..last.clone()
+        });
+    }
+}
+
 async fn run_all(matches: &ArgMatches) -> Result<Vec<Report>, Error> {
     let experiment = experiment(matches)?;
     if matches.get_flag("print") {
--- a/crates/bench/src/mesh.rs
+++ b/crates/bench/src/mesh.rs
@@ -121,7 +121,7 @@
         };
         let host = match experiment.placement {
             Placement::Threads => host::start_thread(&spec, variant).await?,
-            Placement::Processes => host::start_process(&spec)?,
+            Placement::Processes => host::start_process(&spec, variant)?,
         };
         hosts.push(host);
     }
--- a/crates/bench/src/report.rs
+++ b/crates/bench/src/report.rs
@@ -116,6 +116,8 @@
     pub dropped_per_s: BTreeMap<String, f64>,
     /// Share of one core, of the whole process; only for daemons in processes.
     pub cpu_share: Option<f64>,
+    /// Waits of all threads per second; only for daemons in processes.
+    pub switches_per_s: Option<f64>,
     /// Resident memory at the end in KiB; only for daemons in processes.
     pub rss_kib: Option<u64>,
 }
--- a/crates/bench/src/table.rs
+++ b/crates/bench/src/table.rs
@@ -177,13 +177,19 @@
     if shares.is_empty() {
         return Ok(());
     }
+    let switches: f64 = variant
+        .control
+        .iter()
+        .filter_map(|c| c.switches_per_s)
+        .sum();
     let rss = variant.control.iter().filter_map(|c| c.rss_kib).max();
     writeln!(
         text,
-        "{}: processor {:.2}% of a core per daemon (most {:.2}%), at most {} KiB resident",
+        "{}: processor {:.2}% of a core per daemon (most {:.2}%), {:.0} thread waits/s, at most {} KiB resident",
         variant.name,
         shares.iter().sum::<f64>() / shares.len() as f64 * 100.0,
         shares.iter().copied().fold(0.0, f64::max) * 100.0,
+        switches / daemons as f64,
         rss.unwrap_or(0)
     )
 }
--- a/crates/bench/src/usage.rs
+++ b/crates/bench/src/usage.rs
@@ -24,7 +24,7 @@
     let loadavg = std::fs::read_to_string("/proc/loadavg").unwrap_or_default();
     Machine {
         cores: std::thread::available_parallelism().map_or(0, usize::from),
-        memory_mib: kib_field(&meminfo, "MemTotal:").unwrap_or(0) / 1024,
+        memory_mib: number_field(&meminfo, "MemTotal:").unwrap_or(0) / 1024,
         load_before: loadavg
             .split(' ')
             .next()
@@ -33,7 +33,7 @@
     }
 }
 
-fn kib_field(text: &str, key: &str) -> Option<u64> {
+fn number_field(text: &str, key: &str) -> Option<u64> {
     let line = text.lines().find(|l| l.starts_with(key))?;
     line.split_whitespace().nth(1)?.parse().ok()
 }
@@ -50,13 +50,24 @@
 
 fn rss_kib(pid: u32) -> Option<u64> {
     let status = std::fs::read_to_string(format!("/proc/{pid}/status")).ok()?;
-    kib_field(&status, "VmRSS:")
+    number_field(&status, "VmRSS:")
+}
+
+/// Returns how often the threads of a process have waited for something.
+fn switches(pid: u32) -> Option<u64> {
+    let tasks = std::fs::read_dir(format!("/proc/{pid}/task")).ok()?;
+    let of_thread = |task: std::fs::DirEntry| {
+        let status = std::fs::read_to_string(task.path().join("status")).ok()?;
+        number_field(&status, "voluntary_ctxt_switches:")
+    };
+    Some(tasks.flatten().filter_map(of_thread).sum())
 }
 
 /// Counters of one daemon at one moment.
 pub(crate) struct Reading {
     at: Instant,
     cpu: Option<Duration>,
+    switches: Option<u64>,
     sent: BTreeMap<String, f64>,
     dropped: BTreeMap<String, f64>,
 }
@@ -67,6 +78,7 @@
     Reading {
         at: Instant::now(),
         cpu: host.pid().and_then(cpu_time),
+        switches: host.pid().and_then(switches),
         sent: by_class(&text, "cornelvalve_control_sent_bytes_total"),
         dropped: by_class(&text, "cornelvalve_control_dropped_bytes_total"),
     }
@@ -112,6 +124,10 @@
         sent_per_s: per_second(&before.sent, &after.sent),
         dropped_per_s: per_second(&before.dropped, &after.dropped),
         cpu_share: cpu.map(|(after, before)| (after - before).as_secs_f64() / seconds),
+        switches_per_s: after
+            .switches
+            .zip(before.switches)
+            .map(|(after, before)| after.saturating_sub(before) as f64 / seconds),
         rss_kib: host.pid().and_then(rss_kib),
     }
 }
