--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -25,6 +25,7 @@
     ROUTER, SCRAPE,
 };
 use crate::operators::Identity;
+use crate::router::Balancing;
 use crate::timeline::{self, TIMELINE, run_timeline};
 use crate::{announcer, budget, catalog, entry, guard, membership, operators, peers, pool};
 use crate::{publisher, router, scrape};
@@ -76,6 +77,33 @@
     pub metrics: SocketAddr,
 }
 
+/// Parts that an embedder may replace.
+#[derive(Clone, Debug)]
+pub struct Parts {
+    /// Log store; the platform's service by default.
+    #[debug(skip)]
+    pub store: Arc<dyn LogStore>,
+    /// Source of time; the clock of the operating system by default.
+    #[debug(skip)]
+    pub clock: Arc<dyn Clock>,
+    /// Choice among the upstreams of a service.
+    #[debug(skip)]
+    pub balancing: Balancing,
+}
+
+impl Parts {
+    /// Creates the parts that a daemon uses by default.
+    #[must_use]
+    pub fn new(config: &Config) -> Self {
+        let store = HttpLogStore::new(config.log_store.addr, config.log_store.timeout);
+        Self {
+            store: Arc::new(store),
+            clock: Arc::new(SystemClock::new()),
+            balancing: Balancing::default(),
+        }
+    }
+}
+
 /// Running daemon.
 #[derive(Debug)]
 pub struct Daemon {
@@ -92,29 +120,20 @@
     ///
     /// Returns [`StartError`] if an address cannot be bound or the metrics cannot be set up.
     pub fn start(config: &Config) -> Result<Self> {
-        let store = HttpLogStore::new(config.log_store.addr, config.log_store.timeout);
-        Self::start_with(config, Arc::new(store))
-    }
-
-    /// Starts a daemon over a log store of the embedder's own.
-    ///
-    /// # Errors
-    ///
-    /// Returns [`StartError`] if an address cannot be bound or the metrics cannot be set up.
-    pub fn start_with(config: &Config, store: Arc<dyn LogStore>) -> Result<Self> {
-        Self::start_with_clock(config, store, Arc::new(SystemClock::new()))
+        Self::start_with(config, Parts::new(config))
     }
 
-    /// Starts a daemon over a log store and a clock of the embedder's own.
+    /// Starts a daemon with parts of the embedder's own.
     ///
     /// # Errors
     ///
     /// Returns [`StartError`] if an address cannot be bound or the metrics cannot be set up.
-    pub fn start_with_clock(
-        config: &Config,
-        store: Arc<dyn LogStore>,
-        clock: Arc<dyn Clock>,
-    ) -> Result<Self> {
+    pub fn start_with(config: &Config, parts: Parts) -> Result<Self> {
+        let Parts {
+            store,
+            clock,
+            balancing,
+        } = parts;
         let sockets = Sockets::bind(&config.listen)?;
         let addresses = sockets.addresses;
         let metrics = Metrics::new().map_err(StartError::Metrics)?;
@@ -124,6 +143,7 @@
             config,
             sockets,
             store,
+            balancing,
             metrics,
             own,
             leave: leave_sender,
@@ -304,6 +324,7 @@
     config: &'a Config,
     sockets: Sockets,
     store: Arc<dyn LogStore>,
+    balancing: Balancing,
     metrics: Metrics,
     own: Member,
     leave: mpsc::Sender<()>,
@@ -369,13 +390,14 @@
             domain: self.own.domain.clone(),
         };
         let seed = self.seed();
+        let balancing = self.balancing.clone();
         builder
             .service(POOL, options, pool::run_pool)
             .service(GUARD, guard_options, move |context| {
                 guard::run_guard(context, guard_settings.clone())
             })
             .service(ROUTER, options, move |context| {
-                router::run_router(context, locality.clone(), seed)
+                router::run_router(context, locality.clone(), balancing.clone(), seed)
             })
     }
 
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -30,4 +30,5 @@
 pub mod settings;
 pub mod timeline;
 
-pub use daemon::{Addresses, Daemon, Result, StartError};
+pub use daemon::{Addresses, Daemon, Parts, Result, StartError};
+pub use router::{Balancing, PickerFactory};
--- a/tests/all/timeline.rs
+++ b/tests/all/timeline.rs
@@ -4,9 +4,8 @@
 use std::sync::Arc;
 
 use cornelvalve_daemon::config::Config;
-use cornelvalve_daemon::{Addresses, Daemon};
+use cornelvalve_daemon::{Addresses, Daemon, Parts};
 use cornelvalve_kernel::{Clock, SystemClock};
-use cornelvalve_logstore::HttpLogStore;
 use cornelvalve_model::{Moment, ServiceName, WallTime};
 use cornelvalve_standins::{LogStandIn, UpstreamHandle, UpstreamOptions, UpstreamStandIn};
 use serde_json::Value;
@@ -51,12 +50,15 @@
     .seeds(seeds)
     .build()
     .expect("configuration is complete");
-    let store = HttpLogStore::new(config.log_store.addr, config.log_store.timeout);
     let clock = LeadingClock {
         inner: SystemClock::new(),
         lead_ms,
     };
-    Daemon::start_with_clock(&config, Arc::new(store), Arc::new(clock)).expect("daemon starts")
+    let parts = Parts {
+        clock: Arc::new(clock),
+        ..Parts::new(&config)
+    };
+    Daemon::start_with(&config, parts).expect("daemon starts")
 }
 
 async fn upstream(beside: &Addresses) -> UpstreamHandle {
