--- a/tests/all/outcome.rs
+++ b/tests/all/outcome.rs
@@ -203,11 +203,11 @@
 async fn refused_connections_lose_nothing() {
     let mesh = Mesh::start("outcome-refused");
     let entry = mesh.daemon(ENTRY, &[]);
-    let faulty = mesh.daemon(FAULTY, &[entry.peers]);
+    let mut faulty = mesh.daemon(FAULTY, &[entry.peers]);
     let sound = mesh.daemon(SOUND, &[entry.peers]);
     entry.wait_for_members(3).await;
     let lease = ["--lease-ms", "10000"];
-    let (dead, dead_addr) = faulty.start_upstream_with("estimateur", 10, &lease);
+    let (mut dead, dead_addr) = faulty.start_upstream_with("estimateur", 10, &lease);
     let (_upstream, standin) = sound.start_upstream("estimateur", 10);
     configure(&entry).await;
     eventually("both upstreams", || async {
@@ -220,9 +220,9 @@
     })
     .await;
 
-    dead.signal("KILL");
+    dead.kill();
     all_run_once(&entry, standin, "upstream").await;
-    faulty.process.signal("KILL");
+    faulty.process.kill();
     all_run_once(&entry, standin, "daemon").await;
 }
 
@@ -252,7 +252,7 @@
 async fn killed_daemon_leaves_the_outcome_open() {
     let mesh = Mesh::start("outcome-killed");
     let entry = mesh.daemon(ENTRY, &[]);
-    let beside = mesh.daemon(FAULTY, &[entry.peers]);
+    let mut beside = mesh.daemon(FAULTY, &[entry.peers]);
     entry.wait_for_members(2).await;
     let (_first, first_addr) = beside.start_upstream("estimateur", 10);
     configure(&entry).await;
@@ -284,7 +284,7 @@
         seen.then_some(()).ok_or("not yet".to_owned())
     })
     .await;
-    beside.process.signal("KILL");
+    beside.process.kill();
     let answer = post.await.unwrap().expect("the entry reports the outcome");
     assert_eq!(answer.outcome(), Some("unknown"), "{answer:?}");
     eventually("the read goes elsewhere", || async {
--- a/tests/all/support.rs
+++ b/tests/all/support.rs
@@ -9,7 +9,7 @@
 
 pub(crate) use http::{Answer, request, send};
 pub(crate) use mesh::{DaemonOptions, DaemonProcess, Mesh, VmSpec};
-pub(crate) use process::{Process, eventually};
+pub(crate) use process::eventually;
 pub(crate) use raw::{RawUpstream, Stage};
 pub(crate) use standin::{runs, set_faults};
 pub(crate) use tickets::{ticket, with_ticket};
--- a/tests/all/support/process.rs
+++ b/tests/all/support/process.rs
@@ -46,6 +46,12 @@
         assert!(status.success(), "signal {name} was not delivered");
     }
 
+    /// Kills the process and waits until its sockets are closed.
+    pub(crate) fn kill(&mut self) {
+        self.child.kill().expect("child can be killed");
+        self.child.wait().expect("child can be waited for");
+    }
+
     /// Waits for the end of the process and returns whether it succeeded.
     pub(crate) fn wait(&mut self) -> bool {
         let deadline = Instant::now() + PATIENCE;
