--- a/crates/bench/src/host.rs
+++ b/crates/bench/src/host.rs
@@ -5,7 +5,6 @@
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::Arc;
-use std::time::Duration;
 
 use cornelvalve_daemon::config::Config;
 use cornelvalve_daemon::{Balancing, Daemon, Parts};
--- a/tests/all/support.rs
+++ b/tests/all/support.rs
@@ -14,4 +14,4 @@
 pub(crate) use process::{Process, ctl_json, eventually, run};
 pub(crate) use raw::{RawUpstream, Stage};
 pub(crate) use tickets::{ticket, with_ticket};
-pub(crate) use upstream::{announce, runs, set_faults, try_runs};
+pub(crate) use upstream::{announce, runs, try_runs};
--- a/tests/all/support/mesh.rs
+++ b/tests/all/support/mesh.rs
@@ -40,7 +40,7 @@
 /// Log stand-in with a folder for settings files.
 #[derive(Debug)]
 pub(crate) struct Mesh {
-    pub(crate) log: Option<Process>,
+    log: Option<Process>,
     pub(crate) log_addr: SocketAddr,
     folder: PathBuf,
 }
@@ -66,6 +66,11 @@
         }
     }
 
+    /// Returns the process of the log stand-in.
+    pub(crate) fn log(&self) -> &Process {
+        self.log.as_ref().expect("log stand-in is a process")
+    }
+
     /// Starts a daemon that knows nothing but the log and one peer.
     pub(crate) fn daemon(&self, spec: VmSpec, seeds: &[SocketAddr]) -> DaemonProcess {
         self.daemon_with(spec, seeds, &DaemonOptions::default())
