Refuse ambiguous hosts and tunnels, and tell broken uploads from crashes

Tests of bad input on every listener found four faults:

- An absolute-form target was routed by its host, but the upstream saw the host header, which could name another one.
The upstream now gets the routed host; a repeated host header is refused.
- CONNECT was forwarded like a request.
It is refused as bad-request.
- A caller that broke off an upload made the guard take the upstream for crashed: its admission went cold, and after two such uploads all streamed uploads of the team to that path were refused as crash-suspect for ten minutes.
The exchange now tells a request body that broke off from a lost connection, and the guard counts it as cancelled.
- An announcement for a path that is not UTF-8 got plain text instead of the JSON error.

--- a/crates/daemon/src/announcer/http_api.rs
+++ b/crates/daemon/src/announcer/http_api.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use axum::extract::rejection::JsonRejection;
+use axum::extract::rejection::{JsonRejection, PathRejection};
 use axum::extract::{Path, State};
 use axum::http::StatusCode;
 use axum::response::{IntoResponse, Response};
@@ -15,6 +15,9 @@
 
 use super::{AnnounceResult, Announcement, AnnouncerMessage};
 
+/// Service in the path, or the reason why there is none.
+type ServicePath = Result<Path<String>, PathRejection>;
+
 #[derive(Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 struct AnnounceBody {
@@ -48,7 +51,7 @@
 
 async fn announce(
     State(announcer): State<Mailbox<AnnouncerMessage>>,
-    Path(service): Path<String>,
+    service: ServicePath,
     body: Result<Json<AnnounceBody>, JsonRejection>,
 ) -> Response {
     let body = match body {
@@ -58,9 +61,9 @@
     if body.port == 0 || body.slots == 0 {
         return bad_request("port and slots must be positive");
     }
-    let service = match ServiceName::new(&service) {
+    let service = match service_name(service) {
         Ok(service) => service,
-        Err(e) => return bad_request(&e.to_string()),
+        Err(e) => return bad_request(&e),
     };
     let announcement = Announcement {
         service,
@@ -78,30 +81,35 @@
 
 async fn drain(
     State(announcer): State<Mailbox<AnnouncerMessage>>,
-    Path(service): Path<String>,
+    service: ServicePath,
 ) -> Response {
-    match ServiceName::new(&service) {
+    match service_name(service) {
         Ok(service) => {
             let asked = announcer.ask(|reply| AnnouncerMessage::Drain { service, reply });
             respond(asked.await)
         }
-        Err(e) => bad_request(&e.to_string()),
+        Err(e) => bad_request(&e),
     }
 }
 
 async fn leave(
     State(announcer): State<Mailbox<AnnouncerMessage>>,
-    Path(service): Path<String>,
+    service: ServicePath,
 ) -> Response {
-    match ServiceName::new(&service) {
+    match service_name(service) {
         Ok(service) => {
             let asked = announcer.ask(|reply| AnnouncerMessage::Leave { service, reply });
             respond(asked.await)
         }
-        Err(e) => bad_request(&e.to_string()),
+        Err(e) => bad_request(&e),
     }
 }
 
+fn service_name(path: ServicePath) -> Result<ServiceName, String> {
+    let Path(service) = path.map_err(|e| e.body_text())?;
+    ServiceName::new(&service).map_err(|e| e.to_string())
+}
+
 fn respond(asked: cornelvalve_kernel::Result<AnnounceResult>) -> Response {
     match asked {
         Ok(AnnounceResult::Accepted(lease)) => {
--- a/crates/daemon/src/body.rs
+++ b/crates/daemon/src/body.rs
@@ -135,23 +135,38 @@
 ///
 /// A long upload must not run into the time-out for the response head while data still flows.
 pub(crate) struct ProgressObserver {
-    last: watch::Sender<Instant>,
+    progress: watch::Sender<Progress>,
+}
+
+/// How far a request body has got.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Progress {
+    /// Moment of the last data.
+    pub(crate) last: Instant,
+    /// Whether its sender broke it off.
+    pub(crate) failed: bool,
 }
 
 impl ProgressObserver {
     /// Creates the observer and the receiver that sees its progress.
-    pub(crate) fn new() -> (Self, watch::Receiver<Instant>) {
-        let (last, progress) = watch::channel(Instant::now());
-        (Self { last }, progress)
+    pub(crate) fn new() -> (Self, watch::Receiver<Progress>) {
+        let (progress, receiver) = watch::channel(Progress {
+            last: Instant::now(),
+            failed: false,
+        });
+        (Self { progress }, receiver)
     }
 }
 
 impl BodyObserver for ProgressObserver {
     fn data(&mut self, _data: &Bytes) {
-        self.last.send_replace(Instant::now());
+        self.progress.send_modify(|p| p.last = Instant::now());
     }
 
-    fn end(&mut self, _end: BodyEnd) {
-        self.last.send_replace(Instant::now());
+    fn end(&mut self, end: BodyEnd) {
+        self.progress.send_replace(Progress {
+            last: Instant::now(),
+            failed: end == BodyEnd::Failed,
+        });
     }
 }
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -12,7 +12,7 @@
 use cornelvalve_model::{Reason, Refusal};
 use cornelvalve_wire::hop::CallerHead;
 use http::header::HOST;
-use http::{Request, Response};
+use http::{Method, Request, Response};
 use hyper::body::Incoming;
 
 use crate::body::Body;
@@ -125,13 +125,29 @@
 
 /// Returns the host that the request names, from its target or its header.
 fn host_of(request: &Request<Incoming>) -> Result<String> {
+    // A tunnel is no request with a response.
+    if request.method() == Method::CONNECT {
+        return Err(bad_request(
+            "method CONNECT is not served; send the request itself",
+        ));
+    }
+    let mut headers = request.headers().get_all(HOST).iter();
+    let (first, second) = (headers.next(), headers.next());
+    if second.is_some() {
+        return Err(bad_request("header host is repeated; send it once"));
+    }
     let target = request.uri().authority().map(|a| a.as_str());
-    let header = request.headers().get(HOST).and_then(|v| v.to_str().ok());
+    let header = first.and_then(|v| v.to_str().ok());
     target
         .or(header)
         .map(str::to_owned)
-        .ok_or_else(|| RouteRefusal {
-            refusal: Refusal::not_run(Reason::BadRequest),
-            detail: Some("header host is missing; name the service in it".to_owned()),
-        })
+        .ok_or_else(|| bad_request("header host is missing; name the service in it"))
+}
+
+/// Creates the refusal of a request that cannot be understood.
+fn bad_request(detail: &str) -> RouteRefusal {
+    RouteRefusal {
+        refusal: Refusal::not_run(Reason::BadRequest),
+        detail: Some(detail.to_owned()),
+    }
 }
--- a/crates/daemon/src/entry/forward.rs
+++ b/crates/daemon/src/entry/forward.rs
@@ -7,7 +7,7 @@
 use cornelvalve_model::{Fingerprint, LoadHint, Moment, Reason, Refusal};
 use cornelvalve_policy::{AttemptEnd, AttemptId, AttemptReport, Endpoint, Ticket};
 use cornelvalve_wire::hop::{self, CallerHead, HopHead};
-use http::header::{EXPECT, HeaderValue};
+use http::header::{EXPECT, HOST, HeaderValue};
 use http::request::Parts;
 use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
 use http_body_util::BodyExt;
@@ -71,7 +71,7 @@
         head,
         uri: origin_form(&parts),
         method: parts.method,
-        headers: forwarded_headers(parts.headers),
+        headers: forwarded_headers(&parts.uri, parts.headers),
         fingerprint,
         body,
         deadline,
@@ -88,7 +88,13 @@
     path.map(Uri::from).unwrap_or_default()
 }
 
-fn forwarded_headers(mut headers: HeaderMap) -> HeaderMap {
+fn forwarded_headers(target: &Uri, mut headers: HeaderMap) -> HeaderMap {
+    // The host of the target was routed, so the upstream must see no other one (RFC 9112, 3.2.2).
+    if let Some(host) = target.authority().map(|a| a.as_str())
+        && let Ok(host) = HeaderValue::from_str(host)
+    {
+        headers.insert(HOST, host);
+    }
     hop::strip_connection(&mut headers);
     hop::strip_internal(&mut headers);
     headers.remove(EXPECT);
--- a/crates/daemon/src/entry/tickets.rs
+++ b/crates/daemon/src/entry/tickets.rs
@@ -9,7 +9,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
-use super::{EntryHandler, Result, caller_head, host_of};
+use super::{EntryHandler, Result, bad_request, caller_head, host_of};
 use crate::body::{self, Body};
 use crate::exchange::HeadTimeout;
 use crate::peers::{TICKETS_PATH, TicketOrder};
@@ -79,13 +79,6 @@
     serde_json::from_slice(&bytes).map_err(|e| bad_request(&format!("correct the JSON body: {e}")))
 }
 
-fn bad_request(detail: &str) -> RouteRefusal {
-    RouteRefusal {
-        refusal: Refusal::not_run(Reason::BadRequest),
-        detail: Some(detail.to_owned()),
-    }
-}
-
 /// Asks the daemon beside a chosen upstream for tickets, and others if it refuses.
 async fn order_tickets(
     entry: &EntryHandler,
--- a/crates/daemon/src/exchange.rs
+++ b/crates/daemon/src/exchange.rs
@@ -12,7 +12,7 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 
-use crate::body::{Body, BodyEnd, BodyObserver, Observed};
+use crate::body::{Body, BodyEnd, BodyObserver, Observed, Progress};
 use crate::pool::{Connection, PoolMessage};
 
 /// Time that a reused connection gets to finish its previous exchange.
@@ -30,6 +30,9 @@
     /// The connection failed after the request was handed to it.
     #[display("connection failed during the exchange: {_0}; the outcome is unknown")]
     Lost(#[error(not(source))] String),
+    /// The sender of the request body broke it off, which says nothing about the server.
+    #[display("request body broke off: {_0}; the outcome is unknown")]
+    BodyFailed(#[error(not(source))] String),
     /// No response head arrived in time.
     #[display("no response in time; the outcome is unknown")]
     TimedOut,
@@ -40,7 +43,7 @@
     pub(crate) fn refusal(&self) -> Refusal {
         match self {
             Self::NotSent(_) => Refusal::not_run(Reason::Connection),
-            Self::Lost(_) => Refusal::unknown(Reason::Connection),
+            Self::Lost(_) | Self::BodyFailed(_) => Refusal::unknown(Reason::Connection),
             Self::TimedOut => Refusal::unknown(Reason::Deadline),
         }
     }
@@ -53,10 +56,16 @@
     pub(crate) deadline: Instant,
     /// Progress of a streamed request body with the time allowed after its last data; extends the
     /// deadline.
-    pub(crate) upload: Option<(watch::Receiver<Instant>, Duration)>,
+    pub(crate) upload: Option<(watch::Receiver<Progress>, Duration)>,
 }
 
 impl HeadTimeout {
+    /// Tells whether the sender of the request body broke it off.
+    fn body_failed(&self) -> bool {
+        let upload = self.upload.as_ref();
+        upload.is_some_and(|(progress, _)| progress.borrow().failed)
+    }
+
     /// Waits until the time is over.
     async fn elapsed(&self) {
         let mut until = self.deadline;
@@ -65,7 +74,7 @@
             let Some((progress, allowance)) = &self.upload else {
                 return;
             };
-            until = *progress.borrow() + *allowance;
+            until = progress.borrow().last + *allowance;
             if until <= Instant::now() {
                 return;
             }
@@ -110,6 +119,9 @@
                     // The server closed an idle connection before the request was written to it.
                     Some(unsent) if reused => request = unsent,
                     Some(_) => return Err(ExchangeError::NotSent(e.into_error().to_string())),
+                    None if timeout.body_failed() => {
+                        return Err(ExchangeError::BodyFailed(e.into_error().to_string()));
+                    }
                     None => return Err(ExchangeError::Lost(e.into_error().to_string())),
                 },
             }
--- a/crates/daemon/src/peers/deliver.rs
+++ b/crates/daemon/src/peers/deliver.rs
@@ -117,7 +117,7 @@
     match error {
         ExchangeError::NotSent(_) => PermitEnd::NotSent,
         ExchangeError::Lost(_) => PermitEnd::Lost,
-        ExchangeError::TimedOut => PermitEnd::Cancelled,
+        ExchangeError::BodyFailed(_) | ExchangeError::TimedOut => PermitEnd::Cancelled,
     }
 }
 
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -1,5 +1,9 @@
 //! Integration tests, one module a topic.
 
+mod bad_control;
+mod bad_records;
+mod bad_requests;
+mod bad_settings;
 mod demo;
 mod events;
 mod metrics;
--- a/tests/all/support.rs
+++ b/tests/all/support.rs
@@ -4,8 +4,10 @@
 mod mesh;
 mod process;
 mod raw;
+mod rig;
 
 pub(crate) use http::{request, send};
 pub(crate) use mesh::{DaemonProcess, Mesh, VmSpec};
 pub(crate) use process::{ctl_json, eventually, run};
-pub(crate) use raw::raw_upstream;
+pub(crate) use raw::{raw_exchange, raw_text, raw_upstream};
+pub(crate) use rig::Rig;
--- a/tests/all/support/raw.rs
+++ b/tests/all/support/raw.rs
@@ -1,9 +1,10 @@
-//! Upstream that answers fixed bytes and hands over what it was sent.
+//! Exchanges of bytes: an upstream with a fixed answer, and connections without an HTTP library.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 
 use super::http::{request, send};
@@ -40,3 +41,25 @@
     assert!(answer.status.is_success(), "{answer:?}");
     received
 }
+
+/// Time for which an answer to raw bytes is awaited on a busy machine.
+const PATIENCE: Duration = Duration::from_secs(60);
+
+/// Sends bytes over a connection of its own and returns all that comes back until it is closed.
+pub(crate) async fn raw_exchange(addr: SocketAddr, bytes: &[u8]) -> Vec<u8> {
+    let mut stream = TcpStream::connect(addr).await.expect("listener accepts");
+    // The other side may answer and close before it has read everything.
+    let _ = stream.write_all(bytes).await;
+    let mut answer = Vec::new();
+    let reading = stream.read_to_end(&mut answer);
+    let read = tokio::time::timeout(PATIENCE, reading).await;
+    // A reset after the answer is an end like any other.
+    let _ = read.expect("the connection is closed");
+    answer
+}
+
+/// Sends bytes and returns the answer as text.
+pub(crate) async fn raw_text(addr: SocketAddr, bytes: impl AsRef<[u8]>) -> String {
+    let answer = raw_exchange(addr, bytes.as_ref()).await;
+    String::from_utf8_lossy(&answer).into_owned()
+}
--- /dev/null
+++ b/tests/all/support/rig.rs
@@ -0,0 +1,59 @@
+//! Two daemons with an upstream beside the second.
+
+use super::http::{request, send};
+use super::mesh::{DaemonProcess, Mesh, VmSpec};
+use super::process::Process;
+
+const EST_A: VmSpec = VmSpec {
+    vm: "est-a-1",
+    region: "qc-est",
+    domain: "est-a",
+};
+
+const EST_B: VmSpec = VmSpec {
+    vm: "est-b-1",
+    region: "qc-est",
+    domain: "est-b",
+};
+
+/// Mesh that serves `estimateur.test`, with an at-most-once route `/file`.
+pub(crate) struct Rig {
+    pub(crate) entry: DaemonProcess,
+    pub(crate) beside: DaemonProcess,
+    _upstream: Process,
+    pub(crate) mesh: Mesh,
+}
+
+impl Rig {
+    /// Starts the mesh and waits until a request is answered.
+    pub(crate) async fn start(name: &str) -> Self {
+        Self::start_in(Mesh::start(name)).await
+    }
+
+    /// Starts the daemons in a mesh.
+    pub(crate) async fn start_in(mesh: Mesh) -> Self {
+        let entry = mesh.daemon(EST_A, &[]);
+        let beside = mesh.daemon(EST_B, &[entry.peers]);
+        entry.wait_for_members(2).await;
+        let (upstream, _) = beside.start_upstream("estimateur", 10);
+        entry.put_service("estimateur", &["file=/file:at-most-once", "rest=/"]);
+        entry.wait_for_service("estimateur").await;
+        Self {
+            entry,
+            beside,
+            _upstream: upstream,
+            mesh,
+        }
+    }
+
+    /// Checks that requests are answered and that no daemon has panicked.
+    pub(crate) async fn check_undisturbed(&self, after: &str) {
+        let get = request("GET", "estimateur.test", "/", &[], "");
+        let answer = send(self.entry.callers, get).await.expect("answer");
+        assert_eq!(answer.status, 200, "after {after}: {answer:?}");
+        for daemon in [&self.entry, &self.beside] {
+            let lines = daemon.log_lines();
+            assert!(!lines.contains("panicked"), "after {after}: {lines}");
+        }
+    }
+}
