--- a/crates/daemon/src/entry/forward.rs
+++ b/crates/daemon/src/entry/forward.rs
@@ -72,7 +72,7 @@
         plan: Arc::new(plan),
         head,
         uri: origin_form(&parts),
-        headers: forwarded_headers(parts.headers, &parts.uri),
+        headers: forwarded_headers(&parts.uri, parts.headers),
         method: parts.method,
         fingerprint,
         body,
@@ -90,10 +90,11 @@
     path.map(Uri::from).unwrap_or_default()
 }
 
-fn forwarded_headers(mut headers: HeaderMap, uri: &Uri) -> HeaderMap {
-    // HTTP/2 names the host in the target instead.
-    let authority = uri.authority().map(|a| HeaderValue::try_from(a.as_str()));
-    if let (false, Some(Ok(host))) = (headers.contains_key(HOST), authority) {
+fn forwarded_headers(target: &Uri, mut headers: HeaderMap) -> HeaderMap {
+    // The host of the target was routed, so the upstream must see no other one (RFC 9112, 3.2.2).
+    if let Some(host) = target.authority().map(|a| a.as_str())
+        && let Ok(host) = HeaderValue::from_str(host)
+    {
         headers.insert(HOST, host);
     }
     hop::strip_connection(&mut headers);
--- a/crates/daemon/src/peers/deliver.rs
+++ b/crates/daemon/src/peers/deliver.rs
@@ -127,7 +127,7 @@
             return (PermitEnd::Died, Refusal::unknown(Reason::CrashSuspect));
         }
         ExchangeError::Lost(_) => PermitEnd::Lost,
-        ExchangeError::TimedOut => PermitEnd::Cancelled,
+        ExchangeError::BodyFailed(_) | ExchangeError::TimedOut => PermitEnd::Cancelled,
     };
     (end, error.refusal())
 }
--- a/tests/all/support.rs
+++ b/tests/all/support.rs
@@ -5,13 +5,15 @@
 mod mesh;
 mod process;
 mod raw;
+mod rig;
 mod tickets;
 mod upstream;
 
-pub(crate) use fixed::raw_upstream;
+pub(crate) use fixed::{raw_exchange, raw_text, raw_upstream};
 pub(crate) use http::{Answer, request, send};
 pub(crate) use mesh::{DaemonOptions, DaemonProcess, Mesh, VmSpec};
 pub(crate) use process::{Process, ctl_json, eventually, run};
 pub(crate) use raw::{RawUpstream, Stage};
+pub(crate) use rig::Rig;
 pub(crate) use tickets::{ticket, with_ticket};
 pub(crate) use upstream::{announce, runs, try_runs};
