Prove rolling restarts and a domain's leave under load

Cause: only a stop of one daemon with one request was tested.

Change: four daemons, each with an upstream, are restarted one after another on new ports, and a failure domain leaves with the log stand-in killed. Callers go on with requests that must not be repeated, through the daemons that stay; each answered one must have run exactly once by the counters of all upstreams, and only truthful refusals may be taken elsewhere. Uploads of unknown length are fed until the guard of the stopping daemon drains, which an order for tickets shows, and one more enters through that daemon; all must be answered.

--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -2,5 +2,6 @@
 
 mod leaving;
 mod path;
+mod rolling;
 mod stop;
 mod support;
