Confirm the configuration by number after a pause

Cause: any page of the log ended the guard's wait after a pause, also a response that had waited in a socket buffer and lacked the change that took the failure domain out. After 2 s the guard went on even if the log was only slow. Load that returned with a failure domain met the limit that had grown before.

Change: the guard asks the catalog with a number. A task of its own (catalog/ confirm.rs) reads the log to its end or asks up to three readers of the region, other failure domains first, over new connections; both begin after the question. The catalog answers with the number and the configuration once all that was shown is applied. A reader begins with the log, the others with peers, so that VMs that wake together do not flood the log. Only when neither answered for 2 s does the guard go on. Configuration pulls are charged to the region link when the peer stands in another region.

The check at dispatch has no test of its own.

Conclusion: a woken daemon admits nothing on a configuration that it has not confirmed; a daemon that started while the log was stopped refuses as well.

--- a/crates/daemon/src/catalog.rs
+++ b/crates/daemon/src/catalog.rs
@@ -1,10 +1,10 @@
 //! Catalog service: applies configuration records and publishes the accepted configuration.
 
+mod confirm;
 mod follower;
 mod recent;
 mod state;
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -14,8 +14,10 @@
 use cornelvalve_logstore::{LogStore, Page};
 use cornelvalve_model::{ChangeId, Offset, Revision};
 
+use crate::membership::PeerAddress;
 use crate::names::{BUDGET, CATALOG, GUARD, MEMBERSHIP, ROUTER};
 use crate::timeline::TIMELINE;
+pub(crate) use confirm::ConfirmMessage;
 use state::{CatalogState, Outbound};
 
 /// Name of the stream that carries the configuration.
@@ -50,8 +52,8 @@
     },
     /// A peer has applied a later revision.
     PeerAhead {
-        /// Its address for operators' calls.
-        operator_addr: SocketAddr,
+        /// Where it answers.
+        peer: PeerAddress,
         /// Its revision.
         revision: Revision,
     },
@@ -66,6 +68,8 @@
         /// Receives them; `None` if they are no longer kept.
         reply: Reply<Option<PeerRecords>>,
     },
+    /// Concerns a confirmation for the guard.
+    Confirm(ConfirmMessage),
     /// Sends the configuration to the services that need it again.
     Republish,
     /// Returns the configuration.
--- a/crates/daemon/src/catalog/state.rs
+++ b/crates/daemon/src/catalog/state.rs
@@ -1,6 +1,5 @@
 //! State of the catalog service.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 
 use cornelvalve_api::{Event, LogStoreState, OperatorsClient, PeerRecords};
@@ -18,7 +17,7 @@
 use super::{CatalogMessage, LogRead};
 use crate::budget::BudgetMessage;
 use crate::guard::GuardMessage;
-use crate::membership::MembershipMessage;
+use crate::membership::{MembershipMessage, PeerAddress};
 use crate::router::RouterMessage;
 use crate::timeline::{self, TimelineMessage};
 
@@ -29,6 +28,7 @@
 const PULL_BYTES: u32 = 2048;
 
 /// Services that the catalog talks to.
+#[derive(Clone)]
 pub(super) struct Outbound {
     pub(super) own: Mailbox<CatalogMessage>,
     pub(super) guard: Mailbox<GuardMessage>,
@@ -91,12 +91,10 @@
         match message {
             CatalogMessage::Read(read) => self.take_read(read),
             CatalogMessage::Role { is_reader } => self.set_role(is_reader),
-            CatalogMessage::PeerAhead {
-                operator_addr,
-                revision,
-            } => self.pull(operator_addr, revision),
+            CatalogMessage::PeerAhead { peer, revision } => self.pull(peer, revision),
             CatalogMessage::Pulled(pulled) => self.take_pulled(pulled),
             CatalogMessage::Pull { after, max, reply } => reply.send(self.records(after, max)),
+            CatalogMessage::Confirm(message) => self.confirm(message),
             CatalogMessage::Republish => self.publish(Arc::new(self.catalog.clone())),
             CatalogMessage::Current { reply } => reply.send(Arc::new(self.catalog.clone())),
             CatalogMessage::Verdict { id, offset, reply } => {
@@ -150,7 +148,6 @@
             LogRead::Page(page) => {
                 self.set_log_store(LogStoreState::Reachable);
                 self.apply_page(&page);
-                self.confirm();
             }
             LogRead::Gone { first_retained } => {
                 log::warn!(
@@ -161,7 +158,7 @@
         }
     }
 
-    fn apply_page(&mut self, page: &Page) {
+    pub(super) fn apply_page(&mut self, page: &Page) {
         for record in &page.records {
             if self.apply_record(record) == Progress::Restored {
                 // Records between the covered offset and the snapshot were skipped before.
@@ -225,11 +222,6 @@
         }
     }
 
-    fn confirm(&self) {
-        // The guard waits for it only after a pause, and gives up by itself.
-        let _ = self.outbound.guard.try_send(GuardMessage::Confirmed);
-    }
-
     fn answer_waiters(&mut self) {
         let next = self.catalog.next_offset();
         let (due, waiting) = std::mem::take(&mut self.waiters)
@@ -243,7 +235,7 @@
     }
 
     /// Asks a peer for the records that this daemon lacks; one pull at a time.
-    fn pull(&mut self, operator_addr: SocketAddr, revision: Revision) {
+    fn pull(&mut self, peer: PeerAddress, revision: Revision) {
         if self.is_pulling || revision <= self.catalog.revision() {
             return;
         }
@@ -252,7 +244,7 @@
         let own = self.outbound.own.clone();
         let budget = self.outbound.budget.clone();
         tokio::spawn(async move {
-            let pulled = pull_from(operator_addr, after, &budget).await;
+            let pulled = pull_from(peer, after, &budget).await;
             // If the catalog restarted meanwhile, it pulls again by itself.
             let _ = own.send(CatalogMessage::Pulled(pulled)).await;
         });
@@ -260,9 +252,13 @@
 
     fn take_pulled(&mut self, pulled: Option<PeerRecords>) {
         self.is_pulling = false;
-        let Some(pulled) = pulled else {
-            return;
-        };
+        if let Some(pulled) = pulled {
+            self.apply_pulled(pulled);
+        }
+    }
+
+    /// Applies what a peer handed over.
+    pub(super) fn apply_pulled(&mut self, pulled: PeerRecords) {
         if let Some(snapshot) = &pulled.snapshot
             && matches!(
                 self.catalog.restore(snapshot),
@@ -276,7 +272,26 @@
             self.apply(record.offset, entry.ok_or("record cannot be decoded"));
         }
         self.publish_changes();
-        self.confirm();
+    }
+
+    /// Returns the configuration.
+    pub(super) fn catalog(&self) -> &Catalog {
+        &self.catalog
+    }
+
+    /// Returns the log store.
+    pub(super) fn store(&self) -> Arc<dyn LogStore> {
+        Arc::clone(&self.store)
+    }
+
+    /// Returns the other services.
+    pub(super) fn outbound(&self) -> &Outbound {
+        &self.outbound
+    }
+
+    /// Tells whether this daemon reads the log.
+    pub(super) fn is_reader(&self) -> bool {
+        self.follower.is_some()
     }
 
     fn records(&self, after: Offset, max: usize) -> Option<PeerRecords> {
@@ -294,27 +309,28 @@
     }
 }
 
-async fn pull_from(
-    operator_addr: SocketAddr,
+/// Asks a peer for the records from an offset on.
+pub(super) async fn pull_from(
+    peer: PeerAddress,
     after: Offset,
     budget: &Mailbox<BudgetMessage>,
 ) -> Option<PeerRecords> {
     let charged = budget.ask(|reply| BudgetMessage::Charge {
         class: TrafficClass::Configuration,
         bytes: PULL_BYTES,
-        crosses_region: false,
+        crosses_region: peer.crosses_region,
         reply,
     });
     if !matches!(charged.await, Ok(BudgetVerdict::Send)) {
         return None;
     }
     let client = HttpClientBuilder::default()
-        .build(format!("http://{operator_addr}"))
+        .build(format!("http://{}", peer.operator_addr))
         .ok()?;
     match client.peer_records(after, PULL_RECORDS).await {
         Ok(records) => Some(records),
         Err(e) => {
-            log::debug!("records were not pulled from {operator_addr}: {e}");
+            log::debug!("records were not pulled from {}: {e}", peer.operator_addr);
             None
         }
     }
--- a/crates/daemon/src/guard.rs
+++ b/crates/daemon/src/guard.rs
@@ -4,6 +4,7 @@
 //! [`Permit`], which reports its end even if the task that holds it is cancelled.
 
 mod calls;
+mod confirm;
 mod state;
 
 use std::net::SocketAddr;
@@ -141,8 +142,13 @@
     Upstreams(Upstreams),
     /// A newer configuration.
     Catalog(Arc<Catalog>),
-    /// The configuration was confirmed by the log or a peer.
-    Confirmed,
+    /// The configuration as the log or peers confirmed it after a pause of the process.
+    Confirmed {
+        /// Number of the guard's question.
+        number: u64,
+        /// The configuration.
+        catalog: Arc<Catalog>,
+    },
     /// Refuses new work; replies when nothing runs any more.
     Drain {
         /// Receives the end of the drain.
@@ -176,7 +182,7 @@
     let catalog = context.registry.mailbox(CATALOG)?;
     let _ = catalog.try_send(CatalogMessage::Republish);
     let (reports, mut finished) = mpsc::unbounded_channel();
-    let mut state = GuardState::new(settings, reports, context.clock.now());
+    let mut state = GuardState::new(settings, reports, catalog, context.clock.now());
     loop {
         tokio::select! {
             () = context.stop.requested() => return Ok(()),
@@ -201,7 +207,7 @@
         } => reply.send(state.issue(&service, count, now)),
         GuardMessage::Upstreams(upstreams) => state.set_upstreams(upstreams, now),
         GuardMessage::Catalog(catalog) => state.set_catalog(catalog, now),
-        GuardMessage::Confirmed => state.confirm(),
+        GuardMessage::Confirmed { number, catalog } => state.confirm(number, catalog, now),
         GuardMessage::Drain { reply } => state.drain(reply, now),
         GuardMessage::Load { reply } => reply.send(state.load()),
         GuardMessage::Tick(tick) => state.tick(tick),
--- a/crates/daemon/src/guard/state.rs
+++ b/crates/daemon/src/guard/state.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use cornelvalve_catalog::{Catalog, Residency};
-use cornelvalve_kernel::{Reply, Tick};
+use cornelvalve_kernel::{Mailbox, Reply, Tick};
 use cornelvalve_model::{
     DomainState, FailureDomain, Incarnation, LoadHint, Moment, Reason, Refusal, Region, Revision,
     ServiceName, Upstream, UpstreamState, VmName,
@@ -19,7 +19,9 @@
 use tokio::sync::mpsc;
 
 use super::calls::{Calls, call_id, request_id};
+use super::confirm::Confirmation;
 use super::{Admitted, Call, Permit, PermitEnd, PermitReport, UpstreamLoad, Upstreams};
+use crate::catalog::CatalogMessage;
 use crate::completion::Completion;
 
 /// Result alias of this module.
@@ -28,10 +30,6 @@
 /// Delay of a tick from which the process counts as paused; longer than any delay under full load.
 const PAUSE_THRESHOLD: Duration = Duration::from_secs(1);
 
-/// Time after a pause for which the guard waits for a confirmed configuration before it goes on
-/// without one, so that an outage of log and peers does not stop service.
-const CONFIRM_WAIT: Duration = Duration::from_secs(2);
-
 /// What the guard must know about its place.
 #[derive(Clone, Debug)]
 pub(crate) struct GuardSettings {
@@ -62,7 +60,9 @@
     calls: Calls,
     tickets: TicketTable,
     suspects: SuspectList,
-    unconfirmed_until: Option<Moment>,
+    confirmation: Confirmation,
+    /// Whether a pause since the last tick was noted before that tick.
+    pause_noted: bool,
     last_tick: Moment,
     drained: Vec<Reply<()>>,
     draining: bool,
@@ -73,6 +73,7 @@
     pub(super) fn new(
         settings: GuardSettings,
         reports: mpsc::UnboundedSender<PermitReport>,
+        catalog: Mailbox<CatalogMessage>,
         now: Moment,
     ) -> Self {
         let tickets = TicketTable::new(settings.tickets, settings.vm.clone(), settings.incarnation);
@@ -85,7 +86,8 @@
             calls: Calls::default(),
             tickets,
             suspects,
-            unconfirmed_until: None,
+            confirmation: Confirmation::new(catalog),
+            pause_noted: false,
             last_tick: now,
             drained: Vec::new(),
             draining: false,
@@ -135,7 +137,7 @@
 
     /// Checks the rules that an entry with an older configuration may not know.
     fn check_rules(&self, call: &Call) -> Result<()> {
-        if self.unconfirmed_until.is_some() {
+        if self.confirmation.is_open() {
             return Err(Refusal::not_run(Reason::StaleConfiguration));
         }
         let catalog = self.catalog.as_deref();
@@ -206,6 +208,8 @@
             return Err(Refusal::not_run(Reason::Internal));
         };
         let call = pending.call.clone();
+        // The rules may have changed while the request was queued.
+        self.check_rules(&call)?;
         let running = self.calls.running().count();
         match self.suspects.start(call.fingerprint, running, now) {
             cornelvalve_policy::Start::Run => {}
@@ -241,6 +245,7 @@
 
     /// Takes the end of a request that had a permit.
     pub(super) fn finish(&mut self, id: RequestId, end: PermitEnd, now: Moment) {
+        self.note_pause(now);
         let Some(pending) = self.calls.remove(id) else {
             return;
         };
@@ -395,13 +400,31 @@
     }
 
     /// Takes a newer configuration.
-    pub(super) fn set_catalog(&mut self, catalog: Arc<Catalog>, _now: Moment) {
+    pub(super) fn set_catalog(&mut self, catalog: Arc<Catalog>, now: Moment) {
+        let was_out = self.is_out();
         self.catalog = Some(catalog);
+        if was_out && !self.is_out() {
+            self.restart_cold(now);
+        }
+    }
+
+    fn is_out(&self) -> bool {
+        let state = |c: &Arc<Catalog>| c.domain_state(&self.settings.domain);
+        self.catalog.as_ref().map(state) == Some(DomainState::OutOfService)
     }
 
-    /// Ends the wait after a pause.
-    pub(super) fn confirm(&mut self) {
-        self.unconfirmed_until = None;
+    /// Lets the load that returns with the failure domain ramp up as after a cold start.
+    fn restart_cold(&mut self, now: Moment) {
+        self.every_admission(AdmissionEvent::UpstreamLost, now);
+        let upstreams = self.locals.values().map(|l| l.upstream.clone()).collect();
+        self.set_upstreams(upstreams, now);
+    }
+
+    /// Takes the configuration as confirmed after a pause.
+    pub(super) fn confirm(&mut self, number: u64, catalog: Arc<Catalog>, now: Moment) {
+        if self.confirmation.end(number) {
+            self.set_catalog(catalog, now);
+        }
     }
 
     /// Stops admission and remembers whom to tell when nothing runs any more.
@@ -434,26 +457,26 @@
 
     /// Does the periodic work.
     pub(super) fn tick(&mut self, tick: Tick) {
-        if tick.late > PAUSE_THRESHOLD {
-            self.unconfirmed_until = Some(tick.now + CONFIRM_WAIT);
-        }
         self.note_pause(tick.now);
-        self.last_tick = tick.now;
-        if self
-            .unconfirmed_until
-            .is_some_and(|until| tick.now >= until)
-        {
-            self.unconfirmed_until = None;
+        // A pause of the VM can show only as a late tick; one noted before must not ask twice.
+        if tick.late > PAUSE_THRESHOLD && !self.pause_noted {
+            self.confirmation.ask(tick.now);
         }
+        self.pause_noted = false;
+        self.last_tick = tick.now;
+        self.confirmation.tick(tick.now);
         self.tickets.tick(tick.now);
         self.forget_abandoned(tick.now);
         self.every_admission(AdmissionEvent::Tick, tick.now);
     }
 
-    /// Notices a pause before the first tick after it arrives.
+    /// Notices a pause before the first tick after it arrives; the moment then counts as a tick, so
+    /// that one pause asks once.
     fn note_pause(&mut self, now: Moment) {
-        if now.since(self.last_tick) > PAUSE_THRESHOLD && self.unconfirmed_until.is_none() {
-            self.unconfirmed_until = Some(now + CONFIRM_WAIT);
+        if now.since(self.last_tick) > PAUSE_THRESHOLD {
+            self.last_tick = now;
+            self.pause_noted = true;
+            self.confirmation.ask(now);
         }
     }
 
--- a/crates/daemon/src/membership.rs
+++ b/crates/daemon/src/membership.rs
@@ -7,7 +7,7 @@
 use cornelvalve_budget::Verdict;
 use cornelvalve_kernel::{Context, Mailbox, Reply, ServiceResult, TIMER, TimerMessage};
 use cornelvalve_membership::{Action, Event, Membership, MembershipSettings, Message};
-use cornelvalve_model::{Member, Moment, Revision, VmName};
+use cornelvalve_model::{Member, Moment, Region, Revision, VmName};
 use cornelvalve_wire::datagram;
 use tokio::net::UdpSocket;
 
@@ -33,6 +33,24 @@
     pub(crate) reachable: bool,
 }
 
+/// Where a member answers configuration pulls.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct PeerAddress {
+    /// Its address for operators' calls.
+    pub(crate) operator_addr: SocketAddr,
+    /// Whether it stands in another region.
+    pub(crate) crosses_region: bool,
+}
+
+impl PeerAddress {
+    fn of(member: &Member, own: &Region) -> Self {
+        Self {
+            operator_addr: member.operator_addr,
+            crosses_region: member.region != *own,
+        }
+    }
+}
+
 /// Messages to the membership service.
 #[derive(Debug)]
 pub(crate) enum MembershipMessage {
@@ -58,6 +76,11 @@
         /// Receives the number of members that confirmed and the others.
         reply: Reply<(u32, Vec<VmName>)>,
     },
+    /// Lists a few members of the region that can confirm the configuration.
+    ConfirmationPeers {
+        /// Receives them.
+        reply: Reply<Vec<PeerAddress>>,
+    },
     /// Periodic tick.
     Tick,
 }
@@ -144,6 +167,12 @@
             MembershipMessage::Unconfirmed { revision, reply } => {
                 reply.send(self.unconfirmed(revision));
             }
+            MembershipMessage::ConfirmationPeers { reply } => {
+                let region = self.membership.own().region.clone();
+                let peers = self.membership.confirmation_peers();
+                let peers = peers.into_iter();
+                reply.send(peers.map(|m| PeerAddress::of(m, &region)).collect());
+            }
             MembershipMessage::Tick => {
                 if self.is_router_behind {
                     self.publish_all();
@@ -172,18 +201,7 @@
                     message,
                 } => self.send(to, crosses_region, class, &message).await,
                 Action::MemberChanged(vm) => changed.push(vm),
-                Action::PeerRevision {
-                    operator_addr,
-                    revision,
-                    ..
-                } => {
-                    let ahead = CatalogMessage::PeerAhead {
-                        operator_addr,
-                        revision,
-                    };
-                    // The next probe reports the same revision again.
-                    let _ = self.catalog.try_send(ahead);
-                }
+                Action::PeerRevision { vm, revision, .. } => self.report_ahead(&vm, revision),
                 Action::RegionChanged(region) => {
                     let reachable = self.membership.is_region_reachable(&region);
                     log::info!(region = region.as_str(), reachable = reachable; "region changed");
@@ -196,6 +214,16 @@
         self.publish(changed);
     }
 
+    fn report_ahead(&self, vm: &VmName, revision: Revision) {
+        if let Some(member) = self.membership.get(vm) {
+            let peer = PeerAddress::of(member, &self.membership.own().region);
+            // The next probe reports the same revision again.
+            let _ = self
+                .catalog
+                .try_send(CatalogMessage::PeerAhead { peer, revision });
+        }
+    }
+
     async fn send(
         &self,
         to: SocketAddr,
--- a/crates/membership/src/membership.rs
+++ b/crates/membership/src/membership.rs
@@ -39,6 +39,9 @@
 /// Revision queries sent a tick, so that a query of 15,000 members keeps within the budget.
 const QUERIES_PER_TICK: usize = 16;
 
+/// Members that are asked to confirm the configuration.
+const CONFIRMATION_PEERS: usize = 3;
+
 /// Due times of periodic work.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Due {
@@ -320,6 +323,20 @@
         self.table.readers(domain)
     }
 
+    /// Chooses members of the region whose answers confirm the configuration: readers, because
+    /// they learn of changes first, and those of other failure domains before the own one, because
+    /// a failure or pause often concerns a whole failure domain.
+    #[must_use]
+    pub fn confirmation_peers(&mut self) -> SmallVec<[&Member; 3]> {
+        let own = self.table.own();
+        let domains = self.table.local_domains();
+        let readers = domains.into_iter().flat_map(|d| self.table.readers(d));
+        let mut peers: Vec<&Member> = readers.filter(|m| m.vm != own.vm).collect();
+        peers.shuffle(&mut self.rng);
+        peers.sort_by_key(|member| member.domain == own.domain);
+        peers.into_iter().take(CONFIRMATION_PEERS).collect()
+    }
+
     /// Tells whether this daemon is a reader of its failure domain.
     #[must_use]
     pub fn is_own_reader(&self) -> bool {
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -1,5 +1,6 @@
 //! Integration tests, one module a topic.
 
+mod domain;
 mod leaving;
 mod path;
 mod rolling;
--- a/tests/all/support.rs
+++ b/tests/all/support.rs
@@ -7,7 +7,7 @@
 mod upload;
 mod upstream;
 
-pub(crate) use http::{request, send};
+pub(crate) use http::{Answer, request, send};
 pub(crate) use load::{Load, Tally};
 pub(crate) use mesh::{DaemonProcess, Mesh, VmSpec};
 pub(crate) use process::{Process, eventually};
--- a/tests/all/support/mesh.rs
+++ b/tests/all/support/mesh.rs
@@ -5,6 +5,7 @@
 
 use serde_json::Value;
 
+use super::http::{request, send};
 use super::process::{Process, cornelctl, eventually};
 
 /// Where a VM stands.
@@ -46,6 +47,16 @@
         }
     }
 
+    /// Replaces the faults of the log stand-in.
+    pub(crate) async fn set_log_faults(&self, faults: &'static str) {
+        let headers = [("content-type", "application/json")];
+        let put = request("PUT", "standin", "/faults", &headers, faults);
+        let answer = send(self.log_addr, put)
+            .await
+            .expect("log stand-in answers");
+        assert_eq!(answer.status, 204, "{answer:?}");
+    }
+
     /// Starts a daemon that knows nothing but the log and one peer.
     pub(crate) fn daemon(&self, spec: VmSpec, seeds: &[SocketAddr]) -> DaemonProcess {
         let seeds: Vec<String> = seeds
