--- a/crates/daemon/src/guard.rs
+++ b/crates/daemon/src/guard.rs
@@ -5,6 +5,7 @@
 
 mod admission;
 mod calls;
+mod confirm;
 mod crashes;
 mod events;
 mod rules;
@@ -150,8 +151,13 @@
     Upstreams(Upstreams),
     /// A newer configuration.
     Catalog(Arc<Catalog>),
-    /// The configuration was confirmed by the log or a peer.
-    Confirmed,
+    /// The configuration as the log or peers confirmed it after a pause of the process.
+    Confirmed {
+        /// Number of the guard's question.
+        number: u64,
+        /// The configuration.
+        catalog: Arc<Catalog>,
+    },
     /// Refuses new work; replies when nothing runs any more.
     Drain {
         /// Receives the end of the drain.
@@ -186,7 +192,7 @@
     let _ = catalog.try_send(CatalogMessage::Republish);
     let mut events = GuardEvents::new(context.registry.mailbox(TIMELINE)?);
     let (reports, mut finished) = mpsc::unbounded_channel();
-    let mut state = GuardState::new(settings, reports, context.clock.now());
+    let mut state = GuardState::new(settings, reports, catalog, context.clock.now());
     loop {
         tokio::select! {
             () = context.stop.requested() => return Ok(()),
@@ -215,8 +221,8 @@
             reply,
         } => reply.send(state.issue(&service, count, now)),
         GuardMessage::Upstreams(upstreams) => state.set_upstreams(upstreams, now),
-        GuardMessage::Catalog(catalog) => state.set_catalog(catalog),
-        GuardMessage::Confirmed => state.confirm(),
+        GuardMessage::Catalog(catalog) => state.set_catalog(catalog, now),
+        GuardMessage::Confirmed { number, catalog } => state.confirm(number, catalog, now),
         GuardMessage::Drain { reply } => state.drain(reply, now),
         GuardMessage::Load { reply } => reply.send(state.load()),
         GuardMessage::Tick(tick) => state.tick(tick),
--- a/crates/daemon/src/guard/admission.rs
+++ b/crates/daemon/src/guard/admission.rs
@@ -101,6 +101,8 @@
             return Err(Refusal::not_run(Reason::Internal));
         };
         let call = &pending.call;
+        // The rules may have changed while the request was queued.
+        self.rules.check(call)?;
         let running = self.calls.running().count();
         match self.crashes.suspects.start(call.fingerprint, running, now) {
             Start::Run => {}
@@ -139,6 +141,7 @@
 
     /// Takes the end of a request that had a permit.
     pub(super) fn finish(&mut self, id: RequestId, end: PermitEnd, now: Moment) {
+        self.rules.note_pause(now);
         let Some(pending) = self.calls.remove(id) else {
             return;
         };
--- a/crates/daemon/src/guard/rules.rs
+++ b/crates/daemon/src/guard/rules.rs
@@ -4,11 +4,13 @@
 use std::time::Duration;
 
 use cornelvalve_catalog::{Catalog, Residency};
-use cornelvalve_kernel::Tick;
+use cornelvalve_kernel::{Mailbox, Tick};
 use cornelvalve_model::{DomainState, FailureDomain, Moment, Reason, Refusal, Region, Revision};
 use cornelvalve_policy::HomeRegions;
 
 use super::Call;
+use super::confirm::Confirmation;
+use crate::catalog::CatalogMessage;
 
 /// Result alias of this module.
 type Result<T> = std::result::Result<T, Refusal>;
@@ -16,34 +18,38 @@
 /// Delay of a tick from which the process counts as paused; longer than any delay under full load.
 pub(super) const PAUSE_THRESHOLD: Duration = Duration::from_secs(1);
 
-/// Time after a pause for which the guard waits for a confirmed configuration before it goes on
-/// without one, so that an outage of log and peers does not stop service.
-const CONFIRM_WAIT: Duration = Duration::from_secs(2);
-
 /// Configuration as far as it binds this place, and whether it may be out of date.
 pub(super) struct Rules {
     region: Region,
     domain: FailureDomain,
     catalog: Option<Arc<Catalog>>,
-    unconfirmed_until: Option<Moment>,
+    confirmation: Confirmation,
+    /// Whether a pause since the last tick was noted before that tick.
+    pause_noted: bool,
     last_tick: Moment,
 }
 
 impl Rules {
     /// Creates rules that refuse everything until there is a configuration.
-    pub(super) fn new(region: Region, domain: FailureDomain, now: Moment) -> Self {
+    pub(super) fn new(
+        region: Region,
+        domain: FailureDomain,
+        catalog: Mailbox<CatalogMessage>,
+        now: Moment,
+    ) -> Self {
         Self {
             region,
             domain,
             catalog: None,
-            unconfirmed_until: None,
+            confirmation: Confirmation::new(catalog),
+            pause_noted: false,
             last_tick: now,
         }
     }
 
     /// Checks a request against the configuration.
     pub(super) fn check(&self, call: &Call) -> Result<()> {
-        if self.unconfirmed_until.is_some() {
+        if self.confirmation.is_open() {
             return Err(Refusal::not_run(Reason::StaleConfiguration));
         }
         let catalog = self.catalog.as_deref();
@@ -73,33 +79,42 @@
         }
     }
 
-    /// Takes a newer configuration.
-    pub(super) fn set_catalog(&mut self, catalog: Arc<Catalog>) {
+    /// Takes a newer configuration and tells whether it returns the failure domain to service.
+    pub(super) fn set_catalog(&mut self, catalog: Arc<Catalog>) -> bool {
+        let was_out = self.is_out();
         self.catalog = Some(catalog);
+        was_out && !self.is_out()
+    }
+
+    fn is_out(&self) -> bool {
+        let state = |c: &Arc<Catalog>| c.domain_state(&self.domain);
+        self.catalog.as_ref().map(state) == Some(DomainState::OutOfService)
     }
 
-    /// Ends the wait after a pause.
-    pub(super) fn confirm(&mut self) {
-        self.unconfirmed_until = None;
+    /// Takes an answer of the catalog and tells whether it ends the wait after a pause.
+    pub(super) fn confirm(&mut self, number: u64) -> bool {
+        self.confirmation.end(number)
     }
 
-    /// Notices a pause before the first tick after it arrives.
+    /// Notices a pause before the first tick after it arrives; the moment then counts as a tick, so
+    /// that one pause asks once.
     pub(super) fn note_pause(&mut self, now: Moment) {
-        if now.since(self.last_tick) > PAUSE_THRESHOLD && self.unconfirmed_until.is_none() {
-            self.unconfirmed_until = Some(now + CONFIRM_WAIT);
+        if now.since(self.last_tick) > PAUSE_THRESHOLD {
+            self.last_tick = now;
+            self.pause_noted = true;
+            self.confirmation.ask(now);
         }
     }
 
-    /// Notices a pause by the delay of a tick, and the end of the wait after one.
+    /// Notices a pause by the delay of a tick.
     pub(super) fn tick(&mut self, tick: Tick) {
-        if tick.late > PAUSE_THRESHOLD {
-            self.unconfirmed_until = Some(tick.now + CONFIRM_WAIT);
-        }
         self.note_pause(tick.now);
-        self.last_tick = tick.now;
-        let waited = |until| tick.now >= until;
-        if self.unconfirmed_until.is_some_and(waited) {
-            self.unconfirmed_until = None;
+        // A pause of the VM can show only as a late tick; one noted before must not ask twice.
+        if tick.late > PAUSE_THRESHOLD && !self.pause_noted {
+            self.confirmation.ask(tick.now);
         }
+        self.pause_noted = false;
+        self.last_tick = tick.now;
+        self.confirmation.tick(tick.now);
     }
 }
--- a/crates/daemon/src/guard/state.rs
+++ b/crates/daemon/src/guard/state.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 
 use cornelvalve_catalog::Catalog;
-use cornelvalve_kernel::{Reply, Tick};
+use cornelvalve_kernel::{Mailbox, Reply, Tick};
 use cornelvalve_model::{
     FailureDomain, Incarnation, Moment, Region, ServiceName, Upstream, UpstreamState, VmName,
 };
@@ -19,6 +19,7 @@
 use super::crashes::Crashes;
 use super::rules::Rules;
 use super::{PermitReport, UpstreamLoad, Upstreams};
+use crate::catalog::CatalogMessage;
 
 /// What the guard must know about its place.
 #[derive(Clone, Debug)]
@@ -58,12 +59,13 @@
     pub(super) fn new(
         settings: GuardSettings,
         reports: mpsc::UnboundedSender<PermitReport>,
+        catalog: Mailbox<CatalogMessage>,
         now: Moment,
     ) -> Self {
         let region = settings.region.clone();
         Self {
             reports,
-            rules: Rules::new(settings.region, settings.domain, now),
+            rules: Rules::new(settings.region, settings.domain, catalog, now),
             locals: BTreeMap::new(),
             calls: Calls::default(),
             tickets: TicketTable::new(settings.tickets, settings.vm, settings.incarnation),
@@ -118,13 +120,24 @@
     }
 
     /// Takes a newer configuration.
-    pub(super) fn set_catalog(&mut self, catalog: Arc<Catalog>) {
-        self.rules.set_catalog(catalog);
+    pub(super) fn set_catalog(&mut self, catalog: Arc<Catalog>, now: Moment) {
+        if self.rules.set_catalog(catalog) {
+            self.restart_cold(now);
+        }
+    }
+
+    /// Lets the load that returns with the failure domain ramp up as after a cold start.
+    fn restart_cold(&mut self, now: Moment) {
+        self.every_admission(AdmissionEvent::UpstreamLost, now);
+        let upstreams = self.locals.values().map(|l| l.upstream.clone()).collect();
+        self.set_upstreams(upstreams, now);
     }
 
-    /// Ends the wait after a pause.
-    pub(super) fn confirm(&mut self) {
-        self.rules.confirm();
+    /// Takes the configuration as confirmed after a pause.
+    pub(super) fn confirm(&mut self, number: u64, catalog: Arc<Catalog>, now: Moment) {
+        if self.rules.confirm(number) {
+            self.set_catalog(catalog, now);
+        }
     }
 
     /// Stops admission and remembers whom to tell when nothing runs any more.
