--- a/crates/ctl/src/leave.rs
+++ b/crates/ctl/src/leave.rs
@@ -21,12 +21,22 @@
     let domain = sub
         .get_one::<FailureDomain>("domain")
         .ok_or_else(|| CtlError::usage("domain is missing"))?;
-    let members: Vec<(VmName, SocketAddr)> = daemons
+    let known: Vec<Member> = daemons
         .call(async |client| client.members().await)
         .await?
         .into_iter()
         .map(|report| report.member)
-        .filter(|member| member.domain == *domain && may_run(member))
+        .filter(|member| member.domain == *domain)
+        .collect();
+    // Success would let an operator with a wrong name believe that the failure domain is empty.
+    if known.is_empty() {
+        let message = format!("no member stands in failure domain {domain}");
+        let remedy = "check the name with `cornelctl members`";
+        return Err(CtlError::new(Exit::Usage, message, remedy));
+    }
+    let members: Vec<(VmName, SocketAddr)> = known
+        .into_iter()
+        .filter(may_run)
         .map(|member| (member.vm, member.operator_addr))
         .collect();
     let (mut left, mut failed) = ask_all(&members, domain, daemons).await;
