--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -4,6 +4,7 @@
 mod bad_records;
 mod bad_requests;
 mod bad_settings;
+mod ctl;
 mod demo;
 mod events;
 mod metrics;
--- a/tests/all/support.rs
+++ b/tests/all/support.rs
@@ -8,6 +8,6 @@
 
 pub(crate) use http::{request, send};
 pub(crate) use mesh::{DaemonProcess, Mesh, VmSpec};
-pub(crate) use process::{ctl_json, eventually, run};
+pub(crate) use process::{cornelctl, ctl_json, eventually, run};
 pub(crate) use raw::{raw_exchange, raw_text, raw_upstream};
 pub(crate) use rig::Rig;
