--- a/tests/all/support.rs
+++ b/tests/all/support.rs
@@ -15,7 +15,7 @@
 pub(crate) use http::{Answer, request, send};
 pub(crate) use load::{Load, Tally};
 pub(crate) use mesh::{DaemonOptions, DaemonProcess, Mesh, VmSpec};
-pub(crate) use process::{Process, ctl_json, eventually, run};
+pub(crate) use process::{Process, cornelctl, ctl_json, eventually, run};
 pub(crate) use raw::{RawUpstream, Stage};
 pub(crate) use rig::Rig;
 pub(crate) use tickets::{ticket, with_ticket};
