--- /dev/null
+++ b/tests/all/answers.rs
@@ -0,0 +1,68 @@
+//! Complete responses, and uploads, under load and failures.
+
+mod crossed;
+mod cut;
+mod upload;
+
+use std::net::SocketAddr;
+
+use crate::support::{DaemonProcess, Mesh, Process, VmSpec, eventually, request, send};
+
+const HOST: &str = "flotte.test";
+
+const ENTRY: VmSpec = VmSpec {
+    vm: "ouest-a-1",
+    region: "qc-ouest",
+    domain: "ouest-a",
+};
+
+const FIRST: VmSpec = VmSpec {
+    vm: "ouest-a-2",
+    region: "qc-ouest",
+    domain: "ouest-a",
+};
+
+const SECOND: VmSpec = VmSpec {
+    vm: "ouest-a-3",
+    region: "qc-ouest",
+    domain: "ouest-a",
+};
+
+/// An entry and the daemon beside one upstream of `flotte`.
+struct Path {
+    mesh: Mesh,
+    entry: DaemonProcess,
+    beside: DaemonProcess,
+    upstream: Process,
+    standin: SocketAddr,
+}
+
+async fn path(name: &str) -> Path {
+    let mesh = Mesh::start(name);
+    let entry = mesh.daemon(ENTRY, &[]);
+    let beside = mesh.daemon(FIRST, &[entry.peers]);
+    entry.wait_for_members(2).await;
+    let (upstream, standin) = beside.start_upstream("flotte", 10);
+    entry.ctl(&["region", "put", "qc-ouest"]);
+    entry.ctl(&["service", "put", "--name", "flotte", "--host", HOST]);
+    answers(&entry).await;
+    Path {
+        mesh,
+        entry,
+        beside,
+        upstream,
+        standin,
+    }
+}
+
+/// Waits until the entry has a request answered.
+async fn answers(entry: &DaemonProcess) {
+    eventually("an answer", || async {
+        let get = request("GET", HOST, "/", &[("x-request-id", "warm-up")], "");
+        let answer = send(entry.callers, get).await?;
+        (answer.status == 200)
+            .then_some(())
+            .ok_or(format!("{answer:?}"))
+    })
+    .await;
+}
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -1,5 +1,6 @@
 //! Integration tests, one module a topic.
 
+mod answers;
 mod outcome;
 mod path;
 mod stop;
--- a/tests/all/support/http.rs
+++ b/tests/all/support/http.rs
@@ -1,4 +1,4 @@
-//! Callers' side of HTTP/1.1.
+//! Callers' side of HTTP.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -97,3 +97,91 @@
         body,
     })
 }
+
+/// Connection that a caller reuses; closes when it goes out of scope.
+pub(crate) struct Client {
+    sender: Sender,
+    driver: tokio::task::JoinHandle<()>,
+}
+
+enum Sender {
+    Http1(hyper::client::conn::http1::SendRequest<Full<Bytes>>),
+    Http2(hyper::client::conn::http2::SendRequest<Full<Bytes>>),
+}
+
+impl Client {
+    /// Opens an HTTP/1.1 connection.
+    pub(crate) async fn http1(addr: SocketAddr) -> Self {
+        let io = TokioIo::new(TcpStream::connect(addr).await.expect("entry listens"));
+        let (sender, connection) = hyper::client::conn::http1::handshake(io)
+            .await
+            .expect("handshake succeeds");
+        let driver = tokio::spawn(async {
+            let _ = connection.await;
+        });
+        Self {
+            sender: Sender::Http1(sender),
+            driver,
+        }
+    }
+
+    /// Opens an HTTP/2 connection with prior knowledge.
+    pub(crate) async fn http2(addr: SocketAddr) -> Self {
+        let io = TokioIo::new(TcpStream::connect(addr).await.expect("entry listens"));
+        let executor = hyper_util::rt::TokioExecutor::new();
+        let (sender, connection) = hyper::client::conn::http2::handshake(executor, io)
+            .await
+            .expect("handshake succeeds");
+        let driver = tokio::spawn(async {
+            let _ = connection.await;
+        });
+        Self {
+            sender: Sender::Http2(sender),
+            driver,
+        }
+    }
+
+    /// Sends a request and reads the whole response.
+    pub(crate) async fn send(&mut self, request: Request<Full<Bytes>>) -> Result<Answer, String> {
+        tokio::time::timeout(RESPONSE_WAIT, self.exchange(request))
+            .await
+            .unwrap_or_else(|_| Err("no response within the wait".to_owned()))
+    }
+
+    async fn exchange(&mut self, mut request: Request<Full<Bytes>>) -> Result<Answer, String> {
+        let sent = match &mut self.sender {
+            Sender::Http1(sender) => {
+                sender.ready().await.map_err(|e| e.to_string())?;
+                sender.send_request(request).await
+            }
+            Sender::Http2(sender) => {
+                sender.ready().await.map_err(|e| e.to_string())?;
+                name_host_in_target(&mut request);
+                sender.send_request(request).await
+            }
+        };
+        let (parts, body) = sent.map_err(|e| e.to_string())?.into_parts();
+        let body = body.collect().await.map_err(|e| e.to_string())?.to_bytes();
+        Ok(Answer {
+            status: parts.status,
+            headers: parts.headers,
+            body,
+        })
+    }
+}
+
+impl Drop for Client {
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
+
+fn name_host_in_target(request: &mut Request<Full<Bytes>>) {
+    let host = request
+        .headers_mut()
+        .remove("host")
+        .expect("request names a host");
+    let host = host.to_str().expect("host is text");
+    let target = format!("http://{host}{}", request.uri());
+    *request.uri_mut() = target.parse().expect("target is well-formed");
+}
--- a/tests/all/support/process.rs
+++ b/tests/all/support/process.rs
@@ -52,6 +52,15 @@
         self.child.wait().expect("child can be waited for");
     }
 
+    /// Returns the most memory that the process has used so far, in bytes.
+    pub(crate) fn peak_memory(&self) -> u64 {
+        let path = format!("/proc/{}/status", self.child.id());
+        let status = std::fs::read_to_string(path).expect("process runs");
+        let line = status.lines().find_map(|l| l.strip_prefix("VmHWM:"));
+        let kilobytes = line.and_then(|l| l.trim().strip_suffix(" kB")?.parse::<u64>().ok());
+        kilobytes.expect("status has the peak") * 1024
+    }
+
     /// Waits for the end of the process and returns whether it succeeded.
     pub(crate) fn wait(&mut self) -> bool {
         let deadline = Instant::now() + PATIENCE;
--- a/tests/all/tickets/failures.rs
+++ b/tests/all/tickets/failures.rs
@@ -8,7 +8,12 @@
 /// Guards against a ticket that is burned although the upstream took no connection.
 #[tokio::test]
 async fn refused_connection_gives_the_ticket_back() {
-    let Holder { entry, holder, .. } = holder("tickets-given-back", "").await;
+    let Holder {
+        entry,
+        holder,
+        mesh: _mesh,
+        other: _other,
+    } = holder("tickets-given-back", "").await;
     let (mut dead, _) = holder.start_upstream_with("remise", 4, &LONG_LEASE);
     let filing = ticket(entry.callers, REMISE, "/file").await;
     dead.kill();
@@ -34,7 +39,12 @@
 /// Guards against a ticket of one service that lets a request of another one run.
 #[tokio::test]
 async fn ticket_of_another_service_is_refused() {
-    let Holder { entry, holder, .. } = holder("tickets-service", "").await;
+    let Holder {
+        entry,
+        holder,
+        mesh: _mesh,
+        other: _other,
+    } = holder("tickets-service", "").await;
     let (_remise, _) = holder.start_upstream("remise", 4);
     let (_ledger, standin) = holder.start_upstream("ledger", 4);
     ticket(entry.callers, LEDGER, "/reports").await;
@@ -105,7 +115,7 @@
         entry,
         other,
         holder,
-        ..
+        mesh: _mesh,
     } = holder("tickets-expired", SHORT_LIFETIME).await;
     let (_upstream, standin) = holder.start_upstream("remise", 4);
     let filing = ticket(entry.callers, REMISE, "/file").await;
@@ -145,7 +155,7 @@
         entry,
         other,
         holder,
-        ..
+        mesh: _mesh,
     } = holder("tickets-frozen", "").await;
     let (_upstream, standin) = holder.start_upstream("ledger", 4);
     let purchase = ticket(entry.callers, LEDGER, "/reports").await;
@@ -180,7 +190,7 @@
         entry,
         other,
         mut holder,
-        ..
+        mesh: _mesh,
     } = holder("tickets-drained", "").await;
     let (_upstream, standin) = holder.start_upstream("remise", 4);
     let filing = ticket(entry.callers, REMISE, "/file").await;
--- a/tests/all/tickets/repeats.rs
+++ b/tests/all/tickets/repeats.rs
@@ -11,7 +11,7 @@
         entry,
         other,
         holder,
-        ..
+        mesh: _mesh,
     } = holder("tickets-repeats", "").await;
     let (_upstream, standin) = holder.start_upstream("remise", 4);
     let filing = ticket(entry.callers, REMISE, "/file").await;
@@ -36,7 +36,12 @@
 /// Guards against the answer of one purchase given to the buyer of another report.
 #[tokio::test]
 async fn changed_request_is_refused() {
-    let Holder { entry, holder, .. } = holder("tickets-changed", "").await;
+    let Holder {
+        entry,
+        holder,
+        mesh: _mesh,
+        other: _other,
+    } = holder("tickets-changed", "").await;
     let (_upstream, standin) = holder.start_upstream("ledger", 4);
     let purchase = ticket(entry.callers, LEDGER, "/reports").await;
     let buy = |id, body| with_ticket(&purchase, LEDGER, "/reports", id, 0, body);
@@ -54,7 +59,12 @@
 #[tokio::test]
 async fn evicted_answer_leaves_the_outcome_open() {
     let settings = r#""tickets": { "response_bytes": 1500 },"#;
-    let Holder { entry, holder, .. } = holder("tickets-evicted", settings).await;
+    let Holder {
+        entry,
+        holder,
+        mesh: _mesh,
+        other: _other,
+    } = holder("tickets-evicted", settings).await;
     let (_upstream, standin) = holder.start_upstream("ledger", 4);
     let mut bought = Vec::new();
     // Two answers of this size do not fit, and the third does not fit alone.
@@ -85,7 +95,7 @@
         entry,
         other,
         holder,
-        ..
+        mesh: _mesh,
     } = holder("tickets-left", "").await;
     let (_upstream, standin) = holder.start_upstream("remise", 4);
     let filing = ticket(entry.callers, REMISE, "/file").await;
@@ -105,7 +115,12 @@
 /// place, or that loses a repeat which waits for it.
 #[tokio::test]
 async fn caller_that_leaves_the_queue_does_not_use_up_the_ticket() {
-    let Holder { entry, holder, .. } = holder("tickets-queue", "").await;
+    let Holder {
+        entry,
+        holder,
+        mesh: _mesh,
+        other: _other,
+    } = holder("tickets-queue", "").await;
     let (_upstream, standin) = holder.start_upstream("remise", 1);
     let filing = ticket(entry.callers, REMISE, "/file").await;
     let blocker = [("x-request-id", "blocker"), ("x-work-ms", "2000")];
