--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -1,5 +1,6 @@
 //! Integration tests, one module a topic.
 
+mod answers;
 mod bad_control;
 mod bad_records;
 mod bad_requests;
--- a/tests/all/support/upstream.rs
+++ b/tests/all/support/upstream.rs
@@ -17,6 +17,15 @@
     try_runs(upstream).await.expect("stand-in answers")
 }
 
+/// Replaces the faults of a stand-in.
+pub(crate) async fn set_faults(upstream: SocketAddr, faults: &str) {
+    let headers = [("content-type", "application/json")];
+    let body = faults.to_owned();
+    let put = request("PUT", "standin", "/_standin/faults", &headers, body);
+    let answer = send(upstream, put).await.expect("stand-in answers");
+    assert!(answer.status.is_success(), "{answer:?}");
+}
+
 /// Sends an announcement to the daemon that listens for them at `daemon`.
 pub(crate) async fn announce(
     daemon: SocketAddr,
