--- a/crates/api/tests/all/fake.rs
+++ b/crates/api/tests/all/fake.rs
@@ -8,8 +8,9 @@
 };
 use cornelvalve_model::{
     Change, ChangeId, DomainState, FailureDomain, Incarnation, LogEntry, Member, MemberKey,
-    MemberState, Offset, Operation, Reason, Refusal, Region, RequestClass, Revision, Route, Rule,
-    Service, Snapshot, TeamName, Upstream, UpstreamState, VersionedEntry, VmName,
+    MemberState, Offset, Operation, Reason, RecentChange, RecentVerdict, Refusal, Region,
+    RequestClass, Revision, Route, Rule, Service, Snapshot, TeamName, Upstream, UpstreamState,
+    VersionedEntry, VmName,
 };
 use jsonrpsee::core::async_trait;
 use smallvec::smallvec;
@@ -311,7 +312,16 @@
                 covers: after,
                 revision: Revision(5),
                 entries: entries(),
-                recent: vec![ChangeId(Uuid::from_u128(7))],
+                recent: vec![
+                    RecentChange {
+                        id: ChangeId(Uuid::from_u128(7)),
+                        verdict: RecentVerdict::Accepted(Revision(5)),
+                    },
+                    RecentChange {
+                        id: ChangeId(Uuid::from_u128(8)),
+                        verdict: RecentVerdict::Rejected("stale".to_owned()),
+                    },
+                ],
             }),
             records: vec![
                 PeerRecord {
--- a/crates/catalog/src/catalog.rs
+++ b/crates/catalog/src/catalog.rs
@@ -1,8 +1,9 @@
 //! The state machine: records in, verdicts out.
 
 use cornelvalve_model::{
-    Change, ChangeId, DomainState, FailureDomain, LogEntry, Offset, Operation, Region, Revision,
-    RouteName, Rule, Service, ServiceName, Snapshot, TeamName, VersionedEntry,
+    Change, ChangeId, DomainState, FailureDomain, LogEntry, Offset, Operation, RecentChange,
+    RecentVerdict, Region, Revision, RouteName, Rule, Service, ServiceName, Snapshot, TeamName,
+    VersionedEntry,
 };
 
 use crate::history::{BadRecords, MAX_RECENT_CHANGES, RecentChanges};
@@ -117,7 +118,7 @@
             }
             Err(rejection) => {
                 self.recent
-                    .insert(change.id, PastVerdict::Rejected(rejection.clone()));
+                    .insert(change.id, PastVerdict::Rejected(rejection.to_string()));
                 Verdict::Rejected(rejection)
             }
         }
@@ -146,7 +147,7 @@
                 self.tables = tables;
                 self.next = snapshot.covers;
                 self.revision = snapshot.revision;
-                self.recent = RecentChanges::from_ids(&snapshot.recent);
+                self.recent = RecentChanges::from_snapshot(&snapshot.recent);
                 Verdict::SnapshotTaken { next: self.next }
             }
             Err(reason) => Verdict::Malformed { reason },
@@ -161,11 +162,15 @@
         if snapshot.recent.len() > MAX_RECENT_CHANGES {
             return Err("snapshot lists too many recent changes".to_owned());
         }
-        let mut ids = snapshot.recent.clone();
+        let mut ids: Vec<ChangeId> = snapshot.recent.iter().map(|c| c.id).collect();
         ids.sort_unstable();
         if ids.windows(2).any(|pair| pair[0] == pair[1]) {
             return Err("snapshot lists a recent change twice".to_owned());
         }
+        let is_late = |change: &RecentChange| matches!(change.verdict, RecentVerdict::Accepted(r) if r > snapshot.revision);
+        if snapshot.recent.iter().any(is_late) {
+            return Err("snapshot gives a recent change an impossible revision".to_owned());
+        }
         let mut tables = Tables::default();
         for VersionedEntry {
             revision,
@@ -214,7 +219,7 @@
             covers: self.next,
             revision: self.revision,
             entries: self.tables.entries().collect(),
-            recent: self.recent.ids(),
+            recent: self.recent.to_snapshot(),
         }
     }
 
--- a/crates/catalog/src/history.rs
+++ b/crates/catalog/src/history.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
-use cornelvalve_model::{ChangeId, Offset};
+use cornelvalve_model::{ChangeId, Offset, RecentChange, RecentVerdict};
 
 use crate::PastVerdict;
 
@@ -33,10 +33,14 @@
 
 impl RecentChanges {
     /// Creates the memory that a snapshot describes.
-    pub(crate) fn from_ids(ids: &[ChangeId]) -> Self {
+    pub(crate) fn from_snapshot(changes: &[RecentChange]) -> Self {
         let mut recent = Self::default();
-        for id in ids {
-            recent.insert(*id, PastVerdict::Covered);
+        for change in changes {
+            let verdict = match &change.verdict {
+                RecentVerdict::Accepted(revision) => PastVerdict::Accepted(*revision),
+                RecentVerdict::Rejected(reason) => PastVerdict::Rejected(reason.clone()),
+            };
+            recent.insert(change.id, verdict);
         }
         recent
     }
@@ -55,8 +59,17 @@
         self.verdicts.insert(id, verdict);
     }
 
-    pub(crate) fn ids(&self) -> Vec<ChangeId> {
-        self.order.iter().copied().collect()
+    /// Returns the changes as a snapshot lists them, oldest first.
+    pub(crate) fn to_snapshot(&self) -> Vec<RecentChange> {
+        let listed = |id: &ChangeId| {
+            let verdict = match self.verdicts.get(id)? {
+                PastVerdict::Accepted(revision) => RecentVerdict::Accepted(*revision),
+                PastVerdict::Rejected(reason) => RecentVerdict::Rejected(reason.clone()),
+                PastVerdict::Covered => return None,
+            };
+            Some(RecentChange { id: *id, verdict })
+        };
+        self.order.iter().filter_map(listed).collect()
     }
 }
 
--- a/crates/catalog/src/publisher.rs
+++ b/crates/catalog/src/publisher.rs
@@ -4,7 +4,7 @@
 use derive_more::Display;
 use smallvec::{SmallVec, smallvec};
 
-use crate::{PastVerdict, Rejection};
+use crate::PastVerdict;
 
 /// What the caller has to do next, in order.
 pub type Actions = SmallVec<[Action; 2]>;
@@ -87,9 +87,9 @@
     /// The change was accepted.
     #[display("accepted as revision {_0}")]
     Accepted(Revision),
-    /// The change was rejected.
+    /// The change was rejected, with the reason.
     #[display("rejected: {_0}")]
-    Rejected(Rejection),
+    Rejected(String),
     /// An append may have had an effect.
     #[display("published unknown")]
     StillUnknown,
@@ -207,8 +207,8 @@
             (PastVerdict::Accepted(revision), _) => {
                 self.finish(PublishOutcome::Accepted(*revision))
             }
-            (PastVerdict::Rejected(rejection), _) => {
-                self.finish(PublishOutcome::Rejected(rejection.clone()))
+            (PastVerdict::Rejected(reason), _) => {
+                self.finish(PublishOutcome::Rejected(reason.clone()))
             }
             (PastVerdict::Covered, State::Published { offset }) => {
                 self.finish(PublishOutcome::Published(offset))
--- a/crates/catalog/src/verdict.rs
+++ b/crates/catalog/src/verdict.rs
@@ -120,10 +120,10 @@
     /// The change was accepted.
     #[display("accepted as revision {_0}")]
     Accepted(Revision),
-    /// The change was rejected.
+    /// The change was rejected, with the reason.
     #[display("rejected: {_0}")]
-    Rejected(Rejection),
-    /// A snapshot lists the change, and snapshots do not record verdicts.
+    Rejected(String),
+    /// The change was applied so long ago that its verdict was evicted.
     #[display("applied, verdict not retained")]
     Covered,
 }
--- a/crates/catalog/tests/all/publisher.rs
+++ b/crates/catalog/tests/all/publisher.rs
@@ -2,7 +2,7 @@
 
 use std::error::Error;
 
-use cornelvalve_catalog::{Event, PastVerdict, Publisher, Rejection, SeenChange};
+use cornelvalve_catalog::{Event, PastVerdict, Publisher, SeenChange};
 use cornelvalve_model::{Offset, Revision};
 use goldenscript::{ArgumentConsumer, Command, Context};
 
@@ -28,10 +28,7 @@
 fn verdict(args: &mut ArgumentConsumer<'_>) -> Result<PastVerdict> {
     Ok(match positional(args, "verdict")? {
         "accepted" => PastVerdict::Accepted(Revision(positional(args, "revision")?.parse()?)),
-        "rejected" => PastVerdict::Rejected(Rejection::Stale {
-            expected: Revision(1),
-            actual: Revision(2),
-        }),
+        "rejected" => PastVerdict::Rejected("the entry changed".to_owned()),
         _ => PastVerdict::Covered,
     })
 }
--- a/crates/daemon/src/operators/calls.rs
+++ b/crates/daemon/src/operators/calls.rs
@@ -186,10 +186,7 @@
         }
         PublishOutcome::Published(_) => (Verdict::Published, None),
         PublishOutcome::Accepted(revision) => (Verdict::Accepted, Some(revision)),
-        PublishOutcome::Rejected(rejection) => {
-            let reason = rejection.to_string();
-            (Verdict::Rejected { reason }, None)
-        }
+        PublishOutcome::Rejected(reason) => (Verdict::Rejected { reason }, None),
         PublishOutcome::StillUnknown => (Verdict::Unknown, None),
     };
     Ok(PublishReport {
--- a/crates/model/src/change.rs
+++ b/crates/model/src/change.rs
@@ -258,8 +258,29 @@
     pub revision: Revision,
     /// Entries in a fixed order.
     pub entries: Vec<VersionedEntry>,
-    /// Ids of recent changes, oldest first, so that a late duplicate is still recognised.
-    pub recent: Vec<ChangeId>,
+    /// Recent changes, oldest first, so that a late duplicate is still recognised and a repeated
+    /// call still gets its verdict.
+    pub recent: Vec<RecentChange>,
+}
+
+/// Change that was applied before a snapshot was written.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RecentChange {
+    /// Id of the change.
+    pub id: ChangeId,
+    /// What became of it.
+    pub verdict: RecentVerdict,
+}
+
+/// Verdict on a change as a snapshot records it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum RecentVerdict {
+    /// The change was accepted and created this revision.
+    Accepted(Revision),
+    /// The change was rejected, with the reason.
+    Rejected(String),
 }
 
 /// Record of the configuration stream.
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -12,8 +12,8 @@
 mod time;
 
 pub use change::{
-    Change, ChangeId, DomainState, LogEntry, Operation, RequestClass, Route, Rule, Service,
-    Snapshot, Target, VersionedEntry,
+    Change, ChangeId, DomainState, LogEntry, Operation, RecentChange, RecentVerdict, RequestClass,
+    Route, Rule, Service, Snapshot, Target, VersionedEntry,
 };
 pub use id::{
     FailureDomain, IdError, Incarnation, Offset, Region, Revision, RouteName, RuleName,
--- a/crates/wire/tests/log.rs
+++ b/crates/wire/tests/log.rs
@@ -26,7 +26,10 @@
             revision: cornelvalve_model::Revision(6),
             operation: change.operation,
         }],
-        recent: vec![change.id],
+        recent: vec![cornelvalve_model::RecentChange {
+            id: change.id,
+            verdict: cornelvalve_model::RecentVerdict::Accepted(cornelvalve_model::Revision(6)),
+        }],
     };
     let entry = LogEntry::Snapshot(snapshot);
     let data = encode_entry(&entry).expect("small record");
