--- a/crates/catalog/src/lib.rs
+++ b/crates/catalog/src/lib.rs
@@ -9,6 +9,7 @@
 mod host;
 mod lookup;
 mod publisher;
+mod schedule;
 mod tables;
 mod verdict;
 
@@ -16,5 +17,6 @@
 pub use history::{BadRecord, MAX_BAD_RECORDS, MAX_RECENT_CHANGES};
 pub use lookup::{Residency, Resolved};
 pub use publisher::{Action, Actions, Event, PublishOutcome, Publisher, SeenChange};
+pub use schedule::SnapshotSchedule;
 pub use tables::{Domain, Entry};
 pub use verdict::{GapError, PastVerdict, Rejection, Result, Verdict};
--- a/crates/catalog/tests/all/main.rs
+++ b/crates/catalog/tests/all/main.rs
@@ -5,3 +5,4 @@
 mod publish_fuzz;
 mod publisher;
 mod scenario;
+mod schedule;
--- a/crates/daemon/src/catalog.rs
+++ b/crates/daemon/src/catalog.rs
@@ -1,7 +1,9 @@
 //! Catalog service: applies configuration records and publishes the accepted configuration.
 
 mod follower;
+mod pull;
 mod recent;
+mod snapshots;
 mod state;
 
 use std::net::SocketAddr;
@@ -47,6 +49,8 @@
     Role {
         /// Whether it does.
         is_reader: bool,
+        /// Whether it is ranked first in its failure domain, and so writes snapshots first.
+        is_first: bool,
     },
     /// A peer has applied a later revision.
     PeerAhead {
@@ -55,8 +59,13 @@
         /// Its revision.
         revision: Revision,
     },
-    /// Records that a peer handed over; `None` if it did not answer.
-    Pulled(Option<PeerRecords>),
+    /// Result of a pull.
+    Pulled {
+        /// Address of the peer that was asked.
+        operator_addr: SocketAddr,
+        /// What it handed over; `None` if it did not answer or has nothing in force.
+        records: Option<PeerRecords>,
+    },
     /// A peer asks for records.
     Pull {
         /// First offset that the peer has not applied.
@@ -68,7 +77,7 @@
     },
     /// Sends the configuration to the services that need it again.
     Republish,
-    /// Returns the configuration.
+    /// Returns the configuration in force, or an empty one if there is none yet.
     Current {
         /// Receives it.
         reply: Reply<Arc<Catalog>>,
@@ -112,14 +121,14 @@
         budget: context.registry.mailbox(BUDGET)?,
         timeline: context.registry.mailbox(TIMELINE)?,
     };
-    let mut state = CatalogState::new(outbound, store);
+    let mut state = CatalogState::new(outbound, store, context.clock.now());
     loop {
         let message = tokio::select! {
             () = context.stop.requested() => break,
             message = context.inbox.recv() => message,
         };
         match message {
-            Some(message) => state.handle(message),
+            Some(message) => state.handle(message, context.clock.now()),
             None => break,
         }
     }
--- a/crates/daemon/src/catalog/follower.rs
+++ b/crates/daemon/src/catalog/follower.rs
@@ -19,14 +19,21 @@
 const RETRY_DELAY: Duration = Duration::from_millis(500);
 
 /// Reads from `from` on until the catalog is gone or the task is aborted.
+///
+/// Until the end of the stream is reached, reads do not wait, so that the empty page that marks
+/// the end comes at once.
 pub(super) async fn follow(
     store: Arc<dyn LogStore>,
     catalog: Mailbox<CatalogMessage>,
     mut from: Offset,
 ) {
+    let mut wait = Duration::ZERO;
     loop {
-        let read = match store.read(STREAM, from, PAGE_RECORDS, POLL_WAIT).await {
+        let read = match store.read(STREAM, from, PAGE_RECORDS, wait).await {
             Ok(page) => {
+                if page.records.is_empty() {
+                    wait = POLL_WAIT;
+                }
                 from = page.next;
                 LogRead::Page(page)
             }
--- a/crates/daemon/src/catalog/state.rs
+++ b/crates/daemon/src/catalog/state.rs
@@ -3,18 +3,18 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use cornelvalve_api::{Event, LogStoreState, OperatorsClient, PeerRecords};
-use cornelvalve_budget::{TrafficClass, Verdict as BudgetVerdict};
-use cornelvalve_catalog::{Catalog, PastVerdict, Verdict};
+use cornelvalve_api::{Event, LogStoreState, PeerRecords};
+use cornelvalve_catalog::{Catalog, PastVerdict, SnapshotSchedule, Verdict};
 use cornelvalve_kernel::{Mailbox, Reply};
 use cornelvalve_logstore::{LogStore, Page, Record};
-use cornelvalve_model::{ChangeId, LogEntry, Offset, Revision};
+use cornelvalve_model::{ChangeId, LogEntry, Moment, Offset, Revision};
 use cornelvalve_wire::log::decode_entry;
-use jsonrpsee::http_client::HttpClientBuilder;
 use tokio::task::JoinHandle;
 
 use super::follower::follow;
+use super::pull::pull_from;
 use super::recent::RecentRecords;
+use super::snapshots::write_snapshot;
 use super::{CatalogMessage, LogRead};
 use crate::budget::BudgetMessage;
 use crate::guard::GuardMessage;
@@ -22,12 +22,6 @@
 use crate::router::RouterMessage;
 use crate::timeline::{self, TimelineMessage};
 
-/// Records pulled from a peer at once.
-const PULL_RECORDS: u32 = 256;
-
-/// Estimated cost of a pull before its answer is known, in bytes.
-const PULL_BYTES: u32 = 2048;
-
 /// Services that the catalog talks to.
 pub(super) struct Outbound {
     pub(super) own: Mailbox<CatalogMessage>,
@@ -58,12 +52,20 @@
 pub(super) struct CatalogState {
     outbound: Outbound,
     store: Arc<dyn LogStore>,
-    catalog: Catalog,
+    /// Shared with the services that it was published to; copied on the next change.
+    catalog: Arc<Catalog>,
+    /// Whether the state may be put in force: it reached the end of the log, or that of a peer
+    /// whose configuration is in force. Until then it may be older than one that was in force.
+    is_current: bool,
+    /// Whether records of the log are missing after the applied ones.
+    has_gap: bool,
     published: Revision,
     recent: RecentRecords,
     waiters: Vec<Waiter>,
     log_store: LogStoreState,
     follower: Option<JoinHandle<()>>,
+    schedule: SnapshotSchedule,
+    is_first: bool,
     is_pulling: bool,
     /// Whether a service missed the latest configuration.
     is_unpublished: bool,
@@ -71,47 +73,83 @@
 
 impl CatalogState {
     /// Creates an empty catalog.
-    pub(super) fn new(outbound: Outbound, store: Arc<dyn LogStore>) -> Self {
+    pub(super) fn new(outbound: Outbound, store: Arc<dyn LogStore>, now: Moment) -> Self {
         Self {
             outbound,
             store,
-            catalog: Catalog::new(),
+            catalog: Arc::new(Catalog::new()),
+            is_current: false,
+            has_gap: false,
             published: Revision(0),
             recent: RecentRecords::default(),
             waiters: Vec::new(),
             log_store: LogStoreState::NotRead,
             follower: None,
+            schedule: SnapshotSchedule::new(now),
+            is_first: false,
             is_pulling: false,
             is_unpublished: false,
         }
     }
 
     /// Handles a message.
-    pub(super) fn handle(&mut self, message: CatalogMessage) {
+    pub(super) fn handle(&mut self, message: CatalogMessage, now: Moment) {
         match message {
-            CatalogMessage::Read(read) => self.take_read(read),
-            CatalogMessage::Role { is_reader } => self.set_role(is_reader),
+            CatalogMessage::Read(read) => self.take_read(read, now),
+            CatalogMessage::Role {
+                is_reader,
+                is_first,
+            } => {
+                self.is_first = is_first;
+                self.set_role(is_reader);
+            }
             CatalogMessage::PeerAhead {
                 operator_addr,
                 revision,
             } => self.pull(operator_addr, revision),
-            CatalogMessage::Pulled(pulled) => self.take_pulled(pulled),
+            CatalogMessage::Pulled {
+                operator_addr,
+                records,
+            } => self.take_pulled(operator_addr, records),
             CatalogMessage::Pull { after, max, reply } => reply.send(self.records(after, max)),
-            CatalogMessage::Republish => self.publish(Arc::new(self.catalog.clone())),
-            CatalogMessage::Current { reply } => reply.send(Arc::new(self.catalog.clone())),
+            CatalogMessage::Republish => self.publish(),
+            CatalogMessage::Current { reply } => reply.send(self.in_force()),
             CatalogMessage::Verdict { id, offset, reply } => {
                 self.waiters.push(Waiter { id, offset, reply });
                 self.answer_waiters();
             }
             CatalogMessage::LogStore { reply } => reply.send(self.log_store),
-            CatalogMessage::Tick => self.tick(),
+            CatalogMessage::Tick => self.tick(now),
         }
     }
 
-    fn tick(&mut self) {
+    fn tick(&mut self, now: Moment) {
         self.waiters.retain(|w| !w.reply.is_abandoned());
         if self.is_unpublished {
-            self.publish(Arc::new(self.catalog.clone()));
+            self.publish();
+        }
+        self.consider_snapshot(now);
+    }
+
+    /// Writes a snapshot if this daemon reads the log and one is due.
+    fn consider_snapshot(&mut self, now: Moment) {
+        let may_write = self.follower.is_some()
+            && self.log_store == LogStoreState::Reachable
+            && self.is_current
+            && !self.has_gap;
+        let next = self.catalog.next_offset();
+        if may_write && self.schedule.poll(next, self.is_first, rand::random(), now) {
+            let store = Arc::clone(&self.store);
+            // The reader learns from the log whether it was written.
+            tokio::spawn(write_snapshot(store, Arc::clone(&self.catalog)));
+        }
+    }
+
+    fn in_force(&self) -> Arc<Catalog> {
+        if self.is_current {
+            Arc::clone(&self.catalog)
+        } else {
+            Arc::new(Catalog::new())
         }
     }
 
@@ -124,6 +162,7 @@
 
     fn set_role(&mut self, is_reader: bool) {
         self.stop();
+        self.has_gap = false;
         if is_reader {
             let store = Arc::clone(&self.store);
             let follower = follow(store, self.outbound.own.clone(), self.catalog.next_offset());
@@ -145,14 +184,17 @@
         self.log_store = state;
     }
 
-    fn take_read(&mut self, read: LogRead) {
+    fn take_read(&mut self, read: LogRead, now: Moment) {
         match read {
             LogRead::Page(page) => {
                 self.set_log_store(LogStoreState::Reachable);
-                self.apply_page(&page);
+                self.schedule.on_retention(page.first_retained);
+                self.apply_page(&page, now);
                 self.confirm();
             }
             LogRead::Gone { first_retained } => {
+                self.schedule.on_retention(first_retained);
+                self.has_gap = first_retained > self.catalog.next_offset();
                 log::warn!(
                     "records before offset {first_retained} are gone; waiting for a snapshot"
                 );
@@ -161,26 +203,41 @@
         }
     }
 
-    fn apply_page(&mut self, page: &Page) {
+    fn apply_page(&mut self, page: &Page, now: Moment) {
+        // An empty page marks the end; a short one may only be limited by its size.
+        if page.records.is_empty() && page.next == self.catalog.next_offset() {
+            self.is_current = true;
+        }
         for record in &page.records {
-            if self.apply_record(record) == Progress::Restored {
+            if self.apply_record(record, now) == Progress::Restored {
                 // Records between the covered offset and the snapshot were skipped before.
                 self.set_role(true);
-                break;
+                self.publish_changes();
+                return;
             }
         }
+        self.has_gap = page.next > self.catalog.next_offset();
         self.publish_changes();
     }
 
-    fn apply_record(&mut self, record: &Record) -> Progress {
+    fn apply_record(&mut self, record: &Record, now: Moment) -> Progress {
         match decode_entry(&record.data) {
-            Ok(entry) => self.apply(record.offset, Ok(&entry)),
+            Ok(entry) => {
+                if let LogEntry::Snapshot(snapshot) = &entry {
+                    self.schedule.on_snapshot(record.offset, snapshot, now);
+                }
+                self.apply(record.offset, Ok(&entry))
+            }
             Err(e) => self.apply(record.offset, Err(&e.to_string())),
         }
     }
 
     fn apply(&mut self, offset: Offset, entry: Result<&LogEntry, &str>) -> Progress {
-        match self.catalog.apply(offset, entry) {
+        // Spares the copy of a configuration that is in force.
+        if offset < self.catalog.next_offset() {
+            return Progress::Applied;
+        }
+        match Arc::make_mut(&mut self.catalog).apply(offset, entry) {
             Verdict::OutOfOrder { .. } => {}
             Verdict::Gap(gap) => log::debug!("configuration record was not applied: {gap}"),
             Verdict::SnapshotTaken { .. } => {
@@ -195,21 +252,25 @@
         Progress::Applied
     }
 
-    /// Publishes the configuration if its revision rose; it never falls.
+    /// Publishes the configuration if it may be in force and its revision rose; it never falls.
     fn publish_changes(&mut self) {
         self.answer_waiters();
         let revision = self.catalog.revision();
-        if revision <= self.published {
+        if !self.is_current || revision <= self.published {
             return;
         }
         self.published = revision;
         let event = Event::ConfigurationApplied { revision };
         timeline::record(&self.outbound.timeline, event);
-        self.publish(Arc::new(self.catalog.clone()));
+        self.publish();
     }
 
-    /// Passes the configuration on; if that fails, the next tick tries again.
-    fn publish(&mut self, catalog: Arc<Catalog>) {
+    /// Passes the configuration in force on; if that fails, the next tick tries again.
+    fn publish(&mut self) {
+        if !self.is_current {
+            return;
+        }
+        let catalog = Arc::clone(&self.catalog);
         let revision = catalog.revision();
         let router = RouterMessage::Catalog(Arc::clone(&catalog));
         let sent = [
@@ -244,7 +305,8 @@
 
     /// Asks a peer for the records that this daemon lacks; one pull at a time.
     fn pull(&mut self, operator_addr: SocketAddr, revision: Revision) {
-        if self.is_pulling || revision <= self.catalog.revision() {
+        let is_needed = !self.is_current || self.has_gap || revision > self.catalog.revision();
+        if self.is_pulling || !is_needed {
             return;
         }
         self.is_pulling = true;
@@ -252,35 +314,51 @@
         let own = self.outbound.own.clone();
         let budget = self.outbound.budget.clone();
         tokio::spawn(async move {
-            let pulled = pull_from(operator_addr, after, &budget).await;
+            let records = pull_from(operator_addr, after, &budget).await;
+            let pulled = CatalogMessage::Pulled {
+                operator_addr,
+                records,
+            };
             // If the catalog restarted meanwhile, it pulls again by itself.
-            let _ = own.send(CatalogMessage::Pulled(pulled)).await;
+            let _ = own.send(pulled).await;
         });
     }
 
-    fn take_pulled(&mut self, pulled: Option<PeerRecords>) {
+    fn take_pulled(&mut self, operator_addr: SocketAddr, records: Option<PeerRecords>) {
         self.is_pulling = false;
-        let Some(pulled) = pulled else {
+        let Some(pulled) = records else {
             return;
         };
-        if let Some(snapshot) = &pulled.snapshot
-            && matches!(
-                self.catalog.restore(snapshot),
-                Verdict::SnapshotTaken { .. }
-            )
-        {
-            self.recent.clear();
+        let before = self.catalog.next_offset();
+        let had_gap = self.has_gap;
+        if let Some(snapshot) = &pulled.snapshot {
+            let restored = Arc::make_mut(&mut self.catalog).restore(snapshot);
+            if matches!(restored, Verdict::SnapshotTaken { .. }) {
+                self.recent.clear();
+            }
         }
         for record in pulled.records {
             let entry = record.entry.as_ref();
             self.apply(record.offset, entry.ok_or("record cannot be decoded"));
         }
+        let next = self.catalog.next_offset();
+        if next >= pulled.next {
+            self.is_current = true;
+        }
+        if had_gap && next > before {
+            // The follower is beyond the records that filled the gap.
+            self.set_role(self.follower.is_some());
+        }
         self.publish_changes();
         self.confirm();
+        if next > before && next < pulled.next {
+            self.pull(operator_addr, pulled.revision);
+        }
     }
 
     fn records(&self, after: Offset, max: usize) -> Option<PeerRecords> {
-        if after > self.catalog.next_offset() {
+        // What is not in force here must not come into force elsewhere.
+        if !self.is_current || after > self.catalog.next_offset() {
             return None;
         }
         let recent = self.recent.since(after, max);
@@ -293,29 +371,3 @@
         })
     }
 }
-
-async fn pull_from(
-    operator_addr: SocketAddr,
-    after: Offset,
-    budget: &Mailbox<BudgetMessage>,
-) -> Option<PeerRecords> {
-    let charged = budget.ask(|reply| BudgetMessage::Charge {
-        class: TrafficClass::Configuration,
-        bytes: PULL_BYTES,
-        crosses_region: false,
-        reply,
-    });
-    if !matches!(charged.await, Ok(BudgetVerdict::Send)) {
-        return None;
-    }
-    let client = HttpClientBuilder::default()
-        .build(format!("http://{operator_addr}"))
-        .ok()?;
-    match client.peer_records(after, PULL_RECORDS).await {
-        Ok(records) => Some(records),
-        Err(e) => {
-            log::debug!("records were not pulled from {operator_addr}: {e}");
-            None
-        }
-    }
-}
--- a/crates/daemon/src/guard/state.rs
+++ b/crates/daemon/src/guard/state.rs
@@ -396,7 +396,11 @@
 
     /// Takes a newer configuration.
     pub(super) fn set_catalog(&mut self, catalog: Arc<Catalog>, _now: Moment) {
-        self.catalog = Some(catalog);
+        // A restarted catalog service may publish an older state until it has caught up.
+        let is_older = |held: &Arc<Catalog>| held.revision() > catalog.revision();
+        if !self.catalog.as_ref().is_some_and(is_older) {
+            self.catalog = Some(catalog);
+        }
     }
 
     /// Ends the wait after a pause.
--- a/crates/daemon/src/membership.rs
+++ b/crates/daemon/src/membership.rs
@@ -7,7 +7,7 @@
 use cornelvalve_budget::Verdict;
 use cornelvalve_kernel::{Context, Mailbox, Reply, ServiceResult, TIMER, TimerMessage};
 use cornelvalve_membership::{Action, Event, Membership, MembershipSettings, Message};
-use cornelvalve_model::{Member, Moment, Revision, VmName};
+use cornelvalve_model::{FailureDomain, Member, Moment, Revision, VmName};
 use cornelvalve_wire::datagram;
 use tokio::net::UdpSocket;
 
@@ -84,8 +84,10 @@
         .await?;
     let mut service = MembershipService {
         socket: UdpSocket::from_std(socket.try_clone()?)?,
+        own_vm: own.vm.clone(),
+        own_domain: own.domain.clone(),
         membership: Membership::new(settings, own, seed),
-        was_reader: None,
+        role: None,
         is_router_behind: false,
         budget: context.registry.mailbox(BUDGET)?,
         router: context.registry.mailbox(ROUTER)?,
@@ -117,8 +119,11 @@
 
 struct MembershipService {
     socket: UdpSocket,
+    own_vm: VmName,
+    own_domain: FailureDomain,
     membership: Membership,
-    was_reader: Option<bool>,
+    /// Reader role as last passed on: whether it is one and whether it is ranked first.
+    role: Option<(bool, bool)>,
     /// Whether the router missed a message and needs all records again.
     is_router_behind: bool,
     budget: Mailbox<BudgetMessage>,
@@ -277,13 +282,14 @@
 
     fn publish_role(&mut self) {
         let is_reader = self.membership.is_own_reader();
-        if self.was_reader != Some(is_reader)
-            && self
-                .catalog
-                .try_send(CatalogMessage::Role { is_reader })
-                .is_ok()
-        {
-            self.was_reader = Some(is_reader);
+        let first = self.membership.readers(&self.own_domain);
+        let is_first = first.first().is_some_and(|m| m.vm == self.own_vm);
+        let role = CatalogMessage::Role {
+            is_reader,
+            is_first,
+        };
+        if self.role != Some((is_reader, is_first)) && self.catalog.try_send(role).is_ok() {
+            self.role = Some((is_reader, is_first));
         }
     }
 
--- a/crates/daemon/src/router/state.rs
+++ b/crates/daemon/src/router/state.rs
@@ -63,6 +63,11 @@
 
     /// Takes a newer configuration.
     pub(super) fn set_catalog(&mut self, catalog: Arc<Catalog>) {
+        // A restarted catalog service may publish an older state until it has caught up.
+        let is_older = |held: &Arc<Catalog>| held.revision() > catalog.revision();
+        if self.catalog.as_ref().is_some_and(is_older) {
+            return;
+        }
         self.catalog = Some(catalog);
         self.update_avoided();
     }
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -1,5 +1,6 @@
 //! Integration tests, one module a topic.
 
 mod path;
+mod snapshots;
 mod stop;
 mod support;
--- a/tests/all/support/mesh.rs
+++ b/tests/all/support/mesh.rs
@@ -1,10 +1,12 @@
 //! A mesh of separate processes on loopback.
 
+use std::fs::File;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
 use serde_json::Value;
 
+use super::log::LogAccess;
 use super::process::{Process, cornelctl, eventually};
 
 /// Where a VM stands.
@@ -30,24 +32,49 @@
 pub(crate) struct Mesh {
     _log: Process,
     pub(crate) log_addr: SocketAddr,
+    pub(crate) log: LogAccess,
     folder: PathBuf,
 }
 
 impl Mesh {
     /// Starts the log stand-in.
     pub(crate) fn start(name: &str) -> Self {
-        let (log, ready) = Process::start("standin-log", &["--listen", "127.0.0.1:0"]);
+        Self::start_with(name, &[])
+    }
+
+    /// Starts the log stand-in with further arguments.
+    pub(crate) fn start_with(name: &str, args: &[&str]) -> Self {
+        let mut full = vec!["--listen", "127.0.0.1:0"];
+        full.extend(args);
+        let (log, ready) = Process::start("standin-log", &full);
         let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
         std::fs::create_dir_all(&folder).expect("folder can be created");
+        let log_addr = addr(&ready, "listen");
         Self {
             _log: log,
-            log_addr: addr(&ready, "listen"),
+            log_addr,
+            log: LogAccess::new(log_addr),
             folder,
         }
     }
 
     /// Starts a daemon that knows nothing but the log and one peer.
     pub(crate) fn daemon(&self, spec: VmSpec, seeds: &[SocketAddr]) -> DaemonProcess {
+        self.daemon_with(spec, seeds, "")
+    }
+
+    /// Returns the file that receives the log lines of a daemon.
+    pub(crate) fn log_file(&self, spec: VmSpec) -> PathBuf {
+        self.folder.join(format!("{}.log", spec.vm))
+    }
+
+    /// Starts a daemon with further settings.
+    pub(crate) fn daemon_with(
+        &self,
+        spec: VmSpec,
+        seeds: &[SocketAddr],
+        further: &str,
+    ) -> DaemonProcess {
         let seeds: Vec<String> = seeds
             .iter()
             .map(|s| format!("{:?}", s.to_string()))
@@ -63,6 +90,7 @@
                 "log_store": {{ "addr": "{}" }},
                 "seeds": [{}],
                 "drain_timeout_ms": 20000,
+                {further}
             }}"#,
             spec.vm,
             spec.region,
@@ -73,7 +101,9 @@
         let file = self.folder.join(format!("{}.jsonc", spec.vm));
         std::fs::write(&file, settings).expect("settings can be written");
         let path = file.to_str().expect("path is UTF-8");
-        let (process, ready) = Process::start("cornelvalve", &["run", path]);
+        let stderr = File::create(self.log_file(spec)).expect("log file can be created");
+        let args = ["run", path];
+        let (process, ready) = Process::start_logging("cornelvalve", &args, stderr.into());
         DaemonProcess {
             process,
             callers: addr(&ready, "callers"),
@@ -115,6 +145,35 @@
         stdout
     }
 
+    /// Runs the operators' client and returns whether it succeeded with all that it printed.
+    pub(crate) fn try_ctl(&self, args: &[&str]) -> (bool, String) {
+        let output = cornelctl(&self.operators.to_string(), args);
+        let mut text = String::from_utf8_lossy(&output.stdout).into_owned();
+        text.push_str(&String::from_utf8_lossy(&output.stderr));
+        (output.status.success(), text)
+    }
+
+    /// Returns what `cornelctl status` reports.
+    pub(crate) fn status(&self) -> Value {
+        self.ctl_json(&["status"])
+    }
+
+    /// Returns the revision in force at the daemon, or zero if there is none.
+    pub(crate) fn revision(&self) -> u64 {
+        self.status()["revision"].as_u64().unwrap_or_default()
+    }
+
+    /// Waits until the daemon has a revision in force.
+    pub(crate) async fn wait_for_revision(&self, revision: u64) {
+        eventually("revision", || async {
+            match self.revision() {
+                found if found == revision => Ok(()),
+                found => Err(format!("revision {found} is in force, not {revision}")),
+            }
+        })
+        .await;
+    }
+
     /// Returns what the operators' client prints as JSON.
     pub(crate) fn ctl_json(&self, args: &[&str]) -> Value {
         let mut full = vec!["--output", "json"];
--- a/tests/all/support/process.rs
+++ b/tests/all/support/process.rs
@@ -20,11 +20,20 @@
 impl Process {
     /// Starts a program and reads the JSON line that it prints when it is ready.
     pub(crate) fn start(program: &str, args: &[&str]) -> (Self, serde_json::Value) {
+        Self::start_logging(program, args, Stdio::null())
+    }
+
+    /// Starts a program whose standard error goes to `stderr`.
+    pub(crate) fn start_logging(
+        program: &str,
+        args: &[&str],
+        stderr: Stdio,
+    ) -> (Self, serde_json::Value) {
         let mut child = Command::new(binary(program))
             .args(args)
             .stdin(Stdio::null())
             .stdout(Stdio::piped())
-            .stderr(Stdio::null())
+            .stderr(stderr)
             .spawn()
             .unwrap_or_else(|e| panic!("{program} did not start: {e}"));
         let stdout = child.stdout.take().expect("stdout is piped");
