--- a/crates/catalog/src/publisher.rs
+++ b/crates/catalog/src/publisher.rs
@@ -71,6 +71,12 @@
         /// Offset at which the change stands.
         offset: Offset,
     },
+    /// Report [`Event::Applied`] once the catalog has applied everything up to an offset, with
+    /// [`PastVerdict::Covered`] if it does not know the change.
+    AskCatalog {
+        /// Last offset of the log.
+        offset: Offset,
+    },
     /// Report the outcome; no action follows.
     Finish(PublishOutcome),
 }
@@ -103,6 +109,7 @@
     WaitingToAppend,
     WaitingToSearch { from: Offset },
     Published { offset: Offset },
+    Resolving,
     Finished,
 }
 
@@ -111,11 +118,16 @@
 /// A lost answer is resolved by reading from the offset before the first append until the change
 /// is found or the end is reached; then the change is appended again, which is harmless because
 /// its id is recognised as a duplicate.
+///
+/// If retention removed records that the search has to see, the change is not appended again: it
+/// may stand in them, so long ago that its id is no longer recognised, and would then take effect
+/// twice. The local catalog may still know it from a snapshot or from a peer.
 #[derive(Clone, Debug)]
 pub struct Publisher {
     id: ChangeId,
     before: Offset,
     uncertain: bool,
+    has_gap: bool,
     state: State,
 }
 
@@ -128,6 +140,7 @@
             id,
             before,
             uncertain: false,
+            has_gap: false,
             state: State::Idle,
         }
     }
@@ -166,6 +179,7 @@
                 self.wait(State::WaitingToSearch { from })
             }
             (State::Searching { from }, Event::ReadGone { first_retained }) => {
+                self.has_gap = true;
                 self.search(first_retained.max(from))
             }
             _ => Actions::new(),
@@ -196,6 +210,11 @@
         if let Some(seen) = changes.iter().find(|c| c.id == self.id) {
             return self.found(seen.offset);
         }
+        if at_end && self.has_gap {
+            self.state = State::Resolving;
+            let offset = Offset(next.0.saturating_sub(1));
+            return smallvec![Action::AskCatalog { offset }];
+        }
         if at_end {
             return self.append();
         }
--- a/crates/catalog/tests/all/publish_fuzz.rs
+++ b/crates/catalog/tests/all/publish_fuzz.rs
@@ -1,6 +1,8 @@
 //! Stateful fuzzing of the publisher against a log that loses, delays and refuses appends.
 
-use cornelvalve_catalog::{Action, Actions, Catalog, Event, PublishOutcome, Publisher, SeenChange};
+use cornelvalve_catalog::{
+    Action, Actions, Catalog, Event, PastVerdict, PublishOutcome, Publisher, SeenChange,
+};
 use cornelvalve_model::{Change, ChangeId, LogEntry, Offset, Operation};
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed, TestRunner};
@@ -34,6 +36,8 @@
     others: u8,
     /// Whether the local catalog follows the log after the action.
     follows: bool,
+    /// Records that the log keeps from now on.
+    keeps: Option<u8>,
 }
 
 fn turn() -> impl Strategy<Value = Turn> {
@@ -44,10 +48,12 @@
         Just(Fault::LoseAppend),
         Just(Fault::Late),
     ];
-    (fault, 0..4u8, any::<bool>()).prop_map(|(fault, others, follows)| Turn {
+    let keeps = proptest::option::weighted(0.1, 0..6u8);
+    (fault, 0..4u8, any::<bool>(), keeps).prop_map(|(fault, others, follows, keeps)| Turn {
         fault,
         others,
         follows,
+        keeps,
     })
 }
 
@@ -64,6 +70,9 @@
 
 struct World {
     log: Vec<ChangeId>,
+    first_retained: usize,
+    /// Whether a search met removed records.
+    met_gap: bool,
     late: usize,
     others: u32,
     catalog: Catalog,
@@ -104,12 +113,18 @@
     fn perform(&mut self, publisher: &mut Publisher, action: &Action, fault: Fault) -> Actions {
         match action {
             Action::Append => {
+                assert!(!self.met_gap, "appended again after records were removed");
                 let event = self.append(fault);
                 publisher.on(event)
             }
             Action::Read { .. } if !matches!(fault, Fault::None) => publisher.on(Event::ReadFailed),
             Action::Read { from } => {
                 let from = usize::try_from(from.0).expect("small offset");
+                if from < self.first_retained {
+                    self.met_gap = true;
+                    let first_retained = Offset(self.first_retained as u64);
+                    return publisher.on(Event::ReadGone { first_retained });
+                }
                 let page = self.log.iter().enumerate().skip(from).take(PAGE);
                 let seen = |(i, id): (usize, &ChangeId)| SeenChange {
                     offset: Offset(i as u64),
@@ -124,7 +139,10 @@
                 })
             }
             Action::WaitBeforeRetry => publisher.on(Event::RetryDue),
-            Action::AwaitVerdict { .. } | Action::Finish(_) => Actions::new(),
+            // Both are answered when the catalog follows the log.
+            Action::AwaitVerdict { .. } | Action::AskCatalog { .. } | Action::Finish(_) => {
+                Actions::new()
+            }
         }
     }
 
@@ -155,6 +173,8 @@
     let mine = change_id("mine");
     let mut world = World {
         log: Vec::new(),
+        first_retained: 0,
+        met_gap: false,
         late: 0,
         others: 0,
         catalog: Catalog::new(),
@@ -166,18 +186,30 @@
         fault: Fault::None,
         others: 0,
         follows: true,
+        keeps: None,
     };
     let tail = if expires { 0 } else { turns.len() * 4 + 16 };
     for turn in turns.iter().chain(std::iter::repeat_n(&healthy, tail)) {
         world.append_others(turn.others);
+        if let Some(keeps) = turn.keeps {
+            let first = world.log.len().saturating_sub(usize::from(keeps));
+            world.first_retained = world.first_retained.max(first);
+        }
+        let mut asks = false;
         if let Some(action) = actions.pop() {
+            asks = matches!(action, Action::AskCatalog { .. });
             actions = world.perform(&mut publisher, &action, turn.fault);
         }
         if turn.follows {
             world.follow();
             if let Some(verdict) = world.catalog.verdict_of(mine) {
                 actions = publisher.on(Event::Applied(verdict));
+            } else if asks {
+                actions = publisher.on(Event::Applied(&PastVerdict::Covered));
             }
+        } else if asks {
+            // The catalog answers later.
+            actions.push(Action::AskCatalog { offset: Offset(0) });
         }
         if let Some(Action::Finish(outcome)) = actions.first() {
             return world.check(outcome);
--- a/crates/daemon/src/operators/calls.rs
+++ b/crates/daemon/src/operators/calls.rs
@@ -23,7 +23,7 @@
 use crate::guard::GuardMessage;
 use crate::membership::{MemberView, MembershipMessage};
 use crate::names::{CATALOG, GUARD, MEMBERSHIP, PUBLISHER, ROUTER};
-use crate::publisher::PublisherMessage;
+use crate::publisher::{PublishError, PublisherMessage};
 use crate::router::{RouteQuery, RouterMessage};
 use crate::timeline::{TIMELINE, TimelineMessage};
 
@@ -162,6 +162,14 @@
     ApiError::new(kind, error.to_string())
 }
 
+fn not_taken(error: PublishError) -> ApiError {
+    let kind = match error {
+        PublishError::Overloaded => ErrorKind::Overloaded,
+        PublishError::Unusable(_) => ErrorKind::BadRequest,
+    };
+    ApiError::new(kind, error.to_string())
+}
+
 fn count(members: &[MemberView]) -> MemberCounts {
     let mut counts = MemberCounts::default();
     for view in members {
@@ -212,7 +220,8 @@
             timeout,
             reply,
         });
-        let mut report = publish_report(asked.await.map_err(internal)?)?;
+        let outcome = asked.await.map_err(internal)?.map_err(not_taken)?;
+        let mut report = publish_report(outcome)?;
         if wait == WaitFor::InForce
             && let Some(revision) = report.revision
         {
