--- a/tests/all/support/mesh.rs
+++ b/tests/all/support/mesh.rs
@@ -4,8 +4,10 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
+use cornelvalve_model::Change;
 use serde_json::Value;
 
+use super::http::{request, send};
 use super::log::LogAccess;
 use super::process::{Process, cornelctl, eventually};
 
@@ -145,12 +147,21 @@
         stdout
     }
 
-    /// Runs the operators' client and returns whether it succeeded with all that it printed.
-    pub(crate) fn try_ctl(&self, args: &[&str]) -> (bool, String) {
-        let output = cornelctl(&self.operators.to_string(), args);
-        let mut text = String::from_utf8_lossy(&output.stdout).into_owned();
-        text.push_str(&String::from_utf8_lossy(&output.stderr));
-        (output.status.success(), text)
+    /// Publishes a change by the operators' interface and returns its report or its error.
+    pub(crate) async fn publish(&self, change: &Change) -> Result<Value, Value> {
+        let call = serde_json::json!({
+            "jsonrpc": "2.0", "id": 1, "method": "publish",
+            "params": { "change": change, "wait": "accepted", "timeout_ms": 50_000 },
+        });
+        let headers = [("content-type", "application/json")];
+        let host = self.operators.to_string();
+        let post = request("POST", &host, "/", &headers, call.to_string());
+        let answer = send(self.operators, post).await.map_err(Value::from)?;
+        let mut answer = answer.json();
+        match answer["result"].take() {
+            Value::Null => Err(answer["error"].take()),
+            report => Ok(report),
+        }
     }
 
     /// Returns what `cornelctl status` reports.
