Find members through the log stream of introducers

Cause: a daemon whose seeds are missing or gone never joined.

Change: readers append their peer address to the stream `introducers` every 10 minutes from a random moment on (2.4 records a minute for 24 readers). A daemon that knows no other member reads the stream every 5 s and contacts the latest 8 addresses. It adds its own if fewer than 4 others are listed or it stays alone for a minute, at most once in 10 minutes.

Proof: with the daemon before the change daemons_without_live_seeds_join fails: members: Some(1) of 3 members are alive

--- a/crates/daemon/src/catalog.rs
+++ b/crates/daemon/src/catalog.rs
@@ -1,6 +1,7 @@
 //! Catalog service: applies configuration records and publishes the accepted configuration.
 
 mod follower;
+mod introducers;
 mod pull;
 mod recent;
 mod snapshots;
@@ -18,6 +19,7 @@
 
 use crate::names::{BUDGET, CATALOG, GUARD, MEMBERSHIP, ROUTER};
 use crate::timeline::TIMELINE;
+use introducers::Checked;
 use state::{CatalogState, Outbound};
 
 /// Name of the stream that carries the configuration.
@@ -96,6 +98,8 @@
         /// Receives it.
         reply: Reply<LogStoreState>,
     },
+    /// Result of a look at the stream of introducers.
+    Introduced(Checked),
     /// Periodic tick.
     Tick,
 }
@@ -104,6 +108,7 @@
 pub(crate) async fn run_catalog(
     mut context: Context<CatalogMessage>,
     store: Arc<dyn LogStore>,
+    peer_addr: SocketAddr,
 ) -> ServiceResult {
     let own = context.registry.mailbox(CATALOG)?;
     let timer = context.registry.mailbox(TIMER)?;
@@ -121,7 +126,7 @@
         budget: context.registry.mailbox(BUDGET)?,
         timeline: context.registry.mailbox(TIMELINE)?,
     };
-    let mut state = CatalogState::new(outbound, store, context.clock.now());
+    let mut state = CatalogState::new(outbound, store, peer_addr, context.clock.now());
     loop {
         let message = tokio::select! {
             () = context.stop.requested() => break,
--- a/crates/daemon/src/catalog/state.rs
+++ b/crates/daemon/src/catalog/state.rs
@@ -12,6 +12,7 @@
 use tokio::task::JoinHandle;
 
 use super::follower::follow;
+use super::introducers::{self, Introducers};
 use super::pull::pull_from;
 use super::recent::RecentRecords;
 use super::snapshots::write_snapshot;
@@ -66,6 +67,8 @@
     follower: Option<JoinHandle<()>>,
     schedule: SnapshotSchedule,
     is_first: bool,
+    introducers: Introducers,
+    peer_addr: SocketAddr,
     is_pulling: bool,
     /// Whether a service missed the latest configuration.
     is_unpublished: bool,
@@ -73,7 +76,12 @@
 
 impl CatalogState {
     /// Creates an empty catalog.
-    pub(super) fn new(outbound: Outbound, store: Arc<dyn LogStore>, now: Moment) -> Self {
+    pub(super) fn new(
+        outbound: Outbound,
+        store: Arc<dyn LogStore>,
+        peer_addr: SocketAddr,
+        now: Moment,
+    ) -> Self {
         Self {
             outbound,
             store,
@@ -87,6 +95,8 @@
             follower: None,
             schedule: SnapshotSchedule::new(now),
             is_first: false,
+            introducers: Introducers::new(rand::random(), now),
+            peer_addr,
             is_pulling: false,
             is_unpublished: false,
         }
@@ -119,6 +129,7 @@
                 self.answer_waiters();
             }
             CatalogMessage::LogStore { reply } => reply.send(self.log_store),
+            CatalogMessage::Introduced(checked) => self.introducers.checked(checked, now),
             CatalogMessage::Tick => self.tick(now),
         }
     }
@@ -129,6 +140,19 @@
             self.publish();
         }
         self.consider_snapshot(now);
+        if let Some(check) = self.introducers.poll(self.follower.is_some(), now) {
+            let checked = introducers::check(
+                Arc::clone(&self.store),
+                self.outbound.membership.clone(),
+                self.peer_addr,
+                check,
+            );
+            let own = self.outbound.own.clone();
+            tokio::spawn(async move {
+                // If the catalog restarted meanwhile, it checks again by itself.
+                let _ = own.send(CatalogMessage::Introduced(checked.await)).await;
+            });
+        }
     }
 
     /// Writes a snapshot if this daemon reads the log and one is due.
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -301,6 +301,7 @@
         let budgets = budget::settings(&self.config.budgets);
         let socket = Arc::clone(&self.sockets.members);
         let (own, seeds, seed) = (self.own.clone(), self.config.seeds.clone(), self.seed());
+        let peer_addr = self.own.peer_addr;
         let catalog_store = Arc::clone(&self.store);
         let publisher_store = Arc::clone(&self.store);
         let announcements = Arc::clone(&self.sockets.upstream);
@@ -317,7 +318,7 @@
                 membership::run_membership(context, socket, own.clone(), seeds.clone(), seed)
             })
             .service(CATALOG, options, move |context| {
-                catalog::run_catalog(context, Arc::clone(&catalog_store))
+                catalog::run_catalog(context, Arc::clone(&catalog_store), peer_addr)
             })
             .service(PUBLISHER, options, move |context| {
                 publisher::run_publisher(context, Arc::clone(&publisher_store))
--- a/crates/daemon/src/membership.rs
+++ b/crates/daemon/src/membership.rs
@@ -44,6 +44,13 @@
     Leave,
     /// Sends all member records to the router again.
     Republish,
+    /// Adds peer addresses to contact.
+    Seeds(Vec<SocketAddr>),
+    /// Tells whether no other member is known to take work.
+    IsAlone {
+        /// Receives the answer.
+        reply: Reply<bool>,
+    },
     /// Lists the members.
     Members {
         /// Receives them.
@@ -144,6 +151,14 @@
             }
             MembershipMessage::Leave => self.on(Event::Leave, now).await,
             MembershipMessage::Republish => self.publish_all(),
+            MembershipMessage::Seeds(seeds) => {
+                self.on(Event::AddSeeds(seeds.into_iter().collect()), now)
+                    .await;
+            }
+            MembershipMessage::IsAlone { reply } => {
+                let others = self.membership.members().filter(|m| m.vm != self.own_vm);
+                reply.send(!others.into_iter().any(|m| m.state.takes_work()));
+            }
             MembershipMessage::Members { reply } => reply.send(self.views()),
             MembershipMessage::QueryRevisions => self.on(Event::QueryRevisions, now).await,
             MembershipMessage::Unconfirmed { revision, reply } => {
--- a/crates/wire/src/log.rs
+++ b/crates/wire/src/log.rs
@@ -1,4 +1,7 @@
-//! JSON form of log records: `{"v":1,"entry":{...}}`.
+//! JSON form of log records: `{"v":1,"entry":{...}}` in the configuration stream and
+//! `{"v":1,"peer":"ADDRESS"}` in the stream of introducers.
+
+use std::net::SocketAddr;
 
 use cornelvalve_model::LogEntry;
 use derive_more::{Display, Error};
@@ -90,6 +93,33 @@
     }
 }
 
+#[derive(Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct IntroducerRecord {
+    v: u64,
+    peer: SocketAddr,
+}
+
+/// Encodes the record by which a daemon offers its peer address to others that know none.
+#[must_use]
+pub fn encode_introducer(peer: SocketAddr) -> Vec<u8> {
+    format!(r#"{{"v":{LOG_SCHEMA_VERSION},"peer":"{peer}"}}"#).into_bytes()
+}
+
+/// Decodes a record of the stream of introducers.
+///
+/// # Errors
+///
+/// Returns [`LogError`] under the same conditions as [`decode_entry`].
+pub fn decode_introducer(data: &[u8]) -> Result<SocketAddr> {
+    check_size(data)?;
+    let value: Value =
+        serde_json::from_slice(data).map_err(|e| LogError::NotJson(e.to_string()))?;
+    check_version(&value)?;
+    let record: IntroducerRecord = serde_json::from_slice(data).map_err(schema_error)?;
+    Ok(record.peer)
+}
+
 /// Classifies an error of the derived decoders; serde reports an unknown field by its message
 /// only.
 fn schema_error(e: serde_json::Error) -> LogError {
--- /dev/null
+++ b/tests/all/introducers.rs
@@ -0,0 +1,44 @@
+//! First contact of daemons that have no live seeds.
+
+use std::net::{SocketAddr, TcpListener};
+
+use crate::support::{Mesh, VmSpec};
+
+const EST_A: VmSpec = VmSpec {
+    vm: "est-a-1",
+    region: "qc-est",
+    domain: "est-a",
+};
+
+const EST_B: VmSpec = VmSpec {
+    vm: "est-b-1",
+    region: "qc-est",
+    domain: "est-b",
+};
+
+const OUEST_A: VmSpec = VmSpec {
+    vm: "ouest-a-1",
+    region: "qc-ouest",
+    domain: "ouest-a",
+};
+
+/// Returns an address at which nobody listens.
+fn dead_address() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("port is free");
+    listener.local_addr().expect("listener has an address")
+}
+
+/// Guards against daemons that never meet because their seeds are missing or gone, and against a
+/// stream of addresses that takes the appends of operators.
+#[tokio::test]
+async fn daemons_without_live_seeds_join() {
+    let mesh = Mesh::start("introducers");
+    let first = mesh.daemon(EST_A, &[]);
+    let no_seeds = mesh.daemon(EST_B, &[]);
+    let dead_seeds = mesh.daemon(OUEST_A, &[dead_address(), dead_address()]);
+    for daemon in [&first, &no_seeds, &dead_seeds] {
+        daemon.wait_for_members(3).await;
+    }
+    let records = mesh.log.records("introducers").await;
+    assert!(records.len() <= 3, "{} records", records.len());
+}
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -1,5 +1,6 @@
 //! Integration tests, one module a topic.
 
+mod introducers;
 mod path;
 mod publishing;
 mod snapshots;
