--- a/crates/daemon/src/catalog.rs
+++ b/crates/daemon/src/catalog.rs
@@ -3,9 +3,13 @@
 mod confirm;
 mod domains;
 mod follower;
+mod introducers;
+mod pull;
 mod recent;
+mod snapshots;
 mod state;
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -19,6 +23,7 @@
 use crate::names::{BUDGET, CATALOG, GUARD, MEMBERSHIP, ROUTER};
 use crate::timeline::TIMELINE;
 pub(crate) use confirm::ConfirmMessage;
+use introducers::Checked;
 use state::{CatalogState, Outbound};
 
 /// Name of the stream that carries the configuration.
@@ -50,6 +55,8 @@
     Role {
         /// Whether it does.
         is_reader: bool,
+        /// Whether it is ranked first in its failure domain, and so writes snapshots first.
+        is_first: bool,
     },
     /// A peer has applied a later revision.
     PeerAhead {
@@ -58,8 +65,13 @@
         /// Its revision.
         revision: Revision,
     },
-    /// Records that a peer handed over; `None` if it did not answer.
-    Pulled(Option<PeerRecords>),
+    /// Result of a pull.
+    Pulled {
+        /// The peer that was asked.
+        peer: PeerAddress,
+        /// What it handed over; `None` if it did not answer or has nothing in force.
+        records: Option<PeerRecords>,
+    },
     /// A peer asks for records.
     Pull {
         /// First offset that the peer has not applied.
@@ -73,7 +85,7 @@
     Confirm(ConfirmMessage),
     /// Sends the configuration to the services that need it again.
     Republish,
-    /// Returns the configuration.
+    /// Returns the configuration in force, or an empty one if there is none yet.
     Current {
         /// Receives it.
         reply: Reply<Arc<Catalog>>,
@@ -92,6 +104,8 @@
         /// Receives it.
         reply: Reply<LogStoreState>,
     },
+    /// Result of a look at the stream of introducers.
+    Introduced(Checked),
     /// Periodic tick.
     Tick,
 }
@@ -100,6 +114,7 @@
 pub(crate) async fn run_catalog(
     mut context: Context<CatalogMessage>,
     store: Arc<dyn LogStore>,
+    peer_addr: SocketAddr,
 ) -> ServiceResult {
     let own = context.registry.mailbox(CATALOG)?;
     let timer = context.registry.mailbox(TIMER)?;
@@ -117,14 +132,14 @@
         budget: context.registry.mailbox(BUDGET)?,
         timeline: context.registry.mailbox(TIMELINE)?,
     };
-    let mut state = CatalogState::new(outbound, store);
+    let mut state = CatalogState::new(outbound, store, peer_addr, context.clock.now());
     loop {
         let message = tokio::select! {
             () = context.stop.requested() => break,
             message = context.inbox.recv() => message,
         };
         match message {
-            Some(message) => state.handle(message),
+            Some(message) => state.handle(message, context.clock.now()),
             None => break,
         }
     }
--- a/crates/daemon/src/catalog/confirm.rs
+++ b/crates/daemon/src/catalog/confirm.rs
@@ -10,11 +10,12 @@
 use cornelvalve_api::PeerRecords;
 use cornelvalve_kernel::Mailbox;
 use cornelvalve_logstore::{LogStore, Page};
-use cornelvalve_model::{Offset, Revision};
+use cornelvalve_model::{Moment, Offset, Revision};
 use futures_util::future::join_all;
 use tokio::time::{Instant, timeout};
 
-use super::state::{CatalogState, Outbound, pull_from};
+use super::pull::pull_from;
+use super::state::{CatalogState, Outbound};
 use super::{CatalogMessage, STREAM};
 use crate::guard::GuardMessage;
 use crate::membership::{MembershipMessage, PeerAddress};
@@ -64,7 +65,7 @@
 
 impl CatalogState {
     /// Handles a message about a confirmation.
-    pub(super) fn confirm(&mut self, message: ConfirmMessage) {
+    pub(super) fn confirm(&mut self, message: ConfirmMessage, now: Moment) {
         match message {
             ConfirmMessage::Ask { number } => {
                 let run = Run {
@@ -75,7 +76,7 @@
                 };
                 tokio::spawn(run.confirm(number));
             }
-            ConfirmMessage::Read(page) => self.apply_page(&page),
+            ConfirmMessage::Read(page) => self.apply_page(&page, now),
             ConfirmMessage::Pulled(records) => self.apply_pulled(records),
             ConfirmMessage::Ended { number, target } => self.end_confirmation(number, target),
         }
@@ -94,7 +95,7 @@
         if !is_applied {
             return;
         }
-        let catalog = Arc::new(self.catalog().clone());
+        let catalog = self.in_force();
         // A guard that gets no answer asks again.
         let confirmed = GuardMessage::Confirmed { number, catalog };
         let _ = self.outbound().guard.try_send(confirmed);
--- a/crates/daemon/src/guard/rules.rs
+++ b/crates/daemon/src/guard/rules.rs
@@ -81,6 +81,11 @@
 
     /// Takes a newer configuration and tells whether it returns the failure domain to service.
     pub(super) fn set_catalog(&mut self, catalog: Arc<Catalog>) -> bool {
+        // A restarted catalog service may publish an older state until it has caught up.
+        let is_older = |held: &Arc<Catalog>| held.revision() > catalog.revision();
+        if self.catalog.as_ref().is_some_and(is_older) {
+            return false;
+        }
         let was_out = self.is_out();
         self.catalog = Some(catalog);
         was_out && !self.is_out()
--- a/tests/all/domain.rs
+++ b/tests/all/domain.rs
@@ -156,7 +156,7 @@
     let scene = Scene::start("domain-out").await;
     scene.warm_up().await;
     scene.entry.ctl(&["domain", "out", "est-b"]);
-    scene.mesh.log().signal("STOP");
+    scene.mesh.log_process().signal("STOP");
 
     let ids = admit_until_out(scene.beside.peers, "out").await;
     for entry in [&scene.entry, &scene.beside] {
@@ -173,7 +173,7 @@
     eventually("entry of the new daemon", || get(&late)).await;
     assert_eq!(try_runs(scene.upstream.1).await, Ok(ran), "runs while out");
 
-    scene.mesh.log().signal("CONT");
+    scene.mesh.log_process().signal("CONT");
     scene
         .entry
         .ctl(&["domain", "in", "est-b", "--wait", "in-force"]);
@@ -231,7 +231,7 @@
 async fn woken_daemon_asks_peers_when_the_log_is_stopped() {
     let scene = Scene::start("domain-frozen-log").await;
     wake_after_domain_out(&scene).await;
-    scene.mesh.log().signal("STOP");
+    scene.mesh.log_process().signal("STOP");
     expect_no_admission(&scene).await;
 }
 
@@ -239,7 +239,7 @@
 #[tokio::test]
 async fn woken_daemon_goes_on_when_neither_log_nor_peers_answer() {
     let scene = Scene::start("domain-alone").await;
-    scene.mesh.log().signal("STOP");
+    scene.mesh.log_process().signal("STOP");
     scene.entry.process.signal("STOP");
     scene.beside.process.signal("STOP");
     tokio::time::sleep(PAUSE).await;
--- a/tests/all/rolling.rs
+++ b/tests/all/rolling.rs
@@ -167,7 +167,7 @@
     let mesh = Mesh::start("rolling-leave");
     let mut pairs = start_all(&mesh).await;
     let load = Load::start(HOST, callers(&pairs, &[2, 3]));
-    mesh.log().signal("KILL");
+    mesh.log_process().signal("KILL");
     let uploads = upload_to(&pairs[0].daemon, &pairs[2].daemon).await;
     for upload in &uploads {
         upload.feed().await;
--- a/tests/all/support.rs
+++ b/tests/all/support.rs
@@ -3,6 +3,7 @@
 mod fixed;
 mod http;
 mod load;
+mod log;
 mod mesh;
 mod process;
 mod raw;
--- a/tests/all/support/mesh.rs
+++ b/tests/all/support/mesh.rs
@@ -3,9 +3,11 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
+use cornelvalve_model::Change;
 use serde_json::Value;
 
 use super::http::{request, send};
+use super::log::LogAccess;
 use super::process::{Process, cornelctl, eventually};
 
 /// Where a VM stands.
@@ -40,17 +42,25 @@
 /// Log stand-in with a folder for settings files.
 #[derive(Debug)]
 pub(crate) struct Mesh {
-    log: Option<Process>,
+    log_process: Option<Process>,
     pub(crate) log_addr: SocketAddr,
+    pub(crate) log: LogAccess,
     folder: PathBuf,
 }
 
 impl Mesh {
     /// Starts the log stand-in.
     pub(crate) fn start(name: &str) -> Self {
-        let (log, ready) = Process::start("standin-log", &["--listen", "127.0.0.1:0"]);
+        Self::start_with(name, &[])
+    }
+
+    /// Starts the log stand-in with further arguments.
+    pub(crate) fn start_with(name: &str, args: &[&str]) -> Self {
+        let mut full = vec!["--listen", "127.0.0.1:0"];
+        full.extend(args);
+        let (log_process, ready) = Process::start("standin-log", &full);
         Self {
-            log: Some(log),
+            log_process: Some(log_process),
             ..Self::with_log(name, addr(&ready, "listen"))
         }
     }
@@ -60,15 +70,23 @@
         let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
         std::fs::create_dir_all(&folder).expect("folder can be created");
         Self {
-            log: None,
+            log_process: None,
             log_addr,
+            log: LogAccess::new(log_addr),
             folder,
         }
     }
 
     /// Returns the process of the log stand-in.
-    pub(crate) fn log(&self) -> &Process {
-        self.log.as_ref().expect("log stand-in is a process")
+    pub(crate) fn log_process(&self) -> &Process {
+        self.log_process
+            .as_ref()
+            .expect("log stand-in is a process")
+    }
+
+    /// Returns the file that receives the log lines of a daemon.
+    pub(crate) fn log_file(&self, spec: VmSpec) -> PathBuf {
+        self.folder.join(format!("{}.log", spec.vm))
     }
 
     /// Replaces the faults of the log stand-in.
@@ -124,7 +142,7 @@
         let file = self.folder.join(format!("{}.jsonc", spec.vm));
         std::fs::write(&file, settings).expect("settings can be written");
         let path = file.to_str().expect("path is UTF-8");
-        let log_file = self.folder.join(format!("{}.log", spec.vm));
+        let log_file = self.log_file(spec);
         let stderr = std::fs::File::create(&log_file).expect("log file can be created");
         let (process, ready) = Process::start_logged("cornelvalve", &["run", path], stderr.into());
         DaemonProcess {
@@ -224,6 +242,44 @@
         stdout
     }
 
+    /// Publishes a change by the operators' interface and returns its report or its error.
+    pub(crate) async fn publish(&self, change: &Change) -> Result<Value, Value> {
+        let call = serde_json::json!({
+            "jsonrpc": "2.0", "id": 1, "method": "publish",
+            "params": { "change": change, "wait": "accepted", "timeout_ms": 50_000 },
+        });
+        let headers = [("content-type", "application/json")];
+        let host = self.operators.to_string();
+        let post = request("POST", &host, "/", &headers, call.to_string());
+        let answer = send(self.operators, post).await.map_err(Value::from)?;
+        let mut answer = answer.json();
+        match answer["result"].take() {
+            Value::Null => Err(answer["error"].take()),
+            report => Ok(report),
+        }
+    }
+
+    /// Returns what `cornelctl status` reports.
+    pub(crate) fn status(&self) -> Value {
+        self.ctl_json(&["status"])
+    }
+
+    /// Returns the revision in force at the daemon, or zero if there is none.
+    pub(crate) fn revision(&self) -> u64 {
+        self.status()["revision"].as_u64().unwrap_or_default()
+    }
+
+    /// Waits until the daemon has a revision in force.
+    pub(crate) async fn wait_for_revision(&self, revision: u64) {
+        eventually("revision", || async {
+            match self.revision() {
+                found if found == revision => Ok(()),
+                found => Err(format!("revision {found} is in force, not {revision}")),
+            }
+        })
+        .await;
+    }
+
     /// Returns what the operators' client prints as JSON.
     pub(crate) fn ctl_json(&self, args: &[&str]) -> Value {
         let mut full = vec!["--output", "json"];
--- a/tests/all/tickets/failures.rs
+++ b/tests/all/tickets/failures.rs
@@ -239,7 +239,7 @@
     } = holder("tickets-log", "").await;
     let (_upstream, standin) = holder.start_upstream("remise", 4);
     ticket(entry.callers, REMISE, "/file").await;
-    mesh.log().signal("STOP");
+    mesh.log_process().signal("STOP");
     let filing = ticket(other.callers, REMISE, "/file").await;
     for daemon in [&entry, &other, &holder] {
         let answer = file(daemon, &filing, "filing").await;
