--- a/crates/daemon/src/guard.rs
+++ b/crates/daemon/src/guard.rs
@@ -6,6 +6,7 @@
 mod admission;
 mod calls;
 mod crashes;
+mod held;
 mod rules;
 mod state;
 mod tickets;
--- a/crates/daemon/src/guard/admission.rs
+++ b/crates/daemon/src/guard/admission.rs
@@ -11,6 +11,7 @@
 
 use super::calls::{PendingCall, call_id, request_id};
 use super::crashes::Running;
+use super::held::Started;
 use super::state::GuardState;
 use super::{Admitted, Call, Permit, PermitEnd, PermitReport};
 use crate::completion::Completion;
@@ -62,18 +63,31 @@
         }
     }
 
-    fn start(&mut self, service: &ServiceName, id: RequestId, now: Moment) {
+    /// Starts a request that has a place, if it need not wait for a suspect.
+    pub(super) fn try_start(
+        &mut self,
+        service: &ServiceName,
+        id: RequestId,
+        now: Moment,
+    ) -> Started {
+        match self.check_start(id, now) {
+            Ok(Started::Held) => return Started::Held,
+            Ok(Started::Settled) => self.grant(service, id, now),
+            Err(refusal) => {
+                self.refuse(id, refusal);
+                self.free_place(service, id, FinishResult::Cancelled, Duration::ZERO, now);
+            }
+        }
+        Started::Settled
+    }
+
+    fn grant(&mut self, service: &ServiceName, id: RequestId, now: Moment) {
         let Some(local) = self.locals.get(service) else {
             return;
         };
         let upstream = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), local.upstream.port);
         let hint = local.admission.hint();
         let incarnation = local.upstream.incarnation;
-        if let Err(refusal) = self.check_start(id, now) {
-            self.refuse(id, refusal);
-            self.free_place(service, id, FinishResult::Cancelled, Duration::ZERO, now);
-            return;
-        }
         let unused = PermitReport {
             id,
             end: PermitEnd::Unused,
@@ -96,15 +110,17 @@
     }
 
     /// Checks the right to run at the moment of dispatch, after any queueing or pause.
-    fn check_start(&mut self, id: RequestId, now: Moment) -> Result<()> {
+    fn check_start(&mut self, id: RequestId, now: Moment) -> Result<Started> {
         let Some(pending) = self.calls.get(id) else {
             return Err(Refusal::not_run(Reason::Internal));
         };
         let call = &pending.call;
+        self.rules.note_pause(now);
+        self.rules.check(call)?;
         let running = self.calls.running().count();
         match self.crashes.suspects.start(call.fingerprint, running, now) {
             Start::Run => {}
-            Start::Hold => return Err(Refusal::not_run(Reason::Overloaded)),
+            Start::Hold => return Ok(Started::Held),
             Start::Refuse(refusal) => return Err(refusal),
         }
         let checked = match &call.ticket {
@@ -115,10 +131,10 @@
             // A suspect that does not start must not keep the others waiting.
             self.crashes.suspects.released(call.fingerprint);
         }
-        checked
+        checked.map(|()| Started::Settled)
     }
 
-    fn refuse(&mut self, id: RequestId, refusal: Refusal) {
+    pub(super) fn refuse(&mut self, id: RequestId, refusal: Refusal) {
         let Some(pending) = self.calls.get(id) else {
             return;
         };
@@ -155,6 +171,7 @@
             self.finish_ticket(ticket, end, now);
         }
         self.free_place(&service, id, result, service_time, now);
+        self.release_held(now);
         self.report_drained();
     }
 
@@ -199,7 +216,7 @@
             .collect()
     }
 
-    fn free_place(
+    pub(super) fn free_place(
         &mut self,
         service: &ServiceName,
         id: RequestId,
@@ -229,6 +246,7 @@
         if let Some(local) = self.locals.get_mut(service) {
             let actions = local.admission.on(event, now);
             self.apply(service, actions, now);
+            self.refuse_held(service, event, now);
         }
     }
 
@@ -239,6 +257,14 @@
                 continue;
             };
             let service = pending.call.service.clone();
+            if self
+                .locals
+                .get(&service)
+                .is_some_and(|l| l.held.contains(&id))
+            {
+                self.drop_held(&service, id, Reason::Overloaded, now);
+                continue;
+            }
             match &pending.call.ticket {
                 Some(ticket) if pending.joined => {
                     self.tickets.cancelled(ticket, call_id(id));
--- a/crates/daemon/src/guard/state.rs
+++ b/crates/daemon/src/guard/state.rs
@@ -2,7 +2,7 @@
 //!
 //! Admission, tickets and rules have modules of their own.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 
 use cornelvalve_catalog::Catalog;
@@ -11,7 +11,7 @@
     FailureDomain, Incarnation, Moment, Region, ServiceName, Upstream, UpstreamState, VmName,
 };
 use cornelvalve_policy::{
-    Admission, AdmissionEvent, SuspectList, SuspectSettings, TicketSettings, TicketTable,
+    Admission, AdmissionEvent, RequestId, SuspectList, SuspectSettings, TicketSettings, TicketTable,
 };
 use tokio::sync::mpsc;
 
@@ -39,6 +39,8 @@
 pub(super) struct Local {
     pub(super) upstream: Upstream,
     pub(super) admission: Admission,
+    /// Requests that have a place and wait for a suspect, or are one.
+    pub(super) held: VecDeque<RequestId>,
 }
 
 /// Everything that the guard knows; owned by its task.
@@ -95,6 +97,7 @@
                 UpstreamState::Draining => AdmissionEvent::Draining,
                 UpstreamState::Lost => AdmissionEvent::UpstreamLost,
             };
+            self.retire(&upstream, now);
             match self.locals.get_mut(&service) {
                 Some(local) => local.upstream = upstream,
                 None => {
@@ -102,6 +105,7 @@
                     let local = Local {
                         upstream,
                         admission,
+                        held: VecDeque::new(),
                     };
                     self.locals.insert(service.clone(), local);
                 }
@@ -110,6 +114,15 @@
         }
     }
 
+    /// Refuses what waits with a place at an incarnation that has been replaced.
+    fn retire(&mut self, upstream: &Upstream, now: Moment) {
+        let service = &upstream.service;
+        let old = self.locals.get(service).map(|l| l.upstream.incarnation);
+        if old.is_some_and(|old| old != upstream.incarnation) {
+            self.refuse_held(service, AdmissionEvent::UpstreamLost, now);
+        }
+    }
+
     fn every_admission(&mut self, event: AdmissionEvent, now: Moment) {
         let services: Vec<ServiceName> = self.locals.keys().cloned().collect();
         for service in services {
@@ -161,6 +174,8 @@
         self.tickets.tick(tick.now);
         self.crashes.tick(tick.now);
         self.forget_abandoned(tick.now);
+        self.refuse_late(tick.now);
+        self.release_held(tick.now);
         self.every_admission(AdmissionEvent::Tick, tick.now);
     }
 }
--- /dev/null
+++ b/tests/all/crashes.rs
@@ -0,0 +1,187 @@
+//! Requests that crash each upstream that runs them.
+
+use std::net::SocketAddr;
+
+use crate::support::{
+    Answer, DaemonProcess, Mesh, Process, VmSpec, eventually, request, runs, send, set_faults,
+};
+
+const HOST: &str = "cardview.test";
+
+const ENTRY: VmSpec = VmSpec {
+    vm: "ishikari-a-1",
+    region: "ishikari",
+    domain: "ishikari-a",
+};
+
+const FIRST: VmSpec = VmSpec {
+    vm: "ishikari-a-2",
+    region: "ishikari",
+    domain: "ishikari-a",
+};
+
+const SECOND: VmSpec = VmSpec {
+    vm: "ishikari-a-3",
+    region: "ishikari",
+    domain: "ishikari-a",
+};
+
+/// Fault that makes any request with the header crash the upstream.
+const CRASH: &str = r#"{ "crash_on": "x-crash" }"#;
+
+struct Cards {
+    _mesh: Mesh,
+    entry: DaemonProcess,
+    first: DaemonProcess,
+    second: DaemonProcess,
+}
+
+async fn cards(name: &str) -> Cards {
+    let mesh = Mesh::start(name);
+    let entry = mesh.daemon(ENTRY, &[]);
+    let first = mesh.daemon(FIRST, &[entry.peers]);
+    let second = mesh.daemon(SECOND, &[entry.peers]);
+    entry.wait_for_members(3).await;
+    entry.ctl(&["region", "put", "ishikari"]);
+    entry.ctl(&["service", "put", "--name", "cardview", "--host", HOST]);
+    Cards {
+        _mesh: mesh,
+        entry,
+        first,
+        second,
+    }
+}
+
+/// Starts an upstream that crashes on the header, and waits until it answers.
+async fn fragile(entry: &DaemonProcess, beside: &DaemonProcess) -> (Process, SocketAddr) {
+    let (process, standin) = beside.start_upstream("cardview", 10);
+    set_faults(standin, CRASH).await;
+    eventually("upstream", || async {
+        let get = request("GET", HOST, "/", &[("x-request-id", "warm-up")], "");
+        let answer = send(entry.callers, get).await?;
+        let seen = runs(standin).await.contains_key("warm-up");
+        (answer.status == 200 && seen)
+            .then_some(())
+            .ok_or(format!("{answer:?}"))
+    })
+    .await;
+    (process, standin)
+}
+
+async fn crash(entry: &DaemonProcess) -> Answer {
+    let headers = [("x-crash", "1"), ("x-request-id", "crash")];
+    let get = request("GET", HOST, "/crash", &headers, "");
+    send(entry.callers, get).await.expect("entry answers")
+}
+
+/// Guards against a request that the system itself sends from one crashed upstream to the next.
+#[tokio::test]
+async fn crashing_request_is_not_sent_to_the_next_upstream() {
+    let Cards {
+        _mesh,
+        entry,
+        first,
+        second,
+    } = cards("crashes-spread").await;
+    let (mut a, a_addr) = fragile(&entry, &first).await;
+    let (mut b, b_addr) = fragile(&entry, &second).await;
+    let answer = crash(&entry).await;
+    assert_eq!(answer.outcome(), Some("unknown"), "{answer:?}");
+    assert_eq!(answer.reason(), "crash-suspect");
+    while !a.has_ended() && !b.has_ended() {
+        tokio::time::sleep(std::time::Duration::from_millis(10)).await;
+    }
+    let survivor = match (a.has_ended(), b.has_ended()) {
+        (true, false) => b_addr,
+        (false, true) => a_addr,
+        both => panic!("ended: {both:?}"),
+    };
+    assert_eq!(runs(survivor).await.get("crash"), None);
+}
+
+/// Guards against a request that crashes the same upstream again and again.
+#[tokio::test]
+async fn second_crash_is_the_last() {
+    let Cards {
+        _mesh,
+        entry,
+        first,
+        second: _second,
+    } = cards("crashes-second").await;
+    for _ in 0..2 {
+        let (mut upstream, _) = fragile(&entry, &first).await;
+        let answer = crash(&entry).await;
+        assert_eq!(answer.outcome(), Some("unknown"), "{answer:?}");
+        assert!(!upstream.wait(), "the upstream crashed");
+    }
+    let (_upstream, standin) = fragile(&entry, &first).await;
+    let answer = crash(&entry).await;
+    assert_eq!(answer.outcome(), Some("not-run"), "{answer:?}");
+    assert_eq!(answer.reason(), "crash-suspect");
+    assert_eq!(runs(standin).await.get("crash"), None);
+}
+
+/// Guards against an innocent request that is refused, or kept waiting for ever, because of a
+/// suspect: the suspect runs alone and what came behind it runs after it.
+#[tokio::test]
+async fn suspect_runs_alone_and_is_not_starved() {
+    let Cards {
+        _mesh,
+        entry,
+        first,
+        second: _second,
+    } = cards("crashes-alone").await;
+    let (mut crashed, _) = fragile(&entry, &first).await;
+    // Runs beside the crashing request and becomes a suspect without being at fault.
+    let work = |id: &str, path: &str, ms: &str| {
+        let headers = [("x-request-id", id), ("x-work-ms", ms)];
+        send(entry.callers, request("GET", HOST, path, &headers, ""))
+    };
+    let victim = tokio::spawn(work("victim", "/victim", "5000"));
+    eventually("the victim runs", || async {
+        let status = first.ctl_json(&["status"]);
+        let running = status["upstreams"][0]["running"].as_u64();
+        (running == Some(1)).then_some(()).ok_or(status.to_string())
+    })
+    .await;
+    crash(&entry).await;
+    assert!(!crashed.wait(), "the upstream crashed");
+    let answer = victim.await.unwrap().expect("entry answers");
+    assert_eq!(answer.outcome(), Some("unknown"), "{answer:?}");
+
+    let (_again, standin) = fragile(&entry, &first).await;
+    let other = tokio::spawn(work("other", "/other", "1500"));
+    eventually("another request runs", || async {
+        let runs = runs(standin).await;
+        runs.contains_key("other")
+            .then_some(())
+            .ok_or("not yet".to_owned())
+    })
+    .await;
+    let victim = tokio::spawn(work("victim", "/victim", "300"));
+    let behind: Vec<_> = (0..3)
+        .map(|n| tokio::spawn(work(&format!("behind-{n}"), "/behind", "10")))
+        .collect();
+    for task in [other, victim].into_iter().chain(behind) {
+        let answer = task.await.unwrap().expect("entry answers");
+        assert_eq!(answer.status, 200, "{answer:?}");
+    }
+}
+
+/// Guards against suspicion after a planned restart: nothing ran, so nothing is a suspect.
+#[tokio::test]
+async fn killed_idle_upstream_leaves_no_suspects() {
+    let Cards {
+        _mesh,
+        entry,
+        first,
+        second: _second,
+    } = cards("crashes-idle").await;
+    let (mut upstream, _) = fragile(&entry, &first).await;
+    upstream.kill();
+    let (_again, _) = fragile(&entry, &first).await;
+    let answer = send(entry.callers, request("GET", HOST, "/", &[], ""))
+        .await
+        .unwrap();
+    assert_eq!(answer.status, 200, "{answer:?}");
+}
--- a/tests/all/support.rs
+++ b/tests/all/support.rs
@@ -12,6 +12,6 @@
 pub(crate) use mesh::{DaemonOptions, DaemonProcess, Mesh, VmSpec};
 pub(crate) use process::{Process, eventually};
 pub(crate) use raw::{RawUpstream, Stage};
-pub(crate) use standin::{runs, set_faults};
+pub(crate) use standin::{peak, runs, set_faults};
 pub(crate) use stream::Generated;
 pub(crate) use tickets::{ticket, with_ticket};
--- a/tests/all/support/process.rs
+++ b/tests/all/support/process.rs
@@ -61,6 +61,12 @@
         kilobytes.expect("status has the peak") * 1024
     }
 
+    /// Tells whether the process has ended.
+    pub(crate) fn has_ended(&mut self) -> bool {
+        let status = self.child.try_wait().expect("child can be waited for");
+        status.is_some()
+    }
+
     /// Waits for the end of the process and returns whether it succeeded.
     pub(crate) fn wait(&mut self) -> bool {
         let deadline = Instant::now() + PATIENCE;
--- a/tests/all/support/standin.rs
+++ b/tests/all/support/standin.rs
@@ -25,3 +25,9 @@
     let answer = send(standin, put).await.expect("stand-in answers");
     assert!(answer.status.is_success(), "{answer:?}");
 }
+
+/// Returns the counts of concurrency of the stand-in.
+pub(crate) async fn peak(standin: SocketAddr) -> serde_json::Value {
+    let get = request("GET", "standin", "/_standin/peak", &[], "");
+    send(standin, get).await.expect("stand-in answers").json()
+}
