--- a/tests/all/answers/crossed.rs
+++ b/tests/all/answers/crossed.rs
@@ -40,7 +40,7 @@
             ("x-work-ms", work.as_str()),
         ];
         let request = request("PUT", HOST, "/", &headers, body.clone());
-        if caller % 3 == 0 && number + 1 == REQUESTS {
+        if caller.is_multiple_of(3) && number + 1 == REQUESTS {
             let wait = Duration::from_millis(caller as u64 % 20);
             let _ = tokio::time::timeout(wait, client.send(request)).await;
             return whole;
