--- a/crates/daemon/src/guard.rs
+++ b/crates/daemon/src/guard.rs
@@ -8,6 +8,7 @@
 mod confirm;
 mod crashes;
 mod events;
+mod held;
 mod rules;
 mod state;
 mod tickets;
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -5,6 +5,8 @@
 mod bad_records;
 mod bad_requests;
 mod bad_settings;
+mod cold;
+mod crashes;
 mod ctl;
 mod demo;
 mod domain;
--- a/tests/all/support.rs
+++ b/tests/all/support.rs
@@ -23,4 +23,4 @@
 pub(crate) use stream::Generated;
 pub(crate) use tickets::{ticket, with_ticket};
 pub(crate) use upload::Upload;
-pub(crate) use upstream::{announce, runs, set_faults, try_runs};
+pub(crate) use upstream::{announce, peak, runs, set_faults, try_runs};
--- a/tests/all/support/upstream.rs
+++ b/tests/all/support/upstream.rs
@@ -26,6 +26,12 @@
     assert!(answer.status.is_success(), "{answer:?}");
 }
 
+/// Returns the counts of concurrency of a stand-in.
+pub(crate) async fn peak(upstream: SocketAddr) -> serde_json::Value {
+    let get = request("GET", "standin", "/_standin/peak", &[], "");
+    send(upstream, get).await.expect("stand-in answers").json()
+}
+
 /// Sends an announcement to the daemon that listens for them at `daemon`.
 pub(crate) async fn announce(
     daemon: SocketAddr,
