Show in reports that scripted events took effect

Cause: 'cornelbench domain' reported no loss, but nothing showed that the failure domain really got no work; an event that failed was not reported either. Change: each event lists what every VM ran until the next one and why it had no effect, if so; the new event 'mark' only splits the counts.

--- a/crates/bench/src/builtin.rs
+++ b/crates/bench/src/builtin.rs
@@ -387,7 +387,10 @@
                         domain: domain.clone(),
                     },
                 ),
+                // Entries and guards may need a few seconds; what runs later must run elsewhere.
+                at(8000, Action::Mark),
                 at(15_000, Action::DomainIn { domain }),
+                at(18_000, Action::Mark),
             ],
         )
     }
--- a/crates/bench/src/experiment.rs
+++ b/crates/bench/src/experiment.rs
@@ -260,6 +260,8 @@
         /// The VM.
         vm: usize,
     },
+    /// Changes nothing; what follows is counted apart.
+    Mark,
     /// Takes a failure domain out of service through the log.
     DomainOut {
         /// The failure domain.
@@ -436,7 +438,7 @@
     pub(crate) fn vm(&self) -> Option<usize> {
         match self {
             Self::Faults { vm, .. } | Self::Replace { vm, .. } | Self::Drain { vm } => Some(*vm),
-            Self::DomainOut { .. } | Self::DomainIn { .. } => None,
+            Self::Mark | Self::DomainOut { .. } | Self::DomainIn { .. } => None,
         }
     }
 
@@ -446,6 +448,7 @@
             Self::Faults { vm, .. } => format!("faults vm {vm}"),
             Self::Replace { vm, .. } => format!("replace vm {vm}"),
             Self::Drain { vm } => format!("drain vm {vm}"),
+            Self::Mark => "mark".to_owned(),
             Self::DomainOut { domain } => format!("{domain} out"),
             Self::DomainIn { domain } => format!("{domain} in"),
         }
--- a/crates/bench/src/report.rs
+++ b/crates/bench/src/report.rs
@@ -86,6 +86,11 @@
     /// Time until 10 windows in a row had no loss and a p99 within 1.5 times the one before the
     /// first event; `None` if that did not happen before the next event or the end.
     pub settled_ms: Option<u64>,
+    /// Requests that each VM began between this event and the next, or the end; empty unless runs
+    /// are tracked.
+    pub runs: Vec<u64>,
+    /// Why the event had no effect, if it had none.
+    pub problem: Option<String>,
     /// What became of the requests between this event and the next, or the end.
     pub counts: Counts,
 }
--- a/crates/bench/src/run.rs
+++ b/crates/bench/src/run.rs
@@ -117,6 +117,7 @@
             let _ = stop.send(());
             let scene = script.await.map_err(ended)?;
             add_upstreams(experiment, &mut report, &scene.upstreams, &tally).await;
+            add_notes(&mut report, &scene).await;
         }
         if let Some(mesh) = &stages[index].mesh {
             let readings = before[index].iter().zip(&after[index]);
@@ -165,6 +166,7 @@
     let scene = Scene {
         upstreams: std::mem::take(&mut mesh.upstreams),
         store: mesh.store.clone(),
+        notes: Vec::new(),
     };
     let (stop, stopped) = oneshot::channel();
     let experiment = Arc::clone(experiment);
@@ -250,12 +252,26 @@
                 at_ms: event.at_ms,
                 event: event.action.label(),
                 settled_ms: settled.map(|run| run[0].start_ms - event.at_ms),
+                runs: Vec::new(),
+                problem: None,
                 counts,
             }
         })
         .collect()
 }
 
+/// Adds to each event what ran between it and the next one.
+async fn add_notes(report: &mut VariantReport, scene: &Scene) {
+    let last = scene.runs().await;
+    let until = scene.notes.iter().skip(1).map(|n| &n.runs);
+    let until = until.chain(std::iter::once(&last));
+    for ((event, note), until) in report.events.iter_mut().zip(&scene.notes).zip(until) {
+        let runs = until.iter().zip(&note.runs);
+        event.runs = runs.map(|(after, before)| after - before).collect();
+        event.problem.clone_from(&note.problem);
+    }
+}
+
 async fn add_upstreams(
     experiment: &Experiment,
     report: &mut VariantReport,
--- a/crates/bench/src/script.rs
+++ b/crates/bench/src/script.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use cornelvalve_logstore::HttpLogStore;
-use cornelvalve_model::{DomainState, Operation};
+use cornelvalve_model::{DomainState, FailureDomain, Operation};
 use cornelvalve_standins::{
     UpstreamFaults, UpstreamHandle, UpstreamOptions, UpstreamPeak, UpstreamStandIn,
 };
@@ -52,6 +52,13 @@
         }
     }
 
+    async fn drain(&self) -> Result<(), String> {
+        let Some((_, handle)) = &self.running else {
+            return Err("the upstream takes no drain".to_owned());
+        };
+        handle.drain().await.map_err(|e| e.to_string())
+    }
+
     /// Ends the upstream like a crash and starts the next incarnation.
     async fn replace(&mut self, faults: UpstreamFaults) {
         self.past_runs = self.runs().await;
@@ -108,6 +115,17 @@
 pub(crate) struct Scene {
     pub(crate) upstreams: Vec<Option<LocalUpstream>>,
     pub(crate) store: HttpLogStore,
+    /// Notes on the events so far.
+    pub(crate) notes: Vec<Note>,
+}
+
+/// What was seen when an event took place.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Note {
+    /// Requests that each VM had begun since the start.
+    pub(crate) runs: Vec<u64>,
+    /// Why the event had no effect, if it had none.
+    pub(crate) problem: Option<String>,
 }
 
 /// Runs the script and the noise until told to stop and hands the upstreams back.
@@ -128,7 +146,9 @@
             _ = &mut stop => return scene,
             () = sleep_until(event_at) => {
                 if let Some(event) = next {
-                    scene.act(event, experiment).await;
+                    let problem = scene.act(event, experiment).await.err();
+                    let runs = scene.runs().await;
+                    scene.notes.push(Note { runs, problem });
                 }
                 next = events.next();
             }
@@ -154,46 +174,63 @@
 }
 
 impl Scene {
-    async fn act(&mut self, event: &ScriptEvent, experiment: &Experiment) {
+    /// Returns how many requests each VM has begun.
+    pub(crate) async fn runs(&self) -> Vec<u64> {
+        let mut runs = Vec::new();
+        for upstream in &self.upstreams {
+            runs.push(match upstream {
+                Some(upstream) => upstream.runs().await.values().sum(),
+                None => 0,
+            });
+        }
+        runs
+    }
+
+    async fn act(&mut self, event: &ScriptEvent, experiment: &Experiment) -> Result<(), String> {
         match &event.action {
+            Action::Mark => Ok(()),
             Action::Faults { vm, faults } => {
-                if let Some(Some(upstream)) = self.upstreams.get(*vm) {
-                    upstream.set_faults(faults.clone()).await;
-                }
+                self.upstream(*vm)?.set_faults(faults.clone()).await;
+                Ok(())
             }
             Action::Replace { vm, faults } => {
-                if let Some(Some(upstream)) = self.upstreams.get_mut(*vm) {
-                    upstream.replace(faults.clone()).await;
-                }
+                self.upstream(*vm)?.replace(faults.clone()).await;
+                Ok(())
             }
-            Action::Drain { vm } => {
-                if let Some(Some(upstream)) = self.upstreams.get(*vm)
-                    && let Some((_, handle)) = &upstream.running
-                {
-                    // A daemon that does not answer shows in the results.
-                    let _ = handle.drain().await;
-                }
+            Action::Drain { vm } => self.upstream(*vm)?.drain().await,
+            Action::DomainOut { domain } => {
+                self.set_domain(domain, DomainState::OutOfService, experiment)
+                    .await
             }
-            Action::DomainOut { domain } | Action::DomainIn { domain } => {
-                let spec = experiment.vms.iter().find(|v| v.domain == *domain);
-                let Some(spec) = spec else {
-                    return;
-                };
-                let state = match event.action {
-                    Action::DomainOut { .. } => DomainState::OutOfService,
-                    _ => DomainState::InService,
-                };
-                let operation = Operation::PutDomain {
-                    domain: domain.clone(),
-                    region: spec.region.clone(),
-                    state,
-                };
-                // A log that does not answer shows in the results.
-                let _ = append(&self.store, vec![operation]).await;
+            Action::DomainIn { domain } => {
+                self.set_domain(domain, DomainState::InService, experiment)
+                    .await
             }
         }
     }
 
+    fn upstream(&mut self, vm: usize) -> Result<&mut LocalUpstream, String> {
+        let upstream = self.upstreams.get_mut(vm).and_then(Option::as_mut);
+        upstream.ok_or_else(|| format!("VM {vm} has no upstream"))
+    }
+
+    async fn set_domain(
+        &self,
+        domain: &FailureDomain,
+        state: DomainState,
+        experiment: &Experiment,
+    ) -> Result<(), String> {
+        let spec = experiment.vms.iter().find(|v| v.domain == *domain);
+        let spec = spec.ok_or_else(|| format!("no VM stands in {domain}"))?;
+        let operation = Operation::PutDomain {
+            domain: domain.clone(),
+            region: spec.region.clone(),
+            state,
+        };
+        let appended = append(&self.store, vec![operation]).await;
+        appended.map_err(|e| e.to_string())
+    }
+
     /// Moves the straggling to the next upstream and returns its index.
     async fn move_noise(&self, from: Option<usize>, noise: Option<Noise>) -> Option<usize> {
         let noise = noise?;
--- a/crates/bench/src/table.rs
+++ b/crates/bench/src/table.rs
@@ -123,12 +123,17 @@
             .map_or("not settled".to_owned(), |ms| format!("settled in {ms} ms"));
         writeln!(
             text,
-            "{name}: at {} ms {}: {settled}, {} sent, {} lost, {} late",
+            "{name}: at {} ms {}: {settled}, {} sent, {} lost, {} late, runs by VM {:?}{}",
             event.at_ms,
             event.event,
             event.counts.sent,
             event.counts.lost(),
-            event.counts.late
+            event.counts.late,
+            event.runs,
+            event
+                .problem
+                .as_ref()
+                .map_or(String::new(), |p| format!(", NO EFFECT: {p}"))
         )?;
     }
     for upstream in variant.upstreams.iter().filter(|u| u.peak_cold > 0) {
