Read what ran before a scripted event acts

The count was read after the record that returned the domain, so work after the return could be counted as before it; the run cannot tell which it was. Change: the counts are read before the event.

--- a/crates/bench/src/script.rs
+++ b/crates/bench/src/script.rs
@@ -146,8 +146,9 @@
             _ = &mut stop => return scene,
             () = sleep_until(event_at) => {
                 if let Some(event) = next {
-                    let problem = scene.act(event, experiment).await.err();
+                    // Read first: a domain that returns gets work before a later reading ends.
                     let runs = scene.runs().await;
+                    let problem = scene.act(event, experiment).await.err();
                     scene.notes.push(Note { runs, problem });
                 }
                 next = events.next();
