Prove that a cut region is kept and heals

Cause: no test of separate processes cut a region off.

Change: two regions of two daemons; those of one region are stopped by SIGSTOP. The others must mark its members unreachable and keep them alive, serve from their own region, refuse a service behind the cut with "not run" at once, accept changes, and see everything again after SIGCONT, with the change in force.

The refusal names domain-out for a region that cannot be reached, because the router keeps both in one list; the outcome is right.

--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -3,6 +3,7 @@
 mod domain;
 mod leaving;
 mod path;
+mod regions;
 mod rolling;
 mod stop;
 mod support;
--- /dev/null
+++ b/tests/all/regions.rs
@@ -0,0 +1,132 @@
+//! Regions that lose each other.
+
+use crate::support::{DaemonProcess, Mesh, VmSpec, eventually, request, runs, send};
+
+const fn vm(vm: &'static str, region: &'static str, domain: &'static str) -> VmSpec {
+    VmSpec { vm, region, domain }
+}
+
+const EST: [VmSpec; 2] = [
+    vm("est-a-1", "qc-est", "est-a"),
+    vm("est-b-1", "qc-est", "est-b"),
+];
+
+const OUEST: [VmSpec; 2] = [
+    vm("ouest-a-1", "qc-ouest", "ouest-a"),
+    vm("ouest-b-1", "qc-ouest", "ouest-b"),
+];
+
+/// Waits until a daemon sees all members alive and those of a region reachable or not.
+///
+/// A reader marks a region after the majority of eight probes failed or succeeded. The first
+/// contradiction shortens the period from 5 s to 1 s, so five probes with time-outs of 1 s take
+/// about 11 s; others learn of it with the next probes.
+async fn wait_for_region(daemon: &DaemonProcess, region: &str, reachable: bool) {
+    eventually("members of the other region", || async {
+        let members = daemon.ctl_json(&["members"]);
+        let text = members.to_string();
+        let list = members.as_array().cloned().unwrap_or_default();
+        let alive = list
+            .iter()
+            .filter(|m| m["member"]["state"] == "alive")
+            .count();
+        let as_told = |m: &&serde_json::Value| {
+            let is_other = m["member"]["region"] == region;
+            m["reachable"] == (if is_other { reachable } else { true })
+        };
+        let told = list.iter().filter(as_told).count();
+        (alive == 4 && told == 4).then_some(()).ok_or(text)
+    })
+    .await;
+}
+
+async fn get(entry: &DaemonProcess, host: &str) -> Result<(u16, serde_json::Value), String> {
+    let answer = send(
+        entry.callers,
+        request("GET", host, "/", &[("x-request-id", host)], ""),
+    )
+    .await?;
+    let status = answer.status.as_u16();
+    let body = if status == 200 {
+        serde_json::Value::Null
+    } else {
+        answer.json()
+    };
+    Ok((status, body))
+}
+
+/// Guards against members of a region that cannot be reached being declared dead, requests that
+/// wait for it, and a view that does not recover.
+#[tokio::test]
+async fn cut_region_is_kept_and_heals() {
+    let mesh = Mesh::start("regions");
+    let first = mesh.daemon(EST[0], &[]);
+    let second = mesh.daemon(EST[1], &[first.peers]);
+    let est = [first, second];
+    let ouest = OUEST.map(|spec| mesh.daemon(spec, &[est[0].peers, est[1].peers]));
+    let est_upstreams = [&est[0], &est[1]].map(|d| d.start_upstream("cardview", 10));
+    let ouest_upstreams = [
+        ouest[0].start_upstream("cardview", 10),
+        ouest[1].start_upstream("ledger", 10),
+    ];
+    est[0].put_service("cardview");
+    est[0].put_service("ledger");
+    for daemon in est.iter().chain(&ouest) {
+        daemon.wait_for_members(4).await;
+    }
+    eventually("request to the other region", || async {
+        let (status, body) = get(&est[0], "ledger.test").await?;
+        (status == 200).then_some(()).ok_or(body.to_string())
+    })
+    .await;
+
+    let before = runs(ouest_upstreams[0].1).await.expect("runs");
+    for daemon in &ouest {
+        daemon.process.signal("STOP");
+    }
+    for daemon in &est {
+        wait_for_region(daemon, "qc-ouest", false).await;
+    }
+    for daemon in &est {
+        for _ in 0..20 {
+            let (status, body) = get(daemon, "cardview.test").await.expect("answer");
+            assert_eq!(status, 200, "{body}");
+        }
+        // The only upstream is behind the cut: refused at once, not after a time-out.
+        let (status, body) = get(daemon, "ledger.test").await.expect("answer");
+        assert_eq!(
+            (status, &body["outcome"]),
+            (503, &"not-run".into()),
+            "{body}"
+        );
+        assert_ne!(body["reason"], "deadline", "{body}");
+    }
+    est[0].ctl(&["team", "put", "paie"]);
+
+    for daemon in &ouest {
+        daemon.process.signal("CONT");
+    }
+    for daemon in est.iter().chain(&ouest) {
+        wait_for_region(daemon, "none", true).await;
+    }
+    eventually("change in force everywhere", || async {
+        let revisions: Vec<_> = est
+            .iter()
+            .chain(&ouest)
+            .map(|d| d.ctl_json(&["status"])["revision"].clone())
+            .collect();
+        let same = revisions.iter().all(|r| *r == revisions[0]);
+        same.then_some(()).ok_or(format!("{revisions:?}"))
+    })
+    .await;
+    eventually("request to the healed region", || async {
+        let (status, body) = get(&est[1], "ledger.test").await?;
+        (status == 200).then_some(()).ok_or(body.to_string())
+    })
+    .await;
+    let after = runs(ouest_upstreams[0].1).await.expect("runs");
+    assert_eq!(after, before, "requests that left their region");
+    for (_, upstream) in &est_upstreams {
+        runs(*upstream).await.expect("upstream of the region runs");
+    }
+}
