--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -18,6 +18,7 @@
 mod path;
 mod privacy;
 mod publishing;
+mod regions;
 mod retry;
 mod rolling;
 mod snapshots;
