--- a/tests/all/regions.rs
+++ b/tests/all/regions.rs
@@ -1,6 +1,6 @@
 //! Regions that lose each other.
 
-use crate::support::{DaemonProcess, Mesh, VmSpec, eventually, request, runs, send};
+use crate::support::{DaemonProcess, Mesh, VmSpec, eventually, request, send, try_runs};
 
 const fn vm(vm: &'static str, region: &'static str, domain: &'static str) -> VmSpec {
     VmSpec { vm, region, domain }
@@ -69,8 +69,8 @@
         ouest[0].start_upstream("cardview", 10),
         ouest[1].start_upstream("ledger", 10),
     ];
-    est[0].put_service("cardview");
-    est[0].put_service("ledger");
+    est[0].put_service("cardview", &[]);
+    est[0].put_service("ledger", &[]);
     for daemon in est.iter().chain(&ouest) {
         daemon.wait_for_members(4).await;
     }
@@ -80,7 +80,7 @@
     })
     .await;
 
-    let before = runs(ouest_upstreams[0].1).await.expect("runs");
+    let before = try_runs(ouest_upstreams[0].1).await.expect("runs");
     for daemon in &ouest {
         daemon.process.signal("STOP");
     }
@@ -124,9 +124,11 @@
         (status == 200).then_some(()).ok_or(body.to_string())
     })
     .await;
-    let after = runs(ouest_upstreams[0].1).await.expect("runs");
+    let after = try_runs(ouest_upstreams[0].1).await.expect("runs");
     assert_eq!(after, before, "requests that left their region");
     for (_, upstream) in &est_upstreams {
-        runs(*upstream).await.expect("upstream of the region runs");
+        try_runs(*upstream)
+            .await
+            .expect("upstream of the region runs");
     }
 }
