Prove the control budgets under a flood and correct the link's share

Cause: no test counted what a daemon sends when others flood it. Writing one showed that the daemon's defaults are not those of the budget crate, and that the default share of the region link, 2,000 bytes a second, takes 40,000 for the 20 daemons that it is meant for; 1% of 30 Mbit/s is 37,500.

Change: the default of budgets.region_link is 1,875, and a test holds the defaults against the stated totals. A peer stand-in floods a daemon for 11 s with pings, relay requests, joins, all messages of anti-entropy, notices and queries, as a member of the region, as one of another region and from an address that never joined. What its sockets receive, with 28 bytes of headers a datagram, keeps within the token bucket of each class for every period and within ten times the share for every ten seconds; replies to the foreign and the unknown address together keep within the share of the link, so a forged address cannot be flooded.

Conclusion: datagrams keep within the budgets. Configuration pulls are still charged with an estimate of 2,048 bytes, and the reply is not charged at all.

--- a/crates/daemon/src/config/builder.rs
+++ b/crates/daemon/src/config/builder.rs
@@ -27,7 +27,8 @@
     news: 5_000,
     configuration: 5_000,
     load: 1_000,
-    region_link: 2_000,
+    // Up to 20 daemons share 1% of 30 Mbit/s, which is 37,500 bytes a second.
+    region_link: 1_875,
 };
 const DEFAULT_UPSTREAM: UpstreamLimits = UpstreamLimits {
     connections: 250,
--- a/crates/daemon/tests/all/settings.rs
+++ b/crates/daemon/tests/all/settings.rs
@@ -3,7 +3,8 @@
 use std::path::Path;
 use std::time::Duration;
 
-use cornelvalve_daemon::config::Config;
+use cornelvalve_budget::{LINK_BYTES_PER_SECOND, LINK_DAEMONS, TOTAL_BYTES_PER_SECOND};
+use cornelvalve_daemon::config::{Budgets, Config};
 use cornelvalve_daemon::settings;
 use cornelvalve_model::VmName;
 use insta::assert_snapshot;
@@ -45,6 +46,21 @@
     assert_eq!(defaults, Ok(example));
 }
 
+/// Guards against defaults that exceed the stated cost of control traffic.
+#[test]
+fn default_budgets_keep_within_the_design() {
+    let config = settings::parse(Path::new("example"), EXAMPLE).expect("example is valid");
+    let Budgets {
+        probe,
+        news,
+        configuration,
+        load,
+        region_link,
+    } = config.budgets;
+    assert!(probe + news + configuration + load <= TOTAL_BYTES_PER_SECOND);
+    assert!(region_link * LINK_DAEMONS <= LINK_BYTES_PER_SECOND);
+}
+
 /// Guards against a key that is read but handed to another option.
 #[test]
 fn each_key_sets_its_option() {
@@ -63,7 +79,7 @@
     let text = changed("\"lease_max_ms\": 10000", "\"lease_max_ms\": 4");
     let config = settings::parse(Path::new("x"), &text).expect("valid");
     assert_eq!(config.upstream.lease_max, Duration::from_millis(4));
-    let text = changed("\"region_link\": 2000", "\"region_link\": 5");
+    let text = changed("\"region_link\": 1875", "\"region_link\": 5");
     let config = settings::parse(Path::new("x"), &text).expect("valid");
     assert_eq!(config.budgets.region_link, 5);
     let text = changed("\"level\": \"info\"", "\"level\": \"debug\"");
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -28,3 +28,4 @@
 pub use membership::Membership;
 pub use message::{Message, News, Summary};
 pub use settings::MembershipSettings;
+pub use table::short_hash;
--- a/crates/membership/src/table.rs
+++ b/crates/membership/src/table.rs
@@ -36,7 +36,7 @@
 }
 
 /// Returns the short hash of a VM name; its top eight bits are the bucket.
-pub(crate) fn short_hash(vm: &VmName) -> u32 {
+pub fn short_hash(vm: &VmName) -> u32 {
     shorten(xxh3_64(vm.as_str().as_bytes()))
 }
 
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -1,5 +1,6 @@
 //! Integration tests, one module a topic.
 
+mod budget;
 mod domain;
 mod leaving;
 mod path;
--- a/tests/all/support.rs
+++ b/tests/all/support.rs
@@ -3,6 +3,7 @@
 mod http;
 mod load;
 mod mesh;
+mod meter;
 mod process;
 mod upload;
 mod upstream;
@@ -10,6 +11,7 @@
 pub(crate) use http::{Answer, request, send};
 pub(crate) use load::{Load, Tally};
 pub(crate) use mesh::{DaemonProcess, Mesh, VmSpec};
+pub(crate) use meter::{Meter, check_rate};
 pub(crate) use process::{Process, eventually};
 pub(crate) use upload::Upload;
 pub(crate) use upstream::{announce, runs};
