--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -5,6 +5,7 @@
 mod bad_records;
 mod bad_requests;
 mod bad_settings;
+mod budget;
 mod cold;
 mod crashes;
 mod ctl;
