Judge requests by the newest residency rules at every step

Change: `Catalog::objection` judges a routed request with the revision it was routed by. The guard asks it at arrival and again at dispatch. The router takes the present rules for each attempt and does not name an issuer outside the home regions; that refusal says "unknown", because the ticket may have been used there before.

The scenario runner's read loop is bounded, so that a reader without progress fails the test. The test of lost answers also has a slow log, and introducer records have a test of their encoding.

--- a/crates/catalog/src/catalog.rs
+++ b/crates/catalog/src/catalog.rs
@@ -1,15 +1,16 @@
 //! The state machine: records in, verdicts out.
 
 use cornelvalve_model::{
-    Change, ChangeId, DomainState, FailureDomain, LogEntry, Offset, Operation, RecentChange,
-    RecentVerdict, Region, Revision, RouteName, Rule, Service, ServiceName, Snapshot, TeamName,
-    VersionedEntry,
+    Change, ChangeId, DomainState, FailureDomain, LogEntry, Offset, Operation, Reason,
+    RecentChange, RecentVerdict, Region, Revision, RouteName, Rule, Service, ServiceName, Snapshot,
+    TeamName, VersionedEntry,
 };
 
 use crate::history::{BadRecords, MAX_RECENT_CHANGES, RecentChanges};
 use crate::tables::Tables;
 use crate::{
-    BadRecord, Domain, Entry, GapError, PastVerdict, Rejection, Residency, Resolved, Verdict,
+    BadRecord, Domain, Entry, GapError, PastVerdict, Rejection, Residency, Resolved, Routed,
+    Verdict,
 };
 
 /// Accepted configuration up to an offset of the log.
@@ -254,6 +255,13 @@
         self.tables.residency(team, service, route)
     }
 
+    /// Returns why a request that was routed by an older or newer configuration may not be served
+    /// in a region, if so.
+    #[must_use]
+    pub fn objection(&self, routed: &Routed<'_>, region: &Region) -> Option<Reason> {
+        self.tables.objection(routed, region, self.revision)
+    }
+
     /// Tells whether a team is configured.
     #[must_use]
     pub fn knows_team(&self, team: &TeamName) -> bool {
--- a/crates/catalog/src/lib.rs
+++ b/crates/catalog/src/lib.rs
@@ -15,7 +15,7 @@
 
 pub use catalog::Catalog;
 pub use history::{BadRecord, MAX_BAD_RECORDS, MAX_RECENT_CHANGES};
-pub use lookup::{Residency, Resolved};
+pub use lookup::{Residency, Resolved, Routed};
 pub use publisher::{Action, Actions, Event, PublishOutcome, Publisher, SeenChange};
 pub use schedule::SnapshotSchedule;
 pub use tables::{Domain, Entry};
--- a/crates/catalog/src/lookup.rs
+++ b/crates/catalog/src/lookup.rs
@@ -1,7 +1,7 @@
 //! Answers for the request path.
 
 use cornelvalve_model::{
-    Region, RequestClass, Route, RouteName, Rule, Service, ServiceName, TeamName,
+    Reason, Region, RequestClass, Revision, Route, RouteName, Rule, Service, ServiceName, TeamName,
 };
 use smallvec::SmallVec;
 
@@ -42,6 +42,19 @@
     }
 }
 
+/// Request as an entry routed it, with the configuration that the entry had then.
+#[derive(Clone, Copy, Debug)]
+pub struct Routed<'a> {
+    /// Team on whose behalf it is made.
+    pub team: Option<&'a TeamName>,
+    /// Service that it is for.
+    pub service: &'a ServiceName,
+    /// Route that matched.
+    pub route: Option<&'a RouteName>,
+    /// Revision of the configuration by which it was routed.
+    pub revision: Revision,
+}
+
 /// Returns the route with the longest prefix that covers a normalized path.
 fn match_route<'a>(service: &'a Service, path: &str) -> Option<&'a Route> {
     let matching = service.routes.iter().filter(|r| covers(&r.prefix, path));
@@ -95,6 +108,43 @@
         }
     }
 
+    /// Returns why a request may not be served in a region, if so.
+    ///
+    /// What a newer configuration than this one allowed is not judged by what this one lacks.
+    pub(crate) fn objection(
+        &self,
+        routed: &Routed<'_>,
+        region: &Region,
+        revision: Revision,
+    ) -> Option<Reason> {
+        let Routed {
+            team,
+            service,
+            route,
+            ..
+        } = *routed;
+        let knows_team = match team {
+            Some(team) => self.teams.contains_key(team),
+            None => !self.team_required(service),
+        };
+        if !knows_team && routed.revision <= revision {
+            return Some(Reason::UnknownTeam);
+        }
+        if !self.residency(team, service, route).allows(region) {
+            return Some(Reason::HomeRegion);
+        }
+        self.may_match_other_route(service, routed.revision)
+            .then_some(Reason::StaleConfiguration)
+    }
+
+    /// Tells whether a service whose routes have rules changed after a revision, so that a request
+    /// routed by it may belong to another route by now.
+    fn may_match_other_route(&self, service: &ServiceName, revision: Revision) -> bool {
+        let changed = self.services.get(service).map(|e| e.revision);
+        let has_rule = |rule: &Rule| rule.route.is_some() && rule.service.as_ref() == Some(service);
+        changed.is_some_and(|at| at > revision) && self.rules.values().any(|e| has_rule(&e.value))
+    }
+
     pub(crate) fn team_required(&self, service: &ServiceName) -> bool {
         let matches = |rule: &Rule| rule.service.as_ref().is_none_or(|s| s == service);
         self.rules
--- a/crates/catalog/tests/all/scenario.rs
+++ b/crates/catalog/tests/all/scenario.rs
@@ -4,8 +4,8 @@
 use std::error::Error;
 use std::fmt::Write as _;
 
-use cornelvalve_catalog::{Catalog, Residency, Verdict};
-use cornelvalve_model::{LogEntry, Offset};
+use cornelvalve_catalog::{Catalog, Residency, Routed, Verdict};
+use cornelvalve_model::{LogEntry, Offset, Revision};
 use goldenscript::{Command, Context};
 
 use crate::operation::{Result, change, change_id, positional};
@@ -33,7 +33,10 @@
         let mut catalog = self.readers.remove(name).unwrap_or_default();
         let applied = usize::try_from(catalog.next_offset().0).expect("small offset");
         let mut at = applied.max(self.first_retained);
+        // A snapshot may send the reader back, each time further ahead than it was.
+        let mut steps = (end + 1) * (end + 1);
         while at < end {
+            steps = steps.checked_sub(1).expect("the reader makes progress");
             let entry = self.log[at].as_ref().map_err(String::as_str);
             let verdict = catalog.apply(Offset(at as u64), entry);
             let _ = writeln!(out, "{at} {verdict}");
@@ -151,6 +154,25 @@
                 let required = catalog.team_required(&service);
                 format!("{residency}, team required: {required}\n")
             }
+            // Judges a request that an entry routed by an earlier or later revision.
+            "guard" => {
+                let catalog = self.reader(positional(&mut args, "reader")?);
+                let region = positional(&mut args, "region")?.parse()?;
+                let service = positional(&mut args, "service")?.parse()?;
+                let revision = positional(&mut args, "revision")?.parse()?;
+                let team = args.take_key("team").map(str::parse).transpose()?;
+                let route = args.take_key("route").map(str::parse).transpose()?;
+                let routed = Routed {
+                    team: team.as_ref(),
+                    service: &service,
+                    route: route.as_ref(),
+                    revision: Revision(revision),
+                };
+                match catalog.objection(&routed, &region) {
+                    Some(reason) => format!("{reason}\n"),
+                    None => "serve\n".to_owned(),
+                }
+            }
             "domain" => {
                 let catalog = self.reader(positional(&mut args, "reader")?);
                 let state = catalog.domain_state(&positional(&mut args, "domain")?.parse()?);
@@ -199,6 +221,12 @@
     run("retention-gap")
 }
 
+/// Guards against a guard that serves what a rule newer than the entry's configuration forbids.
+#[test]
+fn racing_rules() -> Result<()> {
+    run("racing-rules")
+}
+
 /// Guards against data that leaves a home region, also by an omitted team or a disguised path.
 #[test]
 fn residency() -> Result<()> {
--- a/crates/daemon/src/entry/forward.rs
+++ b/crates/daemon/src/entry/forward.rs
@@ -94,10 +94,11 @@
 impl Forwarding<'_> {
     /// Sends the request to the daemon that issued its ticket, once.
     async fn run_at_issuer(mut self, ticket: Ticket) -> Result<Response<Body>> {
-        let asked = self
-            .entry
-            .router
-            .ask(|reply| RouterMessage::Locate { ticket, reply });
+        let asked = self.entry.router.ask(|reply| RouterMessage::Locate {
+            ticket,
+            plan: Arc::clone(&self.plan),
+            reply,
+        });
         let endpoint = asked
             .await
             .map_err(|_| Refusal::not_run(Reason::Internal))??;
--- a/crates/daemon/src/guard.rs
+++ b/crates/daemon/src/guard.rs
@@ -13,7 +13,7 @@
 use cornelvalve_catalog::Catalog;
 use cornelvalve_kernel::{Context, Reply, ServiceResult, TIMER, Tick, TimerMessage};
 use cornelvalve_model::{
-    Fingerprint, LoadHint, Moment, Refusal, RouteName, ServiceName, TeamName, Upstream,
+    Fingerprint, LoadHint, Moment, Refusal, Revision, RouteName, ServiceName, TeamName, Upstream,
 };
 use cornelvalve_policy::{RequestId, StoredAnswer, Ticket, TicketList};
 use smallvec::SmallVec;
@@ -40,6 +40,8 @@
     pub(crate) route: Option<RouteName>,
     /// Team on whose behalf it is made.
     pub(crate) team: Option<TeamName>,
+    /// Revision of the configuration by which the entry routed it.
+    pub(crate) revision: Revision,
     /// Ticket, if the request carries one.
     pub(crate) ticket: Option<Ticket>,
     /// Fingerprint of the request.
--- a/crates/daemon/src/guard/state.rs
+++ b/crates/daemon/src/guard/state.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cornelvalve_catalog::{Catalog, Residency};
+use cornelvalve_catalog::{Catalog, Residency, Routed};
 use cornelvalve_kernel::{Reply, Tick};
 use cornelvalve_model::{
     DomainState, FailureDomain, Incarnation, LoadHint, Moment, Reason, Refusal, Region, Revision,
@@ -145,12 +145,14 @@
         if catalog.domain_state(&self.settings.domain) == DomainState::OutOfService {
             return Err(Refusal::not_run(Reason::DomainOut));
         }
-        let residency = catalog.residency(call.team.as_ref(), &call.service, call.route.as_ref());
-        if residency.allows(&self.settings.region) {
-            Ok(())
-        } else {
-            Err(Refusal::not_run(Reason::HomeRegion))
-        }
+        let routed = Routed {
+            team: call.team.as_ref(),
+            service: &call.service,
+            route: call.route.as_ref(),
+            revision: call.revision,
+        };
+        let objection = catalog.objection(&routed, &self.settings.region);
+        objection.map_or(Ok(()), |reason| Err(Refusal::not_run(reason)))
     }
 
     fn admission(&mut self, service: &ServiceName) -> Result<&mut Admission> {
@@ -206,6 +208,8 @@
             return Err(Refusal::not_run(Reason::Internal));
         };
         let call = pending.call.clone();
+        // A rule may have come into force while the request waited.
+        self.check_rules(&call)?;
         let running = self.calls.running().count();
         match self.suspects.start(call.fingerprint, running, now) {
             cornelvalve_policy::Start::Run => {}
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -123,6 +123,7 @@
             service: head.service.clone(),
             route: head.route.clone(),
             team: head.team.clone(),
+            revision: head.revision,
             ticket: ticket_of(head.class, head.key.as_ref())?,
             fingerprint: head.fingerprint,
             deadline: self.clock.now() + head.time_left,
--- a/crates/daemon/src/router.rs
+++ b/crates/daemon/src/router.rs
@@ -124,6 +124,8 @@
     Locate {
         /// The ticket.
         ticket: Ticket,
+        /// Treatment of the request that carries it.
+        plan: Arc<RoutePlan>,
         /// Receives the upstream.
         reply: Reply<Result<Endpoint, Refusal>>,
     },
@@ -187,7 +189,11 @@
     match message {
         RouterMessage::Route { query, reply } => reply.send(state.route(&query)),
         RouterMessage::Attempt { query, reply } => reply.send(state.attempt(&query, now)),
-        RouterMessage::Locate { ticket, reply } => reply.send(state.locate(&ticket)),
+        RouterMessage::Locate {
+            ticket,
+            plan,
+            reply,
+        } => reply.send(state.locate(&ticket, &plan)),
         RouterMessage::Explain { query, reply } => reply.send(state.explain(&query, now)),
         RouterMessage::Catalog(catalog) => state.set_catalog(catalog),
         RouterMessage::Members(members) => state.set_members(&members),
--- a/crates/daemon/src/router/state.rs
+++ b/crates/daemon/src/router/state.rs
@@ -150,11 +150,7 @@
         check_team(catalog, &resolved, query)?;
         let route = resolved.route.map(|r| r.name.clone());
         let service = &resolved.service.name;
-        let regions = match catalog.residency(query.team.as_ref(), service, route.as_ref()) {
-            Residency::Anywhere => None,
-            Residency::Regions(regions) => Some(regions),
-            Residency::Nowhere => Some(SmallVec::new()),
-        };
+        let regions = regions_of(catalog.residency(query.team.as_ref(), service, route.as_ref()));
         self.check_region(&regions)?;
         Ok(RoutePlan {
             service: service.clone(),
@@ -184,6 +180,18 @@
         }
     }
 
+    /// Returns the regions of a plan, or those of the present rules if the configuration changed
+    /// since: an upload may have taken long, or an earlier attempt.
+    fn allowed_regions(&self, plan: &RoutePlan) -> AllowedRegions {
+        match self.catalog() {
+            Ok(catalog) if catalog.revision() != plan.revision => {
+                let (team, route) = (plan.team.as_ref(), plan.route.as_ref());
+                regions_of(catalog.residency(team, &plan.service, route))
+            }
+            _ => plan.regions.clone(),
+        }
+    }
+
     fn addresses_in(&self, regions: &[Region]) -> Option<String> {
         let addresses: Vec<String> = self
             .members
@@ -199,6 +207,9 @@
     /// Chooses an upstream for a first attempt, or for a further one if a retry is allowed.
     pub(super) fn attempt(&mut self, query: &AttemptQuery, now: Moment) -> Result<Attempt> {
         let time_left = query.deadline.since(now);
+        let allowed = self.allowed_regions(&query.plan);
+        self.check_region(&allowed)
+            .map_err(|e| query.failure.map_or(e.refusal, |(refusal, _)| refusal))?;
         match query.failure {
             None => self.retries.on_request(),
             Some((refusal, replayable)) => {
@@ -207,7 +218,7 @@
         }
         let request = ChoiceRequest {
             service: &query.plan.service,
-            allowed: query.plan.regions.as_deref(),
+            allowed: allowed.as_deref(),
             excluded: &query.tried,
             excluded_domains: &self.avoided,
             time_left,
@@ -258,12 +269,18 @@
     }
 
     /// Finds the upstream that issued a ticket.
-    pub(super) fn locate(&self, ticket: &Ticket) -> Result<Endpoint> {
+    ///
+    /// One outside the home regions is not asked, so whether the ticket ran there stays unknown.
+    pub(super) fn locate(&self, ticket: &Ticket, plan: &RoutePlan) -> Result<Endpoint> {
         let gone = Refusal::unknown(Reason::TicketGone);
         let member = self.members.get(&ticket.vm).ok_or(gone)?;
         if member.key.incarnation != ticket.incarnation {
             return Err(gone);
         }
+        let allowed = self.allowed_regions(plan);
+        if allowed.is_some_and(|regions| !regions.contains(&member.region)) {
+            return Err(Refusal::unknown(Reason::HomeRegion));
+        }
         match self.endpoints.at(&ticket.service, &ticket.vm) {
             Some(endpoint) => Ok(endpoint.clone()),
             // The daemon still knows what became of the ticket, even if its upstream is gone.
@@ -292,6 +309,14 @@
     }
 }
 
+fn regions_of(residency: Residency) -> AllowedRegions {
+    match residency {
+        Residency::Anywhere => None,
+        Residency::Regions(regions) => Some(regions),
+        Residency::Nowhere => Some(SmallVec::new()),
+    }
+}
+
 fn check_team(catalog: &Catalog, resolved: &Resolved<'_>, query: &RouteQuery) -> Result<()> {
     let known = match &query.team {
         Some(team) => catalog.knows_team(team),
--- a/crates/wire/tests/log.rs
+++ b/crates/wire/tests/log.rs
@@ -1,7 +1,9 @@
 //! Encoding of log records.
 
 use cornelvalve_model::{LogEntry, Snapshot};
-use cornelvalve_wire::log::{LogError, MAX_RECORD_BYTES, decode_entry, encode_entry};
+use cornelvalve_wire::log::{
+    LogError, MAX_RECORD_BYTES, decode_entry, decode_introducer, encode_entry, encode_introducer,
+};
 
 const CHANGE: &str = r#"{"v":1,"entry":{"change":{"id":"00000000-0000-0000-0000-000000000001","author":"ana","expects":0,"operation":{"put-domain":{"domain":"east-a","region":"east","state":"out-of-service"}}}}}"#;
 
@@ -98,3 +100,23 @@
         "{result:?}"
     );
 }
+
+/// Guards against introducers whose address another build reads differently or not at all.
+#[test]
+fn introducer_survives_encoding() {
+    for text in ["192.0.2.7:7946", "[2001:db8::7]:7946"] {
+        let addr = text.parse().expect("valid address");
+        let data = encode_introducer(addr);
+        let form = format!(r#"{{"v":1,"peer":"{text}"}}"#);
+        assert_eq!(String::from_utf8(data.clone()), Ok(form));
+        assert_eq!(decode_introducer(&data), Ok(addr));
+    }
+    let unknown = br#"{"v":1,"peer":"192.0.2.7:7946","x":0}"#;
+    let error = LogError::UnknownField("x".to_owned());
+    assert_eq!(decode_introducer(unknown), Err(error));
+    let newer = decode_introducer(br#"{"v":2,"peer":"192.0.2.7:7946"}"#);
+    assert!(
+        matches!(newer, Err(LogError::WrongVersion { .. })),
+        "{newer:?}"
+    );
+}
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -3,6 +3,7 @@
 mod introducers;
 mod path;
 mod publishing;
+mod residency;
 mod snapshots;
 mod stop;
 mod support;
--- a/tests/all/publishing.rs
+++ b/tests/all/publishing.rs
@@ -109,19 +109,25 @@
     }
 }
 
-/// Guards against a change that fails or takes effect twice because the log's answer was lost.
+/// Guards against a change that fails or takes effect twice because the log's answer was lost or
+/// came late.
 #[tokio::test]
 async fn lost_answers_do_not_lose_or_repeat_changes() {
     let mesh = Mesh::start("lost-answers");
     let one = mesh.daemon(EST_A, &[]);
     let other = mesh.daemon(EST_B, &[one.peers]);
     let mut last = 0;
-    for (n, lose_by) in [LoseBy::Drop, LoseBy::Status].into_iter().enumerate() {
-        let faults = LogFaults {
-            lose_answers: 3,
-            lose_by,
-            ..NO_FAULTS
-        };
+    let lost = |lose_by| LogFaults {
+        lose_answers: 3,
+        lose_by,
+        ..NO_FAULTS
+    };
+    let slow = LogFaults {
+        delay_ms: 200,
+        ..NO_FAULTS
+    };
+    let all_faults = [lost(LoseBy::Drop), lost(LoseBy::Status), slow];
+    for (n, faults) in all_faults.into_iter().enumerate() {
         mesh.log.set_faults(faults).await;
         for k in 0..4 {
             let change = put_region(10 * n as u128 + k);
--- /dev/null
+++ b/tests/all/residency.rs
@@ -0,0 +1,337 @@
+//! Requests that are bound to home regions.
+
+use std::net::SocketAddr;
+
+use cornelvalve_standins::LogFaults;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+use crate::support::{DaemonProcess, Mesh, VmSpec, eventually, request, send};
+
+const EST: VmSpec = VmSpec {
+    vm: "est-a-1",
+    region: "qc-est",
+    domain: "est-a",
+};
+
+const OUEST: VmSpec = VmSpec {
+    vm: "ouest-a-1",
+    region: "qc-ouest",
+    domain: "ouest-a",
+};
+
+/// Found in the path, the key and the body of requests that must stay in their home region.
+const MARK: &str = "zq7marker";
+
+const VERBOSE: &str = r#""logging": { "level": "trace" },"#;
+
+/// Daemons in two regions with an upstream each, and a rule that keeps payroll in qc-est.
+struct Regions {
+    mesh: Mesh,
+    est: DaemonProcess,
+    ouest: DaemonProcess,
+    _upstreams: Vec<crate::support::Process>,
+}
+
+async fn regions(name: &str) -> Regions {
+    let mesh = Mesh::start(name);
+    let est = mesh.daemon_with(EST, &[], VERBOSE);
+    let ouest = mesh.daemon_with(OUEST, &[est.peers], VERBOSE);
+    est.wait_for_members(2).await;
+    let upstreams = [&est, &ouest].map(|d| d.start_upstream("remise", 10).0);
+    for region in ["qc-est", "qc-ouest"] {
+        est.ctl(&["region", "put", region]);
+    }
+    est.ctl(&["team", "put", "payroll"]);
+    est.ctl(&["team", "put", "fleet"]);
+    let service = [
+        "service",
+        "put",
+        "--name",
+        "remise",
+        "--host",
+        "remise.test",
+    ];
+    est.ctl(&service);
+    put_rule(&est);
+    let revision = est.revision();
+    for daemon in [&est, &ouest] {
+        daemon.wait_for_revision(revision).await;
+        wait_until_served(daemon).await;
+    }
+    Regions {
+        mesh,
+        est,
+        ouest,
+        _upstreams: upstreams.into(),
+    }
+}
+
+fn put_rule(daemon: &DaemonProcess) {
+    let rule = [
+        "rule",
+        "put",
+        "payroll-home",
+        "--team",
+        "payroll",
+        "--region",
+        "qc-est",
+    ];
+    daemon.ctl(&rule);
+}
+
+/// Waits until a daemon serves a team that no rule binds.
+async fn wait_until_served(daemon: &DaemonProcess) {
+    eventually("first request", || async {
+        let headers = [("cornelvalve-team", "fleet")];
+        let answer = send(
+            daemon.callers,
+            request("GET", "remise.test", "/", &headers, ""),
+        );
+        let answer = answer.await?;
+        let is_served = answer.status.is_success();
+        is_served.then_some(()).ok_or(format!("{answer:?}"))
+    })
+    .await;
+}
+
+/// Sends the head of a request without its body and returns the whole answer.
+async fn send_head(addr: SocketAddr, team: &str) -> String {
+    let mut stream = TcpStream::connect(addr).await.expect("daemon listens");
+    let head = format!(
+        "POST /file/{MARK} HTTP/1.1\r\nhost: remise.test\r\ncornelvalve-team: {team}\r\n\
+         idempotency-key: {MARK}\r\ncontent-length: 1000000\r\nconnection: close\r\n\r\n"
+    );
+    stream
+        .write_all(head.as_bytes())
+        .await
+        .expect("head is sent");
+    let mut answer = String::new();
+    stream
+        .read_to_string(&mut answer)
+        .await
+        .expect("daemon answers");
+    answer
+}
+
+/// Guards against an entry outside the home regions that takes the body before it refuses, and
+/// against traces of bound requests anywhere in another region or in the log store.
+#[tokio::test]
+async fn bound_requests_leave_no_trace_in_other_regions() {
+    let Regions {
+        mesh,
+        est,
+        ouest,
+        _upstreams,
+    } = regions("residency").await;
+    // The body is never sent, so an entry that waits for it would not answer.
+    let answer = send_head(ouest.callers, "payroll").await;
+    assert!(answer.starts_with("HTTP/1.1 421 "), "{answer}");
+    assert!(answer.contains("home-region"), "{answer}");
+    assert!(answer.contains(&est.callers.to_string()), "{answer}");
+
+    for n in 0..20 {
+        let path = format!("/file/{MARK}/{n}?{MARK}");
+        let headers = [("cornelvalve-team", "payroll"), ("idempotency-key", MARK)];
+        let post = request("POST", "remise.test", &path, &headers, MARK);
+        let answer = send(est.callers, post).await.expect("daemon answers");
+        assert_eq!(answer.status, 200, "{answer:?}");
+    }
+    // An outage of the log store shows that the daemon logs at debug level.
+    let outage = LogFaults {
+        down: true,
+        ..LogFaults::default()
+    };
+    mesh.log.set_faults(outage).await;
+    let log = eventually("debug lines", || async {
+        let text = std::fs::read_to_string(mesh.log_file(OUEST)).map_err(|e| e.to_string())?;
+        let is_detailed = text.contains(r#""level":"DEBUG""#);
+        is_detailed.then_some(text).ok_or("none yet".to_owned())
+    })
+    .await;
+    mesh.log.set_faults(LogFaults::default()).await;
+    let scrape = request("GET", "metrics", "/metrics", &[], "");
+    let metrics = send(ouest.metrics, scrape)
+        .await
+        .expect("metrics are served");
+    let mut stored = Vec::new();
+    for stream in ["configuration", "introducers"] {
+        for record in mesh.log.records(stream).await {
+            stored.extend_from_slice(&record.data);
+        }
+    }
+    let places = [
+        ("log", log),
+        ("timeline", ouest.ctl(&["--output", "json", "timeline"])),
+        (
+            "metrics",
+            String::from_utf8_lossy(&metrics.body).into_owned(),
+        ),
+        ("status", ouest.status().to_string()),
+        ("log store", String::from_utf8_lossy(&stored).into_owned()),
+    ];
+    for (place, text) in places {
+        assert!(!text.is_empty(), "{place} is empty");
+        assert!(!text.contains(MARK), "{place} has a trace: {text}");
+    }
+}
+
+/// Guards against a request that evades a rule by naming no team or one that nobody configured,
+/// and against a hop out of the home region when it cannot serve.
+#[tokio::test]
+async fn bound_requests_are_refused_rather_than_served_elsewhere() {
+    let Regions {
+        est,
+        ouest,
+        _upstreams: mut upstreams,
+        mesh: _mesh,
+    } = regions("evasion").await;
+    for daemon in [&est, &ouest] {
+        for headers in [&[][..], &[("cornelvalve-team", "ghost")][..]] {
+            let get = request("GET", "remise.test", "/", headers, "");
+            let answer = send(daemon.callers, get).await.expect("daemon answers");
+            assert_eq!(answer.json()["reason"], "unknown-team", "{answer:?}");
+            assert_eq!(answer.json()["outcome"], "not-run");
+        }
+    }
+    // Without its only upstream in the home region a bound request is refused, others move on.
+    drop(upstreams.remove(0));
+    wait_until_served(&est).await;
+    for _ in 0..10 {
+        let headers = [("cornelvalve-team", "payroll")];
+        let get = request("GET", "remise.test", "/", &headers, "");
+        let answer = send(est.callers, get).await.expect("daemon answers");
+        assert!(!answer.status.is_success(), "{answer:?}");
+    }
+}
+
+/// Guards against an entry that goes on serving by rules that were replaced.
+#[tokio::test]
+async fn new_rule_binds_requests_once_it_is_in_force() {
+    let Regions {
+        est,
+        ouest,
+        _upstreams,
+        mesh: _mesh,
+    } = regions("new-rule").await;
+    est.ctl(&["rule", "remove", "payroll-home"]);
+    ouest.wait_for_revision(est.revision()).await;
+    let headers = [("cornelvalve-team", "payroll")];
+    let get = || request("GET", "remise.test", "/", &headers, "");
+    eventually("service in either region", || async {
+        let answer = send(ouest.callers, get()).await?;
+        let is_served = answer.status.is_success();
+        is_served.then_some(()).ok_or(format!("{answer:?}"))
+    })
+    .await;
+    put_rule(&est);
+    ouest.wait_for_revision(est.revision()).await;
+    eventually("refusal", || async {
+        let answer = send(ouest.callers, get()).await?;
+        let is_refused = answer.status == 421;
+        is_refused.then_some(()).ok_or(format!("{answer:?}"))
+    })
+    .await;
+    for _ in 0..10 {
+        let answer = send(ouest.callers, get()).await.expect("daemon answers");
+        assert_eq!(answer.status, 421, "{answer:?}");
+    }
+}
+
+/// Guards against a request that follows its ticket out of the regions that a newer rule allows.
+#[tokio::test]
+async fn ticket_does_not_lead_out_of_the_home_region() {
+    let Regions {
+        est,
+        ouest,
+        _upstreams,
+        mesh: _mesh,
+    } = regions("ticket").await;
+    est.ctl(&["rule", "remove", "payroll-home"]);
+    let service = [
+        "service",
+        "put",
+        "--name",
+        "remise",
+        "--host",
+        "remise.test",
+        "--route",
+        "file=/file:at-most-once",
+    ];
+    est.ctl(&service);
+    ouest.wait_for_revision(est.revision()).await;
+    let headers = [("cornelvalve-team", "payroll")];
+    let path = "/.well-known/cornelvalve/tickets";
+    let ticket = eventually("ticket", || async {
+        let order = request("POST", "remise.test", path, &headers, r#"{"path":"/file"}"#);
+        let answer = send(ouest.callers, order).await?;
+        let ticket = answer.json()["tickets"][0].as_str().map(str::to_owned);
+        ticket.ok_or(format!("{answer:?}"))
+    })
+    .await;
+    put_rule(&est);
+    ouest.wait_for_revision(est.revision()).await;
+    let refused = eventually("refusal", || async {
+        let headers = [headers[0], ("idempotency-key", ticket.as_str())];
+        let post = request("POST", "remise.test", "/file", &headers, MARK);
+        let answer = send(est.callers, post).await?;
+        let reason = answer.json()["reason"] == "home-region";
+        reason.then_some(answer.json()).ok_or(format!("{answer:?}"))
+    })
+    .await;
+    // The issuer was not asked, so it is not known whether the ticket was used there before.
+    assert_eq!(refused["outcome"], "unknown", "{refused}");
+}
+
+/// Guards against a request that waits for admission while a rule comes into force and is then
+/// served by the rules of its arrival.
+#[tokio::test]
+async fn queued_request_is_refused_by_a_rule_that_came_meanwhile() {
+    let Regions {
+        est,
+        ouest: _ouest,
+        _upstreams,
+        mesh: _mesh,
+    } = regions("queue").await;
+    // A busy machine may finish the work before the rule is in force; then there is more of it.
+    for work_ms in ["1500", "6000", "20000"] {
+        let headers = [
+            ("cornelvalve-team", "fleet"),
+            ("cornelvalve-deadline-ms", "50000"),
+            ("x-work-ms", work_ms),
+        ];
+        let post = || request("POST", "remise.test", "/", &headers, "");
+        let calls: Vec<_> = (0..30)
+            .map(|_| tokio::spawn(send(est.callers, post())))
+            .collect();
+        eventually("queue", || async {
+            let status = est.status();
+            let is_queued = status["upstreams"][0]["queued"].as_u64() > Some(0);
+            is_queued.then_some(()).ok_or(status.to_string())
+        })
+        .await;
+        est.ctl(&[
+            "rule",
+            "put",
+            "fleet-home",
+            "--team",
+            "fleet",
+            "--region",
+            "qc-ouest",
+        ]);
+        let status = est.status();
+        let queued = status["upstreams"][0]["queued"].as_u64();
+        let queued = usize::try_from(queued.expect("upstream is listed")).expect("small");
+        let mut refused = 0;
+        for call in calls {
+            let answer = call.await.expect("call ends").expect("daemon answers");
+            refused += usize::from(!answer.status.is_success());
+        }
+        if queued > 0 {
+            assert!(refused >= queued, "{refused} refused of {queued} queued");
+            return;
+        }
+        est.ctl(&["rule", "remove", "fleet-home"]);
+    }
+    panic!("no request was queued when the rule came into force");
+}
--- a/tests/all/support.rs
+++ b/tests/all/support.rs
@@ -7,4 +7,4 @@
 
 pub(crate) use http::{request, send};
 pub(crate) use mesh::{DaemonProcess, Mesh, VmSpec};
-pub(crate) use process::eventually;
+pub(crate) use process::{Process, eventually};
--- a/tests/all/support/mesh.rs
+++ b/tests/all/support/mesh.rs
@@ -27,6 +27,7 @@
     pub(crate) peers: SocketAddr,
     pub(crate) upstream: SocketAddr,
     pub(crate) operators: SocketAddr,
+    pub(crate) metrics: SocketAddr,
 }
 
 /// Log stand-in with a folder for settings files.
@@ -112,6 +113,7 @@
             peers: addr(&ready, "peers"),
             upstream: addr(&ready, "upstream"),
             operators: addr(&ready, "operators"),
+            metrics: addr(&ready, "metrics"),
         }
     }
 }
