Close the gaps that the mutation trial found

Cause: a trial on a scratch copy switched off one check at a time. Two faults passed the tests, because the guard in the other region refused what the entry should not have sent.

Change: bound requests must not be refused by another region's guard, and a service that nobody serves shows that the entry itself refuses missing and unknown teams.

--- a/crates/catalog/src/catalog.rs
+++ b/crates/catalog/src/catalog.rs
@@ -168,7 +168,10 @@
         if ids.windows(2).any(|pair| pair[0] == pair[1]) {
             return Err("snapshot lists a recent change twice".to_owned());
         }
-        let is_late = |change: &RecentChange| matches!(change.verdict, RecentVerdict::Accepted(r) if r > snapshot.revision);
+        let is_late = |change: &RecentChange| match change.verdict {
+            RecentVerdict::Accepted(revision) => revision > snapshot.revision,
+            RecentVerdict::Rejected(_) => false,
+        };
         if snapshot.recent.iter().any(is_late) {
             return Err("snapshot gives a recent change an impossible revision".to_owned());
         }
--- a/tests/all/publishing.rs
+++ b/tests/all/publishing.rs
@@ -242,8 +242,9 @@
     let other = mesh.daemon(EST_B, &[one.peers]);
     mesh.log.append("not JSON").await;
     mesh.log.append(r#"{"v":99,"entry":{}}"#).await;
-    let unknown = r#"{"v":1,"entry":{"change":{"id":"00000000-0000-0000-0000-000000000001","author":"ana","urgent":true,"operation":{"put-region":{"region":"east"}}}}}"#;
-    mesh.log.append(unknown).await;
+    let mut unknown = serde_json::json!({ "v": 1, "entry": { "change": put_region(9) } });
+    unknown["entry"]["change"]["urgent"] = true.into();
+    mesh.log.append(unknown.to_string()).await;
     let report = one.publish(&put_region(1)).await.expect("log is up");
     assert_eq!(report["revision"], 4, "{report}");
     let late = mesh.daemon(OUEST_A, &[]);
--- a/tests/all/residency.rs
+++ b/tests/all/residency.rs
@@ -186,12 +186,17 @@
         _upstreams: mut upstreams,
         mesh: _mesh,
     } = regions("evasion").await;
+    est.ctl(&["service", "put", "--name", "idle", "--host", "idle.test"]);
+    ouest.wait_for_revision(est.revision()).await;
     for daemon in [&est, &ouest] {
         for headers in [&[][..], &[("cornelvalve-team", "ghost")][..]] {
-            let get = request("GET", "remise.test", "/", headers, "");
-            let answer = send(daemon.callers, get).await.expect("daemon answers");
-            assert_eq!(answer.json()["reason"], "unknown-team", "{answer:?}");
-            assert_eq!(answer.json()["outcome"], "not-run");
+            // No daemon serves idle.test, so only the entry itself can refuse for the team.
+            for host in ["remise.test", "idle.test"] {
+                let get = request("GET", host, "/", headers, "");
+                let answer = send(daemon.callers, get).await.expect("daemon answers");
+                assert_eq!(answer.json()["reason"], "unknown-team", "{answer:?}");
+                assert_eq!(answer.json()["outcome"], "not-run");
+            }
         }
     }
     // Without its only upstream in the home region a bound request is refused, others move on.
@@ -202,6 +207,8 @@
         let get = request("GET", "remise.test", "/", &headers, "");
         let answer = send(est.callers, get).await.expect("daemon answers");
         assert!(!answer.status.is_success(), "{answer:?}");
+        // Only the guard in the other region would refuse with this reason.
+        assert_ne!(answer.json()["reason"], "home-region", "{answer:?}");
     }
 }
 
