--- a/crates/daemon/src/entry/forward.rs
+++ b/crates/daemon/src/entry/forward.rs
@@ -108,10 +108,11 @@
     ///
     /// A refusal by that daemon is marked as such.
     async fn run_at_issuer(mut self, ticket: Ticket) -> Result<Response<Body>> {
-        let asked = self
-            .entry
-            .router
-            .ask(|reply| RouterMessage::Locate { ticket, reply });
+        let asked = self.entry.router.ask(|reply| RouterMessage::Locate {
+            ticket,
+            plan: Arc::clone(&self.plan),
+            reply,
+        });
         let endpoint = asked
             .await
             .map_err(|_| Refusal::not_run(Reason::Internal))??;
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -20,6 +20,7 @@
 mod privacy;
 mod publishing;
 mod regions;
+mod residency;
 mod retry;
 mod rolling;
 mod snapshots;
--- a/tests/all/publishing.rs
+++ b/tests/all/publishing.rs
@@ -109,19 +109,25 @@
     }
 }
 
-/// Guards against a change that fails or takes effect twice because the log's answer was lost.
+/// Guards against a change that fails or takes effect twice because the log's answer was lost or
+/// came late.
 #[tokio::test]
 async fn lost_answers_do_not_lose_or_repeat_changes() {
     let mesh = Mesh::start("lost-answers");
     let one = mesh.daemon(EST_A, &[]);
     let other = mesh.daemon(EST_B, &[one.peers]);
     let mut last = 0;
-    for (n, lose_by) in [LoseBy::Drop, LoseBy::Status].into_iter().enumerate() {
-        let faults = LogFaults {
-            lose_answers: 3,
-            lose_by,
-            ..NO_FAULTS
-        };
+    let lost = |lose_by| LogFaults {
+        lose_answers: 3,
+        lose_by,
+        ..NO_FAULTS
+    };
+    let slow = LogFaults {
+        delay_ms: 200,
+        ..NO_FAULTS
+    };
+    let all_faults = [lost(LoseBy::Drop), lost(LoseBy::Status), slow];
+    for (n, faults) in all_faults.into_iter().enumerate() {
         mesh.log.set_faults(faults).await;
         for k in 0..4 {
             let change = put_region(10 * n as u128 + k);
@@ -236,8 +242,9 @@
     let other = mesh.daemon(EST_B, &[one.peers]);
     mesh.log.append("not JSON").await;
     mesh.log.append(r#"{"v":99,"entry":{}}"#).await;
-    let unknown = r#"{"v":1,"entry":{"change":{"id":"00000000-0000-0000-0000-000000000001","author":"ana","urgent":true,"operation":{"put-region":{"region":"east"}}}}}"#;
-    mesh.log.append(unknown).await;
+    let mut unknown = serde_json::json!({ "v": 1, "entry": { "change": put_region(9) } });
+    unknown["entry"]["change"]["urgent"] = true.into();
+    mesh.log.append(unknown.to_string()).await;
     let report = one.publish(&put_region(1)).await.expect("log is up");
     assert_eq!(report["revision"], 4, "{report}");
     let late = mesh.daemon(OUEST_A, &[]);
