--- a/tests/all/cold.rs
+++ b/tests/all/cold.rs
@@ -71,6 +71,7 @@
     let options = DaemonOptions {
         upstream: Some(beside.upstream),
         settings: "",
+        ..DaemonOptions::default()
     };
     beside.process.kill();
     let again = mesh.daemon_with(BESIDE, &[entry.peers], &options);
--- a/tests/all/residency.rs
+++ b/tests/all/residency.rs
@@ -6,7 +6,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
-use crate::support::{DaemonProcess, Mesh, VmSpec, eventually, request, send};
+use crate::support::{DaemonOptions, DaemonProcess, Mesh, VmSpec, eventually, request, send};
 
 const EST: VmSpec = VmSpec {
     vm: "est-a-1",
@@ -33,8 +33,12 @@
 
 async fn regions(name: &str) -> Regions {
     let mesh = Mesh::start(name);
-    let est = mesh.daemon(EST, &[]);
-    let ouest = mesh.daemon(OUEST, &[est.peers]);
+    let verbose = DaemonOptions {
+        level: Some("trace"),
+        ..DaemonOptions::default()
+    };
+    let est = mesh.daemon_with(EST, &[], &verbose);
+    let ouest = mesh.daemon_with(OUEST, &[est.peers], &verbose);
     est.wait_for_members(2).await;
     let upstreams = [&est, &ouest].map(|d| d.start_upstream("remise", 10).0);
     for region in ["qc-est", "qc-ouest"] {
--- a/tests/all/support/mesh.rs
+++ b/tests/all/support/mesh.rs
@@ -25,6 +25,8 @@
     pub(crate) upstream: Option<SocketAddr>,
     /// Further settings, such as `"tickets": { ... },`.
     pub(crate) settings: &'a str,
+    /// Level of the log lines; `debug` by default.
+    pub(crate) level: Option<&'a str>,
 }
 
 /// Running daemon.
@@ -129,7 +131,7 @@
                 "seeds": [{}],
                 "drain_timeout_ms": 20000,
                 {}
-                "logging": {{ "level": "debug" }},
+                "logging": {{ "level": "{}" }},
             }}"#,
             spec.vm,
             spec.region,
@@ -137,7 +139,8 @@
             upstream_port,
             self.log_addr,
             seeds.join(","),
-            options.settings
+            options.settings,
+            options.level.unwrap_or("debug")
         );
         let file = self.folder.join(format!("{}.jsonc", spec.vm));
         std::fs::write(&file, settings).expect("settings can be written");
--- a/tests/all/tickets/failures.rs
+++ b/tests/all/tickets/failures.rs
@@ -90,6 +90,7 @@
     let options = DaemonOptions {
         upstream: Some(holder.upstream),
         settings: "",
+        ..DaemonOptions::default()
     };
     let _again = mesh.daemon_with(HOLDER, &[entry.peers], &options);
     eventually("the new holder takes tickets", || async {
