Wait until a frozen process stands still in tests

kill returns before the threads of the process have stopped, so a filing could still run: once in three runs with 33 threads, frozen_holder_does_not_run_an_expired_ticket got 200 instead of unknown. That the filing ran before the stop and not after the wake-up is inferred, not traced. The tests now wait until every thread of the process is in the stopped state.

--- a/tests/all/support/process.rs
+++ b/tests/all/support/process.rs
@@ -46,6 +46,17 @@
         assert!(status.success(), "signal {name} was not delivered");
     }
 
+    /// Stops the process and waits until all of its threads stand still.
+    pub(crate) fn freeze(&self) {
+        self.signal("STOP");
+        let tasks = format!("/proc/{}/task", self.child.id());
+        let deadline = Instant::now() + PATIENCE;
+        while !all_stopped(Path::new(&tasks)) {
+            assert!(Instant::now() < deadline, "process did not stop in time");
+            std::thread::sleep(Duration::from_millis(1));
+        }
+    }
+
     /// Kills the process and waits until its sockets are closed.
     pub(crate) fn kill(&mut self) {
         self.child.kill().expect("child can be killed");
@@ -88,6 +99,14 @@
     }
 }
 
+fn all_stopped(tasks: &Path) -> bool {
+    let tasks = std::fs::read_dir(tasks).expect("process exists");
+    tasks.flatten().all(|task| {
+        let status = std::fs::read_to_string(task.path().join("status")).unwrap_or_default();
+        status.contains("State:\tT")
+    })
+}
+
 /// Returns the path of a program of the workspace; all stand beside the daemon.
 fn binary(program: &str) -> PathBuf {
     let daemon = Path::new(env!("CARGO_BIN_EXE_cornelvalve"));
--- a/tests/all/tickets/failures.rs
+++ b/tests/all/tickets/failures.rs
@@ -119,7 +119,7 @@
     } = holder("tickets-expired", SHORT_LIFETIME).await;
     let (_upstream, standin) = holder.start_upstream("remise", 4);
     let filing = ticket(entry.callers, REMISE, "/file").await;
-    holder.process.signal("STOP");
+    holder.process.freeze();
     let first = tokio::spawn(file_owned(entry.callers, filing.clone()));
     tokio::time::sleep(Duration::from_millis(3000)).await;
     holder.process.signal("CONT");
@@ -167,7 +167,7 @@
         .insert("cornelvalve-deadline-ms", deadline);
     let first = tokio::spawn(send(entry.callers, first));
     wait_for_run(standin, "buy").await;
-    holder.process.signal("STOP");
+    holder.process.freeze();
     let answer = first.await.unwrap().expect("entry answers");
     assert_eq!(answer.outcome(), Some("unknown"), "{answer:?}");
     let asleep = tokio::spawn(send(other.callers, buy(0)));
@@ -239,7 +239,7 @@
     } = holder("tickets-log", "").await;
     let (_upstream, standin) = holder.start_upstream("remise", 4);
     ticket(entry.callers, REMISE, "/file").await;
-    mesh.log.signal("STOP");
+    mesh.log.freeze();
     let filing = ticket(other.callers, REMISE, "/file").await;
     for daemon in [&entry, &other, &holder] {
         let answer = file(daemon, &filing, "filing").await;
