Charge configuration pulls with their real size

Cause: a pull was charged with an estimate of 2,048 bytes at the puller and the reply was not charged, so a peer that asked again and again made a daemon send without bound.

Change: each side charges what it sends, with heads, the JSON-RPC envelope and the headers of TCP and IP.

A reply over budget is refused, and the puller asks another peer or again.

Conclusion: replies with records keep within the budget. Refusals themselves are not charged. The reply is not charged to the region link, because the call does not name the region of the caller; the request is.

--- a/crates/budget/src/bucket.rs
+++ b/crates/budget/src/bucket.rs
@@ -11,6 +11,8 @@
 pub(crate) struct Bucket {
     rate: Rate,
     tokens: u128,
+    /// What was sent beyond the tokens; repaid before new tokens are gained.
+    debt: u128,
     refilled: Moment,
 }
 
@@ -21,14 +23,17 @@
         Self {
             rate,
             tokens: 0,
+            debt: 0,
             refilled: Moment::default(),
         }
     }
 
     pub(crate) fn refill(&mut self, now: Moment) {
         let gained = now.since(self.refilled).as_nanos() * u128::from(self.rate.bytes_per_second);
+        let repaid = gained.min(self.debt);
+        self.debt -= repaid;
         let full = u128::from(self.rate.burst_bytes) * NANOS_PER_SECOND;
-        self.tokens = (self.tokens + gained).min(full);
+        self.tokens = (self.tokens + gained - repaid).min(full);
         // A moment that lies before the last one must not be credited twice.
         self.refilled = self.refilled.max(now);
     }
@@ -37,10 +42,16 @@
         self.tokens >= u128::from(bytes) * NANOS_PER_SECOND
     }
 
-    /// Takes tokens that [`Bucket::holds`] has confirmed.
+    /// Tells whether a message may be sent that can be larger than a burst, which needs a full
+    /// bucket.
+    pub(crate) fn admits(&self, bytes: u32) -> bool {
+        self.holds(bytes.min(self.rate.burst_bytes))
+    }
+
+    /// Takes tokens; what is missing becomes debt.
     pub(crate) fn take(&mut self, bytes: u32) {
-        self.tokens = self
-            .tokens
-            .saturating_sub(u128::from(bytes) * NANOS_PER_SECOND);
+        let cost = u128::from(bytes) * NANOS_PER_SECOND;
+        self.debt += cost.saturating_sub(self.tokens);
+        self.tokens = self.tokens.saturating_sub(cost);
     }
 }
--- a/crates/budget/src/budget.rs
+++ b/crates/budget/src/budget.rs
@@ -100,12 +100,37 @@
         bytes: u32,
         crosses_region: bool,
         now: Moment,
+    ) -> Verdict {
+        self.charge_if(Bucket::holds, class, bytes, crosses_region, now)
+    }
+
+    /// Charges a transfer that cannot be cut to the size of a burst, such as a snapshot.
+    ///
+    /// One larger than a burst needs a full bucket and leaves a debt that is repaid before anything
+    /// else is granted, so that the sustained rate holds.
+    pub fn charge_bulk(
+        &mut self,
+        class: TrafficClass,
+        bytes: u32,
+        crosses_region: bool,
+        now: Moment,
+    ) -> Verdict {
+        self.charge_if(Bucket::admits, class, bytes, crosses_region, now)
+    }
+
+    fn charge_if(
+        &mut self,
+        admits: impl Fn(&Bucket, u32) -> bool,
+        class: TrafficClass,
+        bytes: u32,
+        crosses_region: bool,
+        now: Moment,
     ) -> Verdict {
         let (bucket, counters) = &mut self.classes[class as usize];
         let (link, link_counters) = &mut self.link;
         bucket.refill(now);
         link.refill(now);
-        let paid = bucket.holds(bytes) && (!crosses_region || link.holds(bytes));
+        let paid = admits(bucket, bytes) && (!crosses_region || admits(link, bytes));
         let verdict = if paid { Verdict::Send } else { Verdict::Drop };
         if paid {
             bucket.take(bytes);
--- a/crates/budget/tests/all/main.rs
+++ b/crates/budget/tests/all/main.rs
@@ -133,3 +133,19 @@
     let verdict = budget.charge(TrafficClass::Configuration, 1400, true, now);
     assert_eq!(verdict, Verdict::Send);
 }
+
+/// Guards against a transfer larger than a burst that is never granted or never paid for.
+#[test]
+fn bulk_needs_a_full_bucket_and_is_repaid() {
+    let class = TrafficClass::Configuration;
+    let rate = BudgetSettings::default().rate(class);
+    let mut budget = Budget::new(BudgetSettings::default());
+    let at = |seconds: u64| Moment::from_millis(seconds * 1000);
+    let bulk = 10 * rate.burst_bytes;
+    assert_eq!(budget.charge_bulk(class, bulk, false, at(1)), Verdict::Drop);
+    assert_eq!(budget.charge_bulk(class, bulk, false, at(2)), Verdict::Send);
+    // Nine bursts of two seconds each are owed.
+    assert_eq!(budget.charge(class, 20, false, at(20)), Verdict::Drop);
+    assert_eq!(budget.charge(class, 20, false, at(21)), Verdict::Send);
+    assert_eq!(budget.counters(class).sent.bytes, u64::from(bulk) + 20);
+}
--- a/crates/daemon/src/budget.rs
+++ b/crates/daemon/src/budget.rs
@@ -28,6 +28,17 @@
         /// Receives the verdict.
         reply: Reply<Verdict>,
     },
+    /// Asks for permission for a transfer that may be larger than a burst.
+    ChargeBulk {
+        /// Class of the traffic.
+        class: TrafficClass,
+        /// Size including headers of the transport.
+        bytes: u32,
+        /// Whether it crosses the link between regions.
+        crosses_region: bool,
+        /// Receives the verdict.
+        reply: Reply<Verdict>,
+    },
     /// Reads the counters.
     Counters {
         /// Receives them.
@@ -64,6 +75,15 @@
                 crosses_region,
                 reply,
             }) => reply.send(budget.charge(class, bytes, crosses_region, context.clock.now())),
+            Some(BudgetMessage::ChargeBulk {
+                class,
+                bytes,
+                crosses_region,
+                reply,
+            }) => {
+                let now = context.clock.now();
+                reply.send(budget.charge_bulk(class, bytes, crosses_region, now));
+            }
             Some(BudgetMessage::Counters { reply }) => reply.send(counters(&budget)),
             None => return Ok(()),
         }
--- a/crates/daemon/src/catalog.rs
+++ b/crates/daemon/src/catalog.rs
@@ -2,6 +2,7 @@
 
 mod confirm;
 mod follower;
+mod pulls;
 mod recent;
 mod state;
 
--- a/crates/daemon/src/catalog/confirm.rs
+++ b/crates/daemon/src/catalog/confirm.rs
@@ -14,7 +14,8 @@
 use futures_util::future::join_all;
 use tokio::time::{Instant, timeout};
 
-use super::state::{CatalogState, Outbound, pull_from};
+use super::pulls::pull_from;
+use super::state::{CatalogState, Outbound};
 use super::{CatalogMessage, STREAM};
 use crate::guard::GuardMessage;
 use crate::membership::{MembershipMessage, PeerAddress};
--- a/crates/daemon/src/catalog/state.rs
+++ b/crates/daemon/src/catalog/state.rs
@@ -2,17 +2,16 @@
 
 use std::sync::Arc;
 
-use cornelvalve_api::{Event, LogStoreState, OperatorsClient, PeerRecords};
-use cornelvalve_budget::{TrafficClass, Verdict as BudgetVerdict};
+use cornelvalve_api::{Event, LogStoreState, PeerRecords};
 use cornelvalve_catalog::{Catalog, PastVerdict, Verdict};
 use cornelvalve_kernel::{Mailbox, Reply};
 use cornelvalve_logstore::{LogStore, Page, Record};
 use cornelvalve_model::{ChangeId, LogEntry, Offset, Revision};
 use cornelvalve_wire::log::decode_entry;
-use jsonrpsee::http_client::HttpClientBuilder;
 use tokio::task::JoinHandle;
 
 use super::follower::follow;
+use super::pulls::{hand_over, pull_from};
 use super::recent::RecentRecords;
 use super::{CatalogMessage, LogRead};
 use crate::budget::BudgetMessage;
@@ -21,12 +20,6 @@
 use crate::router::RouterMessage;
 use crate::timeline::{self, TimelineMessage};
 
-/// Records pulled from a peer at once.
-const PULL_RECORDS: u32 = 256;
-
-/// Estimated cost of a pull before its answer is known, in bytes.
-const PULL_BYTES: u32 = 2048;
-
 /// Services that the catalog talks to.
 #[derive(Clone)]
 pub(super) struct Outbound {
@@ -93,7 +86,10 @@
             CatalogMessage::Role { is_reader } => self.set_role(is_reader),
             CatalogMessage::PeerAhead { peer, revision } => self.pull(peer, revision),
             CatalogMessage::Pulled(pulled) => self.take_pulled(pulled),
-            CatalogMessage::Pull { after, max, reply } => reply.send(self.records(after, max)),
+            CatalogMessage::Pull { after, max, reply } => {
+                let records = self.records(after, max);
+                tokio::spawn(hand_over(records, reply, self.outbound.budget.clone()));
+            }
             CatalogMessage::Confirm(message) => self.confirm(message),
             CatalogMessage::Republish => self.publish(Arc::new(self.catalog.clone())),
             CatalogMessage::Current { reply } => reply.send(Arc::new(self.catalog.clone())),
@@ -308,30 +304,3 @@
         })
     }
 }
-
-/// Asks a peer for the records from an offset on.
-pub(super) async fn pull_from(
-    peer: PeerAddress,
-    after: Offset,
-    budget: &Mailbox<BudgetMessage>,
-) -> Option<PeerRecords> {
-    let charged = budget.ask(|reply| BudgetMessage::Charge {
-        class: TrafficClass::Configuration,
-        bytes: PULL_BYTES,
-        crosses_region: peer.crosses_region,
-        reply,
-    });
-    if !matches!(charged.await, Ok(BudgetVerdict::Send)) {
-        return None;
-    }
-    let client = HttpClientBuilder::default()
-        .build(format!("http://{}", peer.operator_addr))
-        .ok()?;
-    match client.peer_records(after, PULL_RECORDS).await {
-        Ok(records) => Some(records),
-        Err(e) => {
-            log::debug!("records were not pulled from {}: {e}", peer.operator_addr);
-            None
-        }
-    }
-}
--- a/tests/all/budget.rs
+++ b/tests/all/budget.rs
@@ -10,7 +10,10 @@
     FailureDomain, Incarnation, Member, MemberKey, MemberState, Region, Revision, VmName,
 };
 
-use crate::support::{Mesh, Meter, VmSpec, check_rate};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+use crate::support::{Mesh, Meter, Received, VmSpec, check_rate};
 
 const VM: VmSpec = VmSpec {
     vm: "est-a-1",
@@ -144,3 +147,49 @@
     );
     assert!(link > 0, "nothing was sent across the link");
 }
+
+/// Calls `peer_records` over a connection of its own and returns the whole response.
+async fn pull(operators: SocketAddr) -> Vec<u8> {
+    let body =
+        r#"{"jsonrpc":"2.0","id":0,"method":"peer_records","params":{"after":0,"max":4294967295}}"#;
+    let head = format!(
+        "POST / HTTP/1.1\r\nhost: daemon\r\ncontent-type: application/json\r\n\
+         connection: close\r\ncontent-length: {}\r\n\r\n",
+        body.len()
+    );
+    let mut stream = TcpStream::connect(operators).await.expect("daemon accepts");
+    let request = format!("{head}{body}");
+    stream
+        .write_all(request.as_bytes())
+        .await
+        .expect("request is sent");
+    let mut response = Vec::new();
+    stream.read_to_end(&mut response).await.expect("response");
+    response
+}
+
+/// Guards against configuration pulls that make a daemon send more than its budget.
+#[tokio::test]
+async fn flood_of_pulls_stays_within_the_budget() {
+    let mesh = Mesh::start("budget-pulls");
+    let daemon = mesh.daemon(VM, &[]);
+    daemon.put_service("estimateur");
+    let mut granted = Vec::new();
+    let mut refused = 0;
+    let started = Instant::now();
+    while started.elapsed() < FLOOD {
+        let after = Instant::now();
+        let response = pull(daemon.operators).await;
+        if String::from_utf8_lossy(&response).contains("\"records\"") {
+            let bytes = response.len() as u64;
+            granted.push(Received::new(after, bytes, TrafficClass::Configuration));
+        } else {
+            refused += 1;
+        }
+    }
+    let sum = check_rate(&granted, None, SHARES[2]);
+    assert!(
+        sum > 0 && refused > 0,
+        "{sum} bytes granted, {refused} pulls refused"
+    );
+}
--- a/tests/all/support.rs
+++ b/tests/all/support.rs
@@ -11,7 +11,7 @@
 pub(crate) use http::{Answer, request, send};
 pub(crate) use load::{Load, Tally};
 pub(crate) use mesh::{DaemonProcess, Mesh, VmSpec};
-pub(crate) use meter::{Meter, check_rate};
+pub(crate) use meter::{Meter, Received, check_rate};
 pub(crate) use process::{Process, eventually};
 pub(crate) use upload::Upload;
 pub(crate) use upstream::{announce, runs};
--- a/tests/all/support/meter.rs
+++ b/tests/all/support/meter.rs
@@ -25,6 +25,18 @@
     class: TrafficClass,
 }
 
+impl Received {
+    /// Records a response that was read now to a request made at `after`.
+    pub(crate) fn new(after: Instant, bytes: u64, class: TrafficClass) -> Self {
+        Self {
+            after,
+            before: Instant::now(),
+            bytes,
+            class,
+        }
+    }
+}
+
 /// Sends datagrams and keeps a record of those received.
 #[derive(Debug)]
 pub(crate) struct Meter {
