--- a/crates/daemon/src/catalog.rs
+++ b/crates/daemon/src/catalog.rs
@@ -4,7 +4,7 @@
 mod domains;
 mod follower;
 mod introducers;
-mod pull;
+mod pulls;
 mod recent;
 mod snapshots;
 mod state;
--- a/crates/daemon/src/catalog/confirm.rs
+++ b/crates/daemon/src/catalog/confirm.rs
@@ -14,7 +14,7 @@
 use futures_util::future::join_all;
 use tokio::time::{Instant, timeout};
 
-use super::pull::pull_from;
+use super::pulls::pull_from;
 use super::state::{CatalogState, Outbound};
 use super::{CatalogMessage, STREAM};
 use crate::guard::GuardMessage;
--- a/crates/daemon/src/catalog/state.rs
+++ b/crates/daemon/src/catalog/state.rs
@@ -14,7 +14,7 @@
 use super::domains::{DomainView, domain_event};
 use super::follower::follow;
 use super::introducers::{self, Introducers};
-use super::pull::pull_from;
+use super::pulls::{hand_over, pull_from};
 use super::recent::RecentRecords;
 use super::snapshots::write_snapshot;
 use super::{CatalogMessage, LogRead};
@@ -117,7 +117,10 @@
             }
             CatalogMessage::PeerAhead { peer, revision } => self.pull(peer, revision),
             CatalogMessage::Pulled { peer, records } => self.take_pulled(peer, records),
-            CatalogMessage::Pull { after, max, reply } => reply.send(self.records(after, max)),
+            CatalogMessage::Pull { after, max, reply } => {
+                let records = self.records(after, max);
+                tokio::spawn(hand_over(records, reply, self.outbound.budget.clone()));
+            }
             CatalogMessage::Confirm(message) => self.confirm(message, now),
             CatalogMessage::Republish => self.publish(),
             CatalogMessage::Current { reply } => reply.send(self.in_force()),
--- a/tests/all/support.rs
+++ b/tests/all/support.rs
@@ -18,7 +18,7 @@
 pub(crate) use http::{Answer, Client, request, send};
 pub(crate) use load::{Load, Tally};
 pub(crate) use mesh::{DaemonOptions, DaemonProcess, Mesh, VmSpec};
-pub(crate) use meter::{Meter, check_rate};
+pub(crate) use meter::{Meter, Received, check_rate};
 pub(crate) use process::{Process, cornelctl, ctl_json, eventually, run};
 pub(crate) use raw::{RawUpstream, Stage};
 pub(crate) use rig::Rig;
