--- a/tests/all/snapshots.rs
+++ b/tests/all/snapshots.rs
@@ -185,3 +185,27 @@
     mesh.log.set_faults(LogFaults::default()).await;
     alone.wait_for_revision(revision).await;
 }
+
+/// Guards against a daemon that waits for a snapshot which nobody writes, although a peer has the
+/// configuration.
+#[tokio::test]
+async fn gap_without_snapshot_is_filled_by_a_peer() {
+    // The logs hold the same changes, but the second has lost the first ones.
+    let whole = Mesh::start("gap-peer");
+    let torn = Mesh::start_with("gap-torn", &["--retain-records", "1"]);
+    for n in 0..4 {
+        append_change(&whole, n).await;
+        append_change(&torn, n).await;
+    }
+    let peer = whole.daemon(EST_A, &[]);
+    peer.wait_for_revision(4).await;
+    let daemon = torn.daemon(EST_B, &[peer.peers]);
+    daemon.wait_for_revision(4).await;
+    assert_eq!(
+        daemon.ctl_json(&["region", "list"]),
+        peer.ctl_json(&["region", "list"])
+    );
+    // It reads on behind the gap.
+    append_change(&torn, 4).await;
+    daemon.wait_for_revision(5).await;
+}
