Eject a failing endpoint of a small service, and issue tickets only where they can run

Cause: the share of endpoints that may be ejected is 0.34, so with two endpoints none ever was; reads went on to the dead one and used up the retry budget. The first of several endpoints may now be ejected whatever its share. The scenario shows it: the fourth attempt went to a1 before and goes to b1 now, and the last endpoint stays in use.

A guard also issued tickets for a service whose upstream had left; a caller could only learn by using one. It refuses now. Found by reading.

cargo test -p cornelvalve-policy: green.

--- a/crates/daemon/src/guard/tickets.rs
+++ b/crates/daemon/src/guard/tickets.rs
@@ -1,6 +1,6 @@
 //! What the guard does about tickets.
 
-use cornelvalve_model::{LoadHint, Moment, Reason, Refusal, ServiceName};
+use cornelvalve_model::{LoadHint, Moment, Reason, Refusal, ServiceName, UpstreamState};
 use cornelvalve_policy::{Arrival, RequestId, StoredAnswer, Ticket, TicketList};
 
 use super::calls::{call_id, request_id};
@@ -18,10 +18,12 @@
         count: usize,
         now: Moment,
     ) -> Result<TicketList> {
-        if !self.locals.contains_key(service) {
-            return Err(Refusal::not_run(Reason::NoUpstream));
+        let local = self.locals.get(service);
+        match local.map(|l| l.upstream.state) {
+            Some(UpstreamState::Ready) => self.tickets.issue(service, count, now),
+            Some(UpstreamState::Draining) => Err(Refusal::not_run(Reason::Draining)),
+            Some(UpstreamState::Lost) | None => Err(Refusal::not_run(Reason::NoUpstream)),
         }
-        self.tickets.issue(service, count, now)
     }
 
     /// Decides on a request with a ticket; returns whether it may be admitted now.
--- a/crates/policy/src/balancer/service.rs
+++ b/crates/policy/src/balancer/service.rs
@@ -167,10 +167,13 @@
         }
     }
 
+    /// Tells whether one more endpoint may be ejected: the first one if another remains, further
+    /// ones within the share.
     fn may_eject(&self, settings: &BalancerSettings, now: Moment) -> bool {
         let ejected = self.endpoints.iter().filter(|s| s.is_ejected(now)).count();
         let share = (ejected + 1) as f64 / self.endpoints.len() as f64;
-        share <= settings.max_ejected_share
+        let is_first_of_several = ejected == 0 && self.endpoints.len() > 1;
+        is_first_of_several || share <= settings.max_ejected_share
     }
 
     /// Returns the lower median of the latencies of endpoints that have answered.
--- a/crates/policy/tests/all/balancer.rs
+++ b/crates/policy/tests/all/balancer.rs
@@ -198,6 +198,13 @@
     script::run(&mut BalancerRunner::new(), "balancer_ejection");
 }
 
+/// Guards against small services whose failing endpoint is never ejected, because it alone exceeds
+/// the share that may be.
+#[test]
+fn ejection_of_two() {
+    script::run(&mut BalancerRunner::new(), "balancer_ejection_of_two");
+}
+
 fn many(count: usize) -> Vec<Endpoint> {
     let domains = ["near-a", "near-b", "far-a", "far-b"];
     (0..count)
