Let nested calls pass requests that wait for them

Ruled out: the deadline, since lone chains of three complete.

Change: a call belongs to the trace of its request (traceparent, which the entry adds where it is missing) at a depth. Running requests with a queued call nested in them do not count as working, at most one on each level for each queued call, so that callers who share a trace gain nothing; nested calls leave the queue first. The slots still bound what runs. Scenario admission_nested shows both.

--- a/crates/bench/src/nested.rs
+++ b/crates/bench/src/nested.rs
@@ -24,11 +24,12 @@
 const WORK_MS: HeaderName = HeaderName::from_static("x-work-ms");
 
 /// Headers that a nested call takes over from the call that it belongs to.
-const INHERITED: [HeaderName; 5] = [
+const INHERITED: [HeaderName; 6] = [
     http::header::HOST,
     HeaderName::from_static("cornelvalve-team"),
     HeaderName::from_static("cornelvalve-deadline-ms"),
     HeaderName::from_static("cornelvalve-depth"),
+    HeaderName::from_static("traceparent"),
     WORK_MS,
 ];
 
--- a/crates/daemon/src/entry/forward.rs
+++ b/crates/daemon/src/entry/forward.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use cornelvalve_kernel::Clock;
-use cornelvalve_model::{Fingerprint, LoadHint, Moment, Outcome, Reason, Refusal};
+use cornelvalve_model::{Fingerprint, LoadHint, Moment, Outcome, Reason, Refusal, TraceId};
 use cornelvalve_policy::{AttemptEnd, AttemptId, AttemptReport, Endpoint, Ticket};
 use cornelvalve_wire::hop::{self, CallerHead, HopHead};
 use http::header::{EXPECT, HOST, HeaderValue};
@@ -100,6 +100,7 @@
     hop::strip_connection(&mut headers);
     hop::strip_internal(&mut headers);
     headers.remove(EXPECT);
+    hop::ensure_trace(&mut headers, TraceId(rand::random()), rand::random());
     headers
 }
 
--- a/crates/daemon/src/guard.rs
+++ b/crates/daemon/src/guard.rs
@@ -20,7 +20,8 @@
 use cornelvalve_catalog::Catalog;
 use cornelvalve_kernel::{Context, Reply, ServiceResult, TIMER, Tick, TimerMessage};
 use cornelvalve_model::{
-    Fingerprint, LoadHint, Moment, Refusal, Revision, RouteName, ServiceName, TeamName, Upstream,
+    Fingerprint, LoadHint, Moment, Nesting, Refusal, Revision, RouteName, ServiceName, TeamName,
+    Upstream,
 };
 use cornelvalve_policy::{RequestId, StoredAnswer, Ticket, TicketList};
 use smallvec::SmallVec;
@@ -57,6 +58,8 @@
     pub(crate) fingerprint: Fingerprint,
     /// Moment at which the caller stops waiting.
     pub(crate) deadline: Moment,
+    /// Place of the request among nested calls.
+    pub(crate) nesting: Option<Nesting>,
 }
 
 /// Answer to a request for admission.
--- a/crates/daemon/src/guard/admission.rs
+++ b/crates/daemon/src/guard/admission.rs
@@ -41,8 +41,12 @@
         }
         self.rules.check(&call)?;
         let admission = self.admission(&call.service)?;
-        let deadline = call.deadline;
-        let actions = admission.on(AdmissionEvent::Arrived { id, deadline }, now);
+        let arrived = AdmissionEvent::Arrived {
+            id,
+            deadline: call.deadline,
+            nesting: call.nesting,
+        };
+        let actions = admission.on(arrived, now);
         self.apply(&call.service, actions, now);
         Ok(())
     }
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -7,9 +7,11 @@
 use std::sync::Arc;
 
 use cornelvalve_kernel::{Clock, Context, Mailbox, ServiceResult};
-use cornelvalve_model::{IdempotencyKey, LoadHint, Reason, Refusal, RequestClass, ServiceName};
+use cornelvalve_model::{
+    IdempotencyKey, LoadHint, Nesting, Reason, Refusal, RequestClass, ServiceName, TraceId,
+};
 use cornelvalve_policy::Ticket;
-use cornelvalve_wire::hop::HopHead;
+use cornelvalve_wire::hop::{self, HopHead};
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
 use serde::{Deserialize, Serialize};
@@ -102,7 +104,7 @@
 
     async fn forward(&self, request: Request<Incoming>) -> Result<Response<Body>, Refusal> {
         let head = HopHead::decode(request.headers()).map_err(|e| e.refusal())?;
-        let call = self.call(&head)?;
+        let call = self.call(&head, hop::decode_trace(request.headers()))?;
         let deadline = call.deadline;
         let ticketed = call.ticket.is_some();
         let asked = self.guard.ask(|reply| GuardMessage::Admit {
@@ -128,7 +130,8 @@
         }
     }
 
-    fn call(&self, head: &HopHead) -> Result<Call, Refusal> {
+    fn call(&self, head: &HopHead, trace: Option<TraceId>) -> Result<Call, Refusal> {
+        let depth = head.depth;
         Ok(Call {
             service: head.service.clone(),
             route: head.route.clone(),
@@ -137,6 +140,7 @@
             ticket: ticket_of(head.class, head.key.as_ref())?,
             fingerprint: head.fingerprint,
             deadline: self.clock.now() + head.time_left,
+            nesting: trace.map(|trace| Nesting { trace, depth }),
         })
     }
 }
--- a/crates/model/src/request.rs
+++ b/crates/model/src/request.rs
@@ -34,6 +34,19 @@
     }
 }
 
+/// Identifies a request together with all calls that are nested in it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct TraceId(pub u128);
+
+/// Place of a call among those nested in one request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Nesting {
+    /// The request that all of them belong to.
+    pub trace: TraceId,
+    /// Number of calls that this one is nested in.
+    pub depth: u8,
+}
+
 /// Description of a request on which admission and choice decide.
 #[derive(Clone, Debug)]
 pub struct RequestMeta {
--- a/crates/policy/examples/choice/model.rs
+++ b/crates/policy/examples/choice/model.rs
@@ -316,6 +316,7 @@
             let event = AdmissionEvent::Arrived {
                 id: RequestId(key),
                 deadline,
+                nesting: None,
             };
             let actions = self.servers[index].admission.on(event, self.now);
             self.carry_out(actions);
--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -1,10 +1,10 @@
 //! Admission beside the upstream: an exact count of running requests, a limit that is learned for
 //! each incarnation, and a bounded queue.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::time::Duration;
 
-use cornelvalve_model::{Incarnation, LoadHint, Moment, Reason};
+use cornelvalve_model::{Incarnation, LoadHint, Moment, Nesting, Reason};
 use smallvec::SmallVec;
 
 mod limit;
@@ -37,6 +37,8 @@
         id: RequestId,
         /// Moment at which its caller stops waiting.
         deadline: Moment,
+        /// Its place among nested calls, if it is known.
+        nesting: Option<Nesting>,
     },
     /// The caller of a queued request has gone.
     Cancelled {
@@ -90,6 +92,17 @@
 struct Queued {
     id: RequestId,
     deadline: Moment,
+    nesting: Option<Nesting>,
+}
+
+struct Running {
+    incarnation: Incarnation,
+    nesting: Option<Nesting>,
+}
+
+/// Tells whether one call is nested in another, as far as trace and depth show it.
+fn is_nested_in(inner: Nesting, outer: Nesting) -> bool {
+    inner.trace == outer.trace && inner.depth > outer.depth
 }
 
 struct CurrentUpstream {
@@ -101,14 +114,15 @@
 
 /// Admission to one upstream.
 ///
-/// The queue is first in, first out: arrivals that cannot be served in time are refused, so the
-/// queue never holds requests that a later one could overtake with profit.
+/// The queue is first in, first out, but for nested calls of running requests, which go first:
+/// arrivals that cannot be served in time are refused, so the queue holds no other requests that a
+/// later one could overtake with profit.
 #[derive(Default)]
 pub struct Admission {
     upstream: Option<CurrentUpstream>,
     /// Last incarnation seen, so that a delayed announcement of an earlier one is ignored.
     newest: Option<Incarnation>,
-    running: HashMap<RequestId, Incarnation>,
+    running: HashMap<RequestId, Running>,
     queue: VecDeque<Queued>,
     estimate: Option<Duration>,
     leaving: bool,
@@ -133,9 +147,11 @@
     pub fn on(&mut self, event: AdmissionEvent, now: Moment) -> AdmissionActions {
         let mut actions = AdmissionActions::new();
         match event {
-            AdmissionEvent::Arrived { id, deadline } => {
-                self.arrive(id, deadline, now, &mut actions);
-            }
+            AdmissionEvent::Arrived {
+                id,
+                deadline,
+                nesting,
+            } => self.arrive(id, deadline, nesting, now, &mut actions),
             AdmissionEvent::Cancelled { id } => self.queue.retain(|q| q.id != id),
             AdmissionEvent::Finished {
                 id,
@@ -204,6 +220,7 @@
         &mut self,
         id: RequestId,
         deadline: Moment,
+        nesting: Option<Nesting>,
         now: Moment,
         actions: &mut AdmissionActions,
     ) {
@@ -211,22 +228,26 @@
             actions.push(AdmissionAction::Refuse(id, reason));
         } else if deadline <= now {
             actions.push(AdmissionAction::Refuse(id, Reason::Deadline));
-        } else if self.is_overloaded(deadline.since(now)) {
+        } else if self.is_overloaded(deadline.since(now), nesting) {
             actions.push(AdmissionAction::Refuse(id, Reason::Overloaded));
         } else {
-            self.queue.push_back(Queued { id, deadline });
+            self.queue.push_back(Queued {
+                id,
+                deadline,
+                nesting,
+            });
         }
     }
 
     /// Tells whether a request that joins the queue now would be served too late.
-    fn is_overloaded(&self, time_left: Duration) -> bool {
+    fn is_overloaded(&self, time_left: Duration, nesting: Option<Nesting>) -> bool {
         let Some(upstream) = &self.upstream else {
             return true;
         };
         let limit = u32::from(upstream.limit.current());
         let ahead = u32::try_from(self.queue.len()).unwrap_or(u32::MAX);
-        let free = limit.saturating_sub(upstream.running);
-        if ahead < free {
+        let working = upstream.running.saturating_sub(self.blocked(nesting));
+        if ahead < limit.saturating_sub(working) {
             return false;
         }
         let capacity = QUEUE_PER_SLOT * usize::from(upstream.limit.slots());
@@ -240,7 +261,7 @@
     }
 
     fn finish(&mut self, id: RequestId, result: FinishResult, service_time: Duration, now: Moment) {
-        let Some(incarnation) = self.running.remove(&id) else {
+        let Some(Running { incarnation, .. }) = self.running.remove(&id) else {
             return;
         };
         if result == FinishResult::Success {
@@ -270,7 +291,8 @@
                 upstream.limit.set_slots(slots);
             }
             current => {
-                let running = self.running.values().filter(|i| **i == incarnation).count();
+                let running = self.running.values();
+                let running = running.filter(|r| r.incarnation == incarnation).count();
                 *current = Some(CurrentUpstream {
                     incarnation,
                     limit: Limit::new(slots),
@@ -298,17 +320,75 @@
         });
     }
 
-    fn dispatch(&mut self, actions: &mut AdmissionActions) {
-        let Some(upstream) = &mut self.upstream else {
-            return;
+    /// Counts the running requests that wait for a call nested in them: for each queued call of the
+    /// same trace at most one on each level above it. `arriving` counts as queued.
+    fn blocked(&self, arriving: Option<Nesting>) -> u32 {
+        let Some(upstream) = &self.upstream else {
+            return 0;
         };
-        while upstream.running < u32::from(upstream.limit.current()) {
-            let Some(next) = self.queue.pop_front() else {
+        let mut levels: BTreeMap<Nesting, u32> = BTreeMap::new();
+        for running in self.running.values() {
+            if running.incarnation == upstream.incarnation
+                && let Some(nesting) = running.nesting
+            {
+                *levels.entry(nesting).or_default() += 1;
+            }
+        }
+        let queued = self.queue.iter().filter_map(|q| q.nesting);
+        let queued: SmallVec<[Nesting; 8]> = queued.chain(arriving).collect();
+        let waiting = |level: &Nesting| {
+            let nested = queued.iter().filter(|q| is_nested_in(**q, *level));
+            u32::try_from(nested.count()).unwrap_or(u32::MAX)
+        };
+        levels
+            .iter()
+            .map(|(level, n)| (*n).min(waiting(level)))
+            .sum()
+    }
+
+    /// Takes the next request from the queue: a nested call of a running request, which ends the
+    /// wait of that one, or else the first.
+    fn take_next(&mut self) -> Option<Queued> {
+        let is_nested = |q: &Queued| {
+            let running = self.running.values().filter_map(|r| r.nesting);
+            q.nesting
+                .is_some_and(|nested| running.into_iter().any(|r| is_nested_in(nested, r)))
+        };
+        let index = self.queue.iter().position(is_nested).unwrap_or(0);
+        self.queue.remove(index)
+    }
+
+    /// Starts queued requests while fewer than the limit work. Requests that wait for a nested call
+    /// of theirs do not count, or a chain of calls through few upstreams could never end; they are
+    /// still bounded by the slots.
+    fn dispatch(&mut self, actions: &mut AdmissionActions) {
+        loop {
+            let blocked = self.blocked(None);
+            let Some(upstream) = &self.upstream else {
                 return;
             };
-            upstream.running += 1;
-            self.running.insert(next.id, upstream.incarnation);
+            let working = upstream.running.saturating_sub(blocked);
+            let is_full = working >= u32::from(upstream.limit.current())
+                || upstream.running >= u32::from(upstream.limit.slots());
+            if is_full {
+                return;
+            }
+            let Some(next) = self.take_next() else {
+                return;
+            };
+            self.start(&next);
             actions.push(AdmissionAction::Start(next.id));
         }
     }
+
+    fn start(&mut self, next: &Queued) {
+        if let Some(upstream) = &mut self.upstream {
+            upstream.running += 1;
+            let running = Running {
+                incarnation: upstream.incarnation,
+                nesting: next.nesting,
+            };
+            self.running.insert(next.id, running);
+        }
+    }
 }
--- a/crates/policy/tests/all/admission.rs
+++ b/crates/policy/tests/all/admission.rs
@@ -2,7 +2,7 @@
 
 use std::fmt::Write as _;
 
-use cornelvalve_model::{Incarnation, Moment};
+use cornelvalve_model::{Incarnation, Moment, Nesting, TraceId};
 use cornelvalve_policy::{Admission, AdmissionAction, AdmissionEvent, FinishResult, RequestId};
 use goldenscript::{Command, Context, Runner};
 
@@ -65,9 +65,14 @@
     }
 
     fn arrive(&mut self, id: u64, within_ms: u64) -> String {
+        self.arrive_nested(id, within_ms, None)
+    }
+
+    fn arrive_nested(&mut self, id: u64, within_ms: u64, nesting: Option<Nesting>) -> String {
         self.apply(AdmissionEvent::Arrived {
             id: RequestId(id),
             deadline: self.now + std::time::Duration::from_millis(within_ms),
+            nesting,
         })
     }
 
@@ -93,9 +98,15 @@
             }
             "arrive" => {
                 let within = script::key(&mut args, "within")?.unwrap_or(10_000);
+                let trace: Option<u64> = script::key(&mut args, "trace")?;
+                let depth: Option<u64> = script::key(&mut args, "depth")?;
+                let nesting = trace.map(|trace| Nesting {
+                    trace: TraceId(trace.into()),
+                    depth: depth.and_then(|d| d.try_into().ok()).unwrap_or(0),
+                });
                 let mut output = String::new();
                 while let Some(id) = args.next_pos() {
-                    output += &self.arrive(id.parse()?, within);
+                    output += &self.arrive_nested(id.parse()?, within, nesting);
                 }
                 output
             }
@@ -159,3 +170,10 @@
 fn trouble() {
     script::run(&mut AdmissionRunner::new(), "admission_trouble");
 }
+
+/// Guards against chains of nested calls that hold the places for which their own calls wait, and
+/// against callers that get more places than the limit by sharing a trace.
+#[test]
+fn nested_calls() {
+    script::run(&mut AdmissionRunner::new(), "admission_nested");
+}
--- a/crates/policy/tests/all/admission_fuzz.rs
+++ b/crates/policy/tests/all/admission_fuzz.rs
@@ -205,7 +205,11 @@
         let deadline = self.now + Duration::from_millis(within_ms);
         self.deadlines.insert(id, deadline);
         self.queued.push_back(id);
-        self.on(AdmissionEvent::Arrived { id, deadline });
+        self.on(AdmissionEvent::Arrived {
+            id,
+            deadline,
+            nesting: None,
+        });
     }
 
     fn cancel(&mut self, index: usize) {
--- a/crates/wire/src/hop.rs
+++ b/crates/wire/src/hop.rs
@@ -6,7 +6,7 @@
 
 use cornelvalve_model::{
     Fingerprint, IdempotencyKey, LoadHint, Outcome, Reason, Refusal, RequestClass, Revision,
-    RouteName, ServiceName, TeamName,
+    RouteName, ServiceName, TeamName, TraceId,
 };
 use derive_more::{Display, Error};
 use http::{HeaderMap, HeaderName, HeaderValue};
@@ -30,6 +30,9 @@
 pub const CLOCK: HeaderName = HeaderName::from_static("cornelvalve-clock");
 
 const UPSTREAM_TIME: HeaderName = HeaderName::from_static("cornelvalve-upstream-us");
+/// Trace of a request (W3C Trace Context), which ties nested calls to the request that made them.
+pub const TRACE: HeaderName = HeaderName::from_static("traceparent");
+
 const SERVICE: HeaderName = HeaderName::from_static("cornelvalve-service");
 const ROUTE: HeaderName = HeaderName::from_static("cornelvalve-route");
 const CLASS: HeaderName = HeaderName::from_static("cornelvalve-class");
@@ -51,6 +54,9 @@
     UPSTREAM_TIME,
 ];
 
+/// Hexadecimal digits of a trace id.
+const TRACE_ID_DIGITS: usize = 32;
+
 /// Largest nesting of calls; the deepest chain among the services in use has nine.
 pub const MAX_DEPTH: u8 = 9;
 
@@ -183,6 +189,27 @@
     classes.into_iter().find(|c| c.to_string() == text)
 }
 
+/// Reads the trace of a request; a malformed one is treated as absent, as its standard demands.
+#[must_use]
+pub fn decode_trace(headers: &HeaderMap) -> Option<TraceId> {
+    let mut parts = headers.get(&TRACE)?.to_str().ok()?.split('-');
+    let (_version, trace) = (parts.next()?, parts.next()?);
+    if trace.len() != TRACE_ID_DIGITS {
+        return None;
+    }
+    let id = u128::from_str_radix(trace, 16).ok()?;
+    (id != 0).then_some(TraceId(id))
+}
+
+/// Gives a request a trace if it has none.
+pub fn ensure_trace(headers: &mut HeaderMap, new: TraceId, parent: u64) {
+    if decode_trace(headers).is_none() {
+        // Version 0, not sampled.
+        let text = format!("00-{:032x}-{:016x}-00", new.0, parent.max(1));
+        set(headers, TRACE, &text);
+    }
+}
+
 /// Removes the headers that only daemons may set.
 pub fn strip_internal(headers: &mut HeaderMap) {
     for name in &INTERNAL {
