Wait for the failed read of the log in the test of a start without it

It read the state of the log store once, but the peer may answer before the first read of the log has failed. It now waits for 'unreachable' and fails at once on 'reachable', so it demands the same state.

--- a/tests/all/snapshots.rs
+++ b/tests/all/snapshots.rs
@@ -177,7 +177,15 @@
     );
     let fresh = mesh.daemon(EST_B, &[old.peers]);
     fresh.wait_for_revision(revision).await;
-    assert_eq!(fresh.status()["log_store"], "unreachable");
+    // The peer may answer before the first read of the log has failed.
+    eventually("failed read of the log", || async {
+        let state = fresh.status()["log_store"].clone();
+        assert_ne!(state, "reachable", "the log is down");
+        (state == "unreachable")
+            .then_some(())
+            .ok_or(state.to_string())
+    })
+    .await;
     assert_eq!(refusal(&fresh).await, r#""unknown-service""#);
     assert_eq!(alone.status()["revision"], serde_json::Value::Null);
     assert_eq!(refusal(&alone).await, r#""no-configuration""#);
