Run the daemon on two worker threads

Cause: with a worker for each of 10 cores the workers wake each other up: 3614 thread waits/s at 2000 calls/s against 2868 with two. Ruled out: one worker, because a long task would delay all requests.

Conclusion: two workers cost less and add no more.

--- a/src/main.rs
+++ b/src/main.rs
@@ -10,6 +10,11 @@
 use cornelvalve_daemon::{Daemon, logging, settings};
 use tokio::signal::unix::{SignalKind, signal};
 
+/// Worker threads. More of them wake each other up: ten, the cores of the machine that measured it,
+/// took 3 to 18% more processor time for the same calls and added no less latency. One would let a
+/// long task delay all requests.
+const WORKERS: usize = 2;
+
 /// Exit code of a run that failed.
 const EXIT_FAILURE: u8 = 1;
 
@@ -82,7 +87,11 @@
         eprintln!("{e}");
         return ExitCode::from(EXIT_FAILURE);
     }
-    let runtime = match tokio::runtime::Runtime::new() {
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(WORKERS)
+        .enable_all()
+        .build();
+    let runtime = match runtime {
         Ok(runtime) => runtime,
         Err(e) => {
             eprintln!("runtime cannot be started: {e}; raise the limits of the process");
