--- a/crates/bench/tests/all/short.rs
+++ b/crates/bench/tests/all/short.rs
@@ -38,6 +38,20 @@
     assert!(json.contains("\"experiment\":\"path\""));
 }
 
+/// Guards against chains of nested calls that wait for places which they hold themselves.
+#[tokio::test(flavor = "multi_thread")]
+async fn chains_of_nested_calls_complete() {
+    let report = run(Experiment {
+        rate: 5.0,
+        ..short("nested")
+    });
+    let report = report.await.expect("the run ends");
+    for variant in &report.variants {
+        let counts = &variant.counts;
+        assert_eq!(counts.completed, counts.sent, "{variant:?}");
+    }
+}
+
 /// Guards against a built-in experiment that its own checks refuse or that cannot be written as a
 /// file and read again.
 #[test]
