--- a/crates/bench/src/report.rs
+++ b/crates/bench/src/report.rs
@@ -116,13 +116,13 @@
     /// Index of the VM.
     pub vm: usize,
     /// Bytes sent per second by class; `region-link` is part of the others.
-    pub sent_per_s: BTreeMap<String, f64>,
+    pub sent_rate: BTreeMap<String, f64>,
     /// Bytes dropped per second by class.
-    pub dropped_per_s: BTreeMap<String, f64>,
+    pub dropped_rate: BTreeMap<String, f64>,
     /// Share of one core, of the whole process; only for daemons in processes.
     pub cpu_share: Option<f64>,
     /// Waits of all threads per second; only for daemons in processes.
-    pub switches_per_s: Option<f64>,
+    pub switch_rate: Option<f64>,
     /// Resident memory at the end in KiB; only for daemons in processes.
     pub rss_kib: Option<u64>,
 }
--- a/crates/bench/src/table.rs
+++ b/crates/bench/src/table.rs
@@ -152,11 +152,11 @@
         return Ok(());
     }
     let sum = |class: &str| -> f64 {
-        let rates = variant.control.iter().map(|c| c.sent_per_s.get(class));
+        let rates = variant.control.iter().map(|c| c.sent_rate.get(class));
         rates.flatten().sum()
     };
     let of_daemon = |c: &crate::ControlReport| -> f64 {
-        c.sent_per_s
+        c.sent_rate
             .iter()
             .filter(|(k, _)| *k != "region-link")
             .map(|(_, v)| v)
@@ -167,7 +167,7 @@
     let dropped: f64 = variant
         .control
         .iter()
-        .flat_map(|c| c.dropped_per_s.values())
+        .flat_map(|c| c.dropped_rate.values())
         .sum();
     writeln!(
         text,
@@ -182,11 +182,7 @@
     if shares.is_empty() {
         return Ok(());
     }
-    let switches: f64 = variant
-        .control
-        .iter()
-        .filter_map(|c| c.switches_per_s)
-        .sum();
+    let switches: f64 = variant.control.iter().filter_map(|c| c.switch_rate).sum();
     let rss = variant.control.iter().filter_map(|c| c.rss_kib).max();
     writeln!(
         text,
--- a/crates/bench/src/usage.rs
+++ b/crates/bench/src/usage.rs
@@ -121,10 +121,10 @@
     let cpu = after.cpu.zip(before.cpu);
     ControlReport {
         vm,
-        sent_per_s: per_second(&before.sent, &after.sent),
-        dropped_per_s: per_second(&before.dropped, &after.dropped),
+        sent_rate: per_second(&before.sent, &after.sent),
+        dropped_rate: per_second(&before.dropped, &after.dropped),
         cpu_share: cpu.map(|(after, before)| (after - before).as_secs_f64() / seconds),
-        switches_per_s: after
+        switch_rate: after
             .switches
             .zip(before.switches)
             .map(|(after, before)| after.saturating_sub(before) as f64 / seconds),
--- a/crates/budget/src/bucket.rs
+++ b/crates/budget/src/bucket.rs
@@ -29,7 +29,7 @@
     }
 
     pub(crate) fn refill(&mut self, now: Moment) {
-        let gained = now.since(self.refilled).as_nanos() * u128::from(self.rate.bytes_per_second);
+        let gained = now.since(self.refilled).as_nanos() * u128::from(self.rate.byte_rate);
         let repaid = gained.min(self.debt);
         self.debt -= repaid;
         let full = u128::from(self.rate.burst_bytes) * NANOS_PER_SECOND;
--- a/crates/budget/src/settings.rs
+++ b/crates/budget/src/settings.rs
@@ -6,9 +6,9 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Rate {
     /// Sustained rate in bytes a second.
-    pub bytes_per_second: u32,
+    pub byte_rate: u32,
     /// Bytes that may be sent at once. The bytes of any window of `t` seconds are at most
-    /// `burst_bytes + t * bytes_per_second`.
+    /// `burst_bytes + t * byte_rate`.
     pub burst_bytes: u32,
 }
 
@@ -23,10 +23,10 @@
     /// burst, holds at most `share` bytes a second.
     #[must_use]
     pub const fn within(share: u32) -> Self {
-        let bytes_per_second = share * WINDOW_SECONDS / (WINDOW_SECONDS + BURST_SECONDS);
+        let byte_rate = share * WINDOW_SECONDS / (WINDOW_SECONDS + BURST_SECONDS);
         Self {
-            bytes_per_second,
-            burst_bytes: BURST_SECONDS * bytes_per_second,
+            byte_rate,
+            burst_bytes: BURST_SECONDS * byte_rate,
         }
     }
 }
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -412,7 +412,7 @@
             tickets: TicketSettings {
                 ttl: tickets.lifetime,
                 max_live: tickets.capacity,
-                max_answer_bytes: tickets.response_bytes,
+                answer_bytes: tickets.response_bytes,
                 answer_ttl: tickets.response_lifetime,
             },
         }
@@ -424,7 +424,7 @@
             head_bytes: self.config.limits.header_bytes,
             drain_timeout: self.config.drain_timeout,
         };
-        let max_answer_bytes = self.config.tickets.response_bytes;
+        let answer_bytes = self.config.tickets.response_bytes;
         let body_buffer_bytes = self.config.limits.body_buffer_bytes;
         let identity = Identity {
             vm: self.own.vm,
@@ -450,7 +450,7 @@
                 operators::run_operators(context, listener, identity.clone(), leave.clone())
             })
             .service(PEERS, options, move |context| {
-                peers::run_peers(context, Arc::clone(&peers), limits, max_answer_bytes)
+                peers::run_peers(context, Arc::clone(&peers), limits, answer_bytes)
             })
             .service(ENTRY, options, move |context| {
                 let (listener, metrics) = (Arc::clone(&callers), entry_metrics.clone());
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -41,7 +41,7 @@
     mut context: Context<EntryMessage>,
     listener: Arc<StdListener>,
     limits: ListenerLimits,
-    body_buffer_bytes: usize,
+    buffer_bytes: usize,
     metrics: Metrics,
 ) -> ServiceResult {
     let timeline = context.registry.mailbox(TIMELINE)?;
@@ -49,7 +49,7 @@
         router: context.registry.mailbox(ROUTER)?,
         exchanger: Exchanger::new(context.registry.mailbox(POOL)?),
         clock: Arc::clone(&context.clock),
-        body_buffer_bytes,
+        buffer_bytes,
         metrics,
         link: ClockLink::new(timeline.clone()),
         timeline,
@@ -64,7 +64,7 @@
     router: Mailbox<RouterMessage>,
     exchanger: Exchanger,
     clock: Arc<dyn Clock>,
-    body_buffer_bytes: usize,
+    buffer_bytes: usize,
     metrics: Metrics,
     timeline: Mailbox<TimelineMessage>,
     link: ClockLink,
--- a/crates/daemon/src/entry/forward.rs
+++ b/crates/daemon/src/entry/forward.rs
@@ -61,7 +61,7 @@
 ) -> Result<Response<Body>> {
     let deadline = entry.clock.now() + head.time_left.unwrap_or(plan.timeout);
     let (parts, body) = request.into_parts();
-    let body = HeldBody::read(body, entry.body_buffer_bytes)
+    let body = HeldBody::read(body, entry.buffer_bytes)
         .await
         .map_err(|_| Refusal::not_run(Reason::BadRequest))?;
     let path = parts.uri.path_and_query().map_or("/", |p| p.as_str());
--- a/crates/daemon/src/membership.rs
+++ b/crates/daemon/src/membership.rs
@@ -120,7 +120,7 @@
         membership: Membership::new(settings, own, seed),
         recorded: HashMap::new(),
         role: None,
-        is_router_behind: false,
+        router_behind: false,
         budget: context.registry.mailbox(BUDGET)?,
         router: context.registry.mailbox(ROUTER)?,
         catalog: context.registry.mailbox(CATALOG)?,
@@ -158,7 +158,7 @@
     /// Reader role as last passed on: whether it is one and whether it is ranked first.
     role: Option<(bool, bool)>,
     /// Whether the router missed a message and needs all records again.
-    is_router_behind: bool,
+    router_behind: bool,
     budget: Mailbox<BudgetMessage>,
     router: Mailbox<RouterMessage>,
     catalog: Mailbox<CatalogMessage>,
@@ -197,7 +197,7 @@
                 reply.send(peers.map(|m| PeerAddress::of(m, &region)).collect());
             }
             MembershipMessage::Tick => {
-                if self.is_router_behind {
+                if self.router_behind {
                     self.publish_all();
                 }
                 self.on(Event::Tick, now).await;
@@ -288,7 +288,7 @@
             members,
             unreachable,
         };
-        self.is_router_behind = self.router.try_send(all).is_err();
+        self.router_behind = self.router.try_send(all).is_err();
         self.publish_role();
     }
 
@@ -326,7 +326,7 @@
     fn notify_router(&mut self, message: RouterMessage) {
         if let Err(e) = self.router.try_send(message) {
             log::warn!("member records were not passed on and will be sent again: {e}");
-            self.is_router_behind = true;
+            self.router_behind = true;
         }
     }
 
--- a/crates/daemon/src/operators/calls.rs
+++ b/crates/daemon/src/operators/calls.rs
@@ -216,7 +216,7 @@
         let deadline = Instant::now() + timeout;
         let asked = self.publisher.ask(|reply| PublisherMessage::Publish {
             change: Box::new(change),
-            wait_for_verdict: wait != WaitFor::Published,
+            await_verdict: wait != WaitFor::Published,
             timeout,
             reply,
         });
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -48,13 +48,13 @@
     mut context: Context<PeersMessage>,
     listener: Arc<StdListener>,
     limits: ListenerLimits,
-    max_answer_bytes: usize,
+    answer_bytes: usize,
 ) -> ServiceResult {
     let handler = PeerHandler {
         guard: context.registry.mailbox(GUARD)?,
         exchanger: Exchanger::new(context.registry.mailbox(POOL)?),
         clock: Arc::clone(&context.clock),
-        max_answer_bytes,
+        answer_bytes,
         link: ClockLink::new(context.registry.mailbox(TIMELINE)?),
     };
     listener::serve(&listener, handler, limits, &mut context.stop).await?;
@@ -67,7 +67,7 @@
     guard: Mailbox<GuardMessage>,
     exchanger: Exchanger,
     clock: Arc<dyn Clock>,
-    max_answer_bytes: usize,
+    answer_bytes: usize,
     link: ClockLink,
 }
 
--- a/crates/daemon/src/peers/ticketed.rs
+++ b/crates/daemon/src/peers/ticketed.rs
@@ -72,7 +72,7 @@
         Ok(mut response) => {
             permit.set_service_time(timeout.work_time(started));
             deliver::clean_response(&mut response, &permit);
-            pass_on(response, permit, handler.max_answer_bytes, respond).await;
+            pass_on(response, permit, handler.answer_bytes, respond).await;
         }
         Err(e) => {
             let (end, refusal) = deliver::failed(&handler, permit.upstream, &e).await;
@@ -86,7 +86,7 @@
 async fn pass_on(
     response: Response<Body>,
     permit: Permit,
-    max_answer_bytes: usize,
+    answer_bytes: usize,
     respond: oneshot::Sender<Result<Response<Body>, Refusal>>,
 ) {
     let (parts, mut body) = response.into_parts();
@@ -94,7 +94,7 @@
     let status = parts.status;
     let headers = parts.headers.clone();
     let _ = respond.send(Ok(Response::from_parts(parts, channel_body(receiver))));
-    let mut copy = AnswerCopy::new(max_answer_bytes);
+    let mut copy = AnswerCopy::new(answer_bytes);
     while let Some(frame) = body.frame().await {
         match frame {
             Ok(frame) => {
--- a/crates/daemon/src/publisher.rs
+++ b/crates/daemon/src/publisher.rs
@@ -47,7 +47,7 @@
         /// The change.
         change: Box<Change>,
         /// Whether to wait for the verdict after the append.
-        wait_for_verdict: bool,
+        await_verdict: bool,
         /// Time after which the outcome so far is reported.
         timeout: Duration,
         /// Receives the outcome.
@@ -77,7 +77,7 @@
         };
         let Some(PublisherMessage::Publish {
             change,
-            wait_for_verdict,
+            await_verdict,
             timeout,
             reply,
         }) = message
@@ -102,7 +102,7 @@
             catalog: catalog.clone(),
             id,
             record,
-            wait_for_verdict,
+            await_verdict,
             deadline: Instant::now() + timeout,
         };
         running.spawn(async move { reply.send(Ok(publication.run().await)) });
--- a/crates/daemon/src/publisher/publication.rs
+++ b/crates/daemon/src/publisher/publication.rs
@@ -30,7 +30,7 @@
     pub(super) catalog: Mailbox<CatalogMessage>,
     pub(super) id: ChangeId,
     pub(super) record: Bytes,
-    pub(super) wait_for_verdict: bool,
+    pub(super) await_verdict: bool,
     pub(super) deadline: Instant,
 }
 
@@ -54,7 +54,7 @@
             };
             actions = match action {
                 Action::Finish(outcome) => return outcome,
-                Action::AwaitVerdict { offset } if !self.wait_for_verdict => {
+                Action::AwaitVerdict { offset } if !self.await_verdict => {
                     return PublishOutcome::Published(offset);
                 }
                 Action::Append => self.append(&mut publisher).await,
--- a/crates/fuzz/tests/tickets/world.rs
+++ b/crates/fuzz/tests/tickets/world.rs
@@ -18,7 +18,7 @@
 const SETTINGS: TicketSettings = TicketSettings {
     ttl: Duration::from_millis(800),
     max_live: 3,
-    max_answer_bytes: 12,
+    answer_bytes: 12,
     answer_ttl: Duration::from_millis(300),
 };
 
--- a/crates/logstore/tests/client.rs
+++ b/crates/logstore/tests/client.rs
@@ -173,7 +173,7 @@
 #[tokio::test]
 async fn refused_append_has_no_effect() {
     let (log, _, _handle) = start(LogOptions {
-        appends_per_second: 0,
+        append_rate: 0,
         ..LogOptions::default()
     })
     .await;
--- a/crates/policy/src/balancer.rs
+++ b/crates/policy/src/balancer.rs
@@ -64,9 +64,9 @@
     pub subset_size: usize,
     /// Time in which the weight of a load hint halves. Load shifts within milliseconds: with
     /// 20 ms, hints up to 200 ms old raised p99 from 25 ms to 41 ms and lost 4.5% of the requests.
-    pub hint_half_life: Duration,
+    pub hint_decay: Duration,
     /// Time in which the weight of a past failure halves.
-    pub failure_half_life: Duration,
+    pub failure_decay: Duration,
     /// Cost of one recent failure, in requests.
     pub failure_penalty: f64,
     /// Whether latency beyond the median of the service adds to the score.
@@ -74,7 +74,7 @@
     /// Whether endpoints that straggle or fail are left out for a bounded time.
     pub ejection: bool,
     /// Largest share of a service's endpoints that may be ejected at the same time.
-    pub max_ejected_share: f64,
+    pub ejected_share: f64,
     /// Time for which an endpoint is ejected at first; doubles with each ejection in a row.
     pub ejection_time: Duration,
 }
@@ -83,12 +83,12 @@
     fn default() -> Self {
         Self {
             subset_size: 24,
-            hint_half_life: Duration::from_millis(5),
-            failure_half_life: Duration::from_secs(2),
+            hint_decay: Duration::from_millis(5),
+            failure_decay: Duration::from_secs(2),
             failure_penalty: 4.0,
             straggler_penalty: true,
             ejection: true,
-            max_ejected_share: 0.34,
+            ejected_share: 0.34,
             ejection_time: Duration::from_secs(2),
         }
     }
--- a/crates/policy/src/balancer/endpoint.rs
+++ b/crates/policy/src/balancer/endpoint.rs
@@ -73,7 +73,7 @@
     samples: u32,
     failures: f64,
     failures_at: Moment,
-    failures_in_row: u32,
+    failure_run: u32,
     avoid_until: Moment,
     shed_until: Moment,
     health: Health,
@@ -95,7 +95,7 @@
             samples: 0,
             failures: 0.0,
             failures_at: Moment::default(),
-            failures_in_row: 0,
+            failure_run: 0,
             avoid_until: Moment::default(),
             shed_until: Moment::default(),
             health: Health::Normal,
@@ -135,12 +135,12 @@
 
     fn foreign_load(&self, settings: &BalancerSettings, now: Moment) -> f64 {
         self.load.map_or(0.0, |load| {
-            load.foreign * decay(now.since(load.at), settings.hint_half_life)
+            load.foreign * decay(now.since(load.at), settings.hint_decay)
         })
     }
 
     fn recent_failures(&self, settings: &BalancerSettings, now: Moment) -> f64 {
-        self.failures * decay(now.since(self.failures_at), settings.failure_half_life)
+        self.failures * decay(now.since(self.failures_at), settings.failure_decay)
     }
 
     fn capacity(&self, now: Moment) -> f64 {
@@ -243,13 +243,13 @@
         });
         self.latency_at = now;
         self.samples = self.samples.saturating_add(1);
-        self.failures_in_row = 0;
+        self.failure_run = 0;
     }
 
     fn on_failure(&mut self, settings: &BalancerSettings, now: Moment) {
         self.failures = self.recent_failures(settings, now) + 1.0;
         self.failures_at = now;
-        self.failures_in_row = self.failures_in_row.saturating_add(1);
+        self.failure_run = self.failure_run.saturating_add(1);
     }
 
     fn straggles(&self, latency: Duration, median: Option<Duration>) -> bool {
@@ -268,7 +268,7 @@
         let slow = self.samples >= STRAGGLER_SAMPLES
             && self.latency.is_some_and(|l| self.straggles(l, median));
         match self.health {
-            Health::Normal if slow || self.failures_in_row >= FAILURES_TO_EJECT => {
+            Health::Normal if slow || self.failure_run >= FAILURES_TO_EJECT => {
                 if may_eject {
                     self.eject(settings, now);
                 }
@@ -320,6 +320,6 @@
         self.latency = None;
         self.samples = 0;
         self.failures = 0.0;
-        self.failures_in_row = 0;
+        self.failure_run = 0;
     }
 }
--- a/crates/policy/src/balancer/service.rs
+++ b/crates/policy/src/balancer/service.rs
@@ -173,7 +173,7 @@
         let ejected = self.endpoints.iter().filter(|s| s.is_ejected(now)).count();
         let share = (ejected + 1) as f64 / self.endpoints.len() as f64;
         let is_first_of_several = ejected == 0 && self.endpoints.len() > 1;
-        is_first_of_several || share <= settings.max_ejected_share
+        is_first_of_several || share <= settings.ejected_share
     }
 
     /// Returns the lower median of the latencies of endpoints that have answered.
--- a/crates/policy/src/ticket/table.rs
+++ b/crates/policy/src/ticket/table.rs
@@ -28,7 +28,7 @@
     /// Most used tickets that the table holds; expired ones make room at the next tick.
     pub max_live: usize,
     /// Most bytes of stored answers, in total; a larger answer is not stored.
-    pub max_answer_bytes: usize,
+    pub answer_bytes: usize,
     /// Time for which an answer is stored.
     pub answer_ttl: Duration,
 }
@@ -38,7 +38,7 @@
         Self {
             ttl: Duration::from_secs(600),
             max_live: 16_384,
-            max_answer_bytes: 8 << 20,
+            answer_bytes: 8 << 20,
             answer_ttl: Duration::from_secs(600),
         }
     }
@@ -192,7 +192,7 @@
     ) -> SmallVec<[Waiter; 2]> {
         let now = self.advance(now);
         let size = answer.size();
-        let fits = size <= self.settings.max_answer_bytes;
+        let fits = size <= self.settings.answer_bytes;
         let Some(entry) = self.active(ticket) else {
             return SmallVec::new();
         };
@@ -329,12 +329,12 @@
 
     fn evict_answers(&mut self, now: Moment) {
         let TicketSettings {
-            max_answer_bytes,
+            answer_bytes,
             answer_ttl,
             ..
         } = self.settings;
         let expired = |stored_at: Moment| now.since(stored_at) >= answer_ttl;
-        while let Some(key) = self.answers.pop_excess(max_answer_bytes, expired) {
+        while let Some(key) = self.answers.pop_excess(answer_bytes, expired) {
             if let Some(entry) = self.entries.get_mut(&key) {
                 entry.state = State::Unknown(Reason::TicketGone);
             }
--- a/crates/policy/tests/ticket/scenario.rs
+++ b/crates/policy/tests/ticket/scenario.rs
@@ -73,7 +73,7 @@
         let settings = TicketSettings {
             ttl: TTL,
             max_live: max_live.unwrap_or(8),
-            max_answer_bytes: max_bytes.unwrap_or(64),
+            answer_bytes: max_bytes.unwrap_or(64),
             answer_ttl: Duration::from_secs(30),
         };
         let name = VmName::new(vm).expect("valid name");
--- a/crates/standins/src/bin/standin-log.rs
+++ b/crates/standins/src/bin/standin-log.rs
@@ -40,7 +40,7 @@
                 .long("append-rate")
                 .value_name("PER_SECOND")
                 .value_parser(value_parser!(u32))
-                .default_value(defaults.appends_per_second.to_string())
+                .default_value(defaults.append_rate.to_string())
                 .help("Append calls accepted per second"),
         )
 }
@@ -54,7 +54,7 @@
         options.retain_age = Duration::from_secs(*seconds);
     }
     if let Some(rate) = matches.get_one::<u32>("append-rate") {
-        options.appends_per_second = *rate;
+        options.append_rate = *rate;
     }
     options
 }
--- a/crates/standins/src/log.rs
+++ b/crates/standins/src/log.rs
@@ -28,7 +28,7 @@
     /// Time for which a record is kept.
     pub retain_age: Duration,
     /// Append calls accepted per second; more get status 429.
-    pub appends_per_second: u32,
+    pub append_rate: u32,
 }
 
 impl Default for LogOptions {
@@ -36,7 +36,7 @@
         Self {
             retain_records: 1_000_000,
             retain_age: Duration::from_secs(24 * 60 * 60),
-            appends_per_second: 500,
+            append_rate: 500,
         }
     }
 }
--- a/crates/standins/src/log/owner.rs
+++ b/crates/standins/src/log/owner.rs
@@ -103,7 +103,7 @@
             streams: BTreeMap::new(),
             waiting: Vec::new(),
             frozen: Vec::new(),
-            tokens: f64::from(options.appends_per_second),
+            tokens: f64::from(options.append_rate),
             refilled: Instant::now(),
         }
     }
@@ -175,7 +175,7 @@
 
     /// Takes one append from a bucket that holds at most one second's worth.
     fn take_token(&mut self) -> bool {
-        let rate = f64::from(self.options.appends_per_second);
+        let rate = f64::from(self.options.append_rate);
         let now = Instant::now();
         let gained = now.duration_since(self.refilled).as_secs_f64() * rate;
         self.tokens = (self.tokens + gained).min(rate);
--- a/src/demo/report.rs
+++ b/src/demo/report.rs
@@ -163,8 +163,8 @@
         ),
         promise(
             "a failure domain taken out gets no new work once that is in force",
-            story.ran_while_out == 0,
-            format!("{} requests ran there", story.ran_while_out),
+            story.ran_out == 0,
+            format!("{} requests ran there", story.ran_out),
         ),
         promise(
             "a failure domain returned to service gets work again",
@@ -189,7 +189,7 @@
         .map(|(name, counts)| {
             let runs = runs_of(vms, name);
             let ran = |id: &&String| runs.contains_key(*id) || counts.completed_ids.contains(*id);
-            counts.not_run_ids.iter().filter(ran).count()
+            counts.refused_ids.iter().filter(ran).count()
         })
         .sum()
 }
--- a/src/demo/scenario.rs
+++ b/src/demo/scenario.rs
@@ -26,7 +26,7 @@
     /// Time from the operators' call until all daemons had confirmed that the domain is out.
     pub(super) out_after: Duration,
     /// Requests that began in the failure domain while it was out of service.
-    pub(super) ran_while_out: u64,
+    pub(super) ran_out: u64,
     /// Whether the failure domain got work again after its return.
     pub(super) worked_again: bool,
     /// Whether the leaving upstream finished all its requests.
@@ -46,18 +46,18 @@
     tokio::time::sleep(IN_FLIGHT).await;
     let before = mesh.runs_in(DOMAIN).await;
     tokio::time::sleep(phase).await;
-    let ran_while_out = mesh.runs_in(DOMAIN).await - before;
+    let ran_out = mesh.runs_in(DOMAIN).await - before;
 
     println!("Returning failure domain {DOMAIN} to service.");
     mesh.set_domain(DOMAIN, DomainState::InService).await?;
-    let worked_again = wait_for_work(mesh, before + ran_while_out).await;
+    let worked_again = wait_for_work(mesh, before + ran_out).await;
 
     println!("Letting the upstream of {LEAVING_VM} leave.");
     let left_clean = mesh.leave(LEAVING_VM).await.is_ok();
     tokio::time::sleep_until(end).await;
     Ok(Story {
         out_after,
-        ran_while_out,
+        ran_out,
         worked_again,
         left_clean,
     })
--- a/src/demo/tally.rs
+++ b/src/demo/tally.rs
@@ -53,7 +53,7 @@
     pub(super) not_run: BTreeMap<String, u64>,
     pub(super) unknown: BTreeMap<String, u64>,
     /// Requests whose callers were told that they did not run.
-    pub(super) not_run_ids: BTreeSet<String>,
+    pub(super) refused_ids: BTreeSet<String>,
     /// Requests with a complete response.
     pub(super) completed_ids: BTreeSet<String>,
 }
@@ -118,7 +118,7 @@
             Fate::Wrong => service.wrong += 1,
             Fate::NotRun(reason) => {
                 *service.not_run.entry(reason).or_default() += 1;
-                service.not_run_ids.insert(sample.id);
+                service.refused_ids.insert(sample.id);
             }
             Fate::Unknown(reason) => *service.unknown.entry(reason).or_default() += 1,
         }
--- a/tests/all/support/meter.rs
+++ b/tests/all/support/meter.rs
@@ -132,7 +132,7 @@
             bytes += last.bytes;
             after = after.min(last.after);
             let seconds = (last.before - after).as_secs_f64() + DELIVERY_LAG_SECONDS;
-            let allowed = f64::from(rate.burst_bytes) + f64::from(rate.bytes_per_second) * seconds;
+            let allowed = f64::from(rate.burst_bytes) + f64::from(rate.byte_rate) * seconds;
             let what = class.map_or("link".to_owned(), |class| class.to_string());
             assert!(
                 bytes as f64 <= allowed,
