--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -21,5 +21,5 @@
 };
 pub use member::{Member, MemberKey, MemberState, Upstream, UpstreamState};
 pub use outcome::{Outcome, Reason, Refusal};
-pub use request::{Fingerprint, IdempotencyKey, LoadHint, Nesting, RequestMeta, TraceId};
+pub use request::{Fingerprint, IdempotencyKey, LoadHint, Nesting, TraceId};
 pub use time::{Moment, WallTime};
--- a/crates/model/src/request.rs
+++ b/crates/model/src/request.rs
@@ -1,12 +1,8 @@
 //! What the decisions need to know about a request; never its body.
 
-use std::time::Duration;
-
 use derive_more::{Debug, Display};
 use serde::{Deserialize, Serialize};
 
-use crate::{Moment, RequestClass, RouteName, ServiceName, TeamName};
-
 /// Idempotency key as the caller sent it.
 #[derive(Clone, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(transparent)]
@@ -47,33 +43,6 @@
     pub depth: u8,
 }
 
-/// Description of a request on which admission and choice decide.
-#[derive(Clone, Debug)]
-pub struct RequestMeta {
-    /// Service that the request is for.
-    pub service: ServiceName,
-    /// Route of the service that matched.
-    pub route: Option<RouteName>,
-    /// Team on whose behalf it is made.
-    pub team: Option<TeamName>,
-    /// Whether it may be repeated.
-    pub class: RequestClass,
-    /// Idempotency key, if the caller sent one.
-    pub key: Option<IdempotencyKey>,
-    /// Fingerprint of the request.
-    pub fingerprint: Fingerprint,
-    /// Moment on the local clock at which the caller stops waiting.
-    pub deadline: Moment,
-}
-
-impl RequestMeta {
-    /// Returns the time left until the deadline, or zero.
-    #[must_use]
-    pub fn time_left(&self, now: Moment) -> Duration {
-        self.deadline.since(now)
-    }
-}
-
 /// Load of an upstream as its guard saw it when it wrote an answer; stale from then on.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LoadHint {
--- a/crates/policy/src/breaker.rs
+++ b/crates/policy/src/breaker.rs
@@ -1,4 +1,7 @@
-//! Circuit breaker, a candidate to be measured against admission and ejection.
+//! Circuit breaker, a candidate that was measured against admission and ejection.
+//!
+//! It prevents failures under fast failure as ejection does and nothing more, so the daemon does not
+//! use it; the example `choice` repeats the measurement.
 
 use std::time::Duration;
 
