Name the right reason when a region cannot be reached, and record an outage from the start

Cause: the router avoids failure domains that are out and those that cannot be reached by one list, so a cut region was refused as 'domain-out'. It now says 'no-upstream' unless operators took a domain out, and the region test demands exactly that instead of any reason but 'deadline'. A log store that is down when the daemon starts is recorded as lost like one that goes down later.

--- a/crates/daemon/src/catalog/state.rs
+++ b/crates/daemon/src/catalog/state.rs
@@ -199,7 +199,9 @@
 
     fn set_log_store(&mut self, state: LogStoreState) {
         let event = match (self.log_store, state) {
-            (LogStoreState::Reachable, LogStoreState::Unreachable) => Some(Event::LogStoreLost),
+            (LogStoreState::Reachable | LogStoreState::NotRead, LogStoreState::Unreachable) => {
+                Some(Event::LogStoreLost)
+            }
             (LogStoreState::Unreachable, LogStoreState::Reachable) => Some(Event::LogStoreReturned),
             _ => None,
         };
--- a/crates/daemon/src/router/state.rs
+++ b/crates/daemon/src/router/state.rs
@@ -6,7 +6,8 @@
 
 use cornelvalve_catalog::{Catalog, Residency, Resolved};
 use cornelvalve_model::{
-    DomainState, FailureDomain, Member, Moment, Reason, Refusal, Region, Revision, VmName,
+    DomainState, FailureDomain, Member, Moment, Reason, Refusal, Region, Revision, ServiceName,
+    VmName,
 };
 use cornelvalve_policy::{
     AttemptEnd, AttemptId, AttemptReport, Balancer, ChoiceRequest, Endpoint, Locality, RetryBudget,
@@ -39,6 +40,8 @@
     unreachable: BTreeSet<Region>,
     /// Failure domains that operators took out or that cannot be reached.
     avoided: SmallVec<[FailureDomain; 2]>,
+    /// Failure domains that operators took out.
+    domains_out: SmallVec<[FailureDomain; 2]>,
 }
 
 impl RouterState {
@@ -61,6 +64,7 @@
             retries: RetryBudget::new(),
             unreachable: BTreeSet::new(),
             avoided: SmallVec::new(),
+            domains_out: SmallVec::new(),
         }
     }
 
@@ -87,16 +91,17 @@
 
     fn update_avoided(&mut self) {
         let catalog = self.catalog.iter().flat_map(|c| c.domains());
-        let out = catalog
+        self.domains_out = catalog
             .filter(|d| d.value.state == DomainState::OutOfService)
-            .map(|d| d.value.name.clone());
+            .map(|d| d.value.name.clone())
+            .collect();
         let unreachable = self
             .members
             .values()
             .filter(|m| self.unreachable.contains(&m.region))
             .map(|m| m.domain.clone());
-        self.avoided = out
-            .chain(unreachable)
+        self.avoided = unreachable
+            .chain(self.domains_out.iter().cloned())
             .collect::<BTreeSet<_>>()
             .into_iter()
             .collect();
@@ -228,9 +233,12 @@
             excluded_domains: &self.avoided,
             time_left,
         };
-        let choice = self.balancer.choose(&request, now);
-        // A retry that finds no further upstream reports the failure it was meant to mend.
-        let choice = choice.map_err(|e| query.failure.map_or(e, |(refusal, _)| refusal))?;
+        let choice = match (self.balancer.choose(&request, now), query.failure) {
+            (Ok(choice), _) => choice,
+            // A retry that finds no further upstream reports the failure before it.
+            (Err(_), Some((refusal, _))) => return Err(refusal),
+            (Err(refusal), None) => return Err(self.explain_refusal(refusal, &query.plan.service)),
+        };
         let cancelled = AttemptReport {
             ended: AttemptEnd::Cancelled,
             latency: Duration::ZERO,
@@ -244,6 +252,17 @@
         })
     }
 
+    /// Corrects the reason of a refusal because of avoided failure domains, if none of them was
+    /// taken out by operators: their region cannot be reached.
+    fn explain_refusal(&self, refusal: Refusal, service: &ServiceName) -> Refusal {
+        let is_out = |endpoint: &Endpoint| self.domains_out.contains(&endpoint.domain);
+        let taken_out = self.endpoints.of(service).iter().any(is_out);
+        if refusal.reason == Reason::DomainOut && !taken_out {
+            return Refusal::not_run(Reason::NoUpstream);
+        }
+        refusal
+    }
+
     fn check_retry(
         &mut self,
         query: &AttemptQuery,
--- a/tests/all/regions.rs
+++ b/tests/all/regions.rs
@@ -99,7 +99,7 @@
             (503, &"not-run".into()),
             "{body}"
         );
-        assert_ne!(body["reason"], "deadline", "{body}");
+        assert_eq!(body["reason"], "no-upstream", "{body}");
     }
     est[0].ctl(&["team", "put", "paie"]);
 
