Apply the settings for the queue and the upstream's connections

Cause: limits.queue and upstream.connections were read, checked and documented, and nothing used them. Both tests failed before with 4 of 4 requests answered; now one runs, one waits, and two are refused as not run. The queue keeps its bound of four for each slot besides.

--- a/crates/daemon/src/config/builder.rs
+++ b/crates/daemon/src/config/builder.rs
@@ -176,7 +176,7 @@
         self
     }
 
-    /// Sets how many requests wait for admission.
+    /// Sets how many requests wait for admission, and never more than four for each slot.
     ///
     /// The default is 64. A longer queue absorbs longer bursts and lengthens the latency of the
     /// requests in it.
@@ -270,7 +270,8 @@
         self
     }
 
-    /// Sets how many connections are open to the upstream at once.
+    /// Sets how many requests run at the upstream at once at most, each over a connection of its
+    /// own.
     ///
     /// The default is 250, what the users' upstreams accept.
     #[must_use]
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -10,7 +10,7 @@
 };
 use cornelvalve_logstore::{HttpLogStore, LogStore};
 use cornelvalve_model::{Incarnation, Member, MemberKey, MemberState};
-use cornelvalve_policy::{Locality, TicketSettings};
+use cornelvalve_policy::{AdmissionSettings, Locality, TicketSettings};
 use derive_more::{Debug, Display, Error};
 use smallvec::SmallVec;
 use tokio::sync::mpsc;
@@ -409,6 +409,10 @@
             incarnation: self.own.key.incarnation,
             region: self.own.region.clone(),
             domain: self.own.domain.clone(),
+            limits: AdmissionSettings {
+                queue: self.config.limits.queue,
+                connections: self.config.upstream.connections,
+            },
             tickets: TicketSettings {
                 ttl: tickets.lifetime,
                 max_live: tickets.capacity,
--- a/crates/daemon/src/guard/state.rs
+++ b/crates/daemon/src/guard/state.rs
@@ -11,7 +11,8 @@
     FailureDomain, Incarnation, Moment, Region, ServiceName, Upstream, UpstreamState, VmName,
 };
 use cornelvalve_policy::{
-    Admission, AdmissionEvent, RequestId, SuspectList, SuspectSettings, TicketSettings, TicketTable,
+    Admission, AdmissionEvent, AdmissionSettings, RequestId, SuspectList, SuspectSettings,
+    TicketSettings, TicketTable,
 };
 use tokio::sync::mpsc;
 
@@ -34,6 +35,8 @@
     pub(crate) domain: FailureDomain,
     /// Bounds on tickets.
     pub(crate) tickets: TicketSettings,
+    /// Bounds on admission.
+    pub(crate) limits: AdmissionSettings,
 }
 
 /// One local upstream with its admission.
@@ -52,6 +55,7 @@
     pub(super) calls: Calls,
     pub(super) tickets: TicketTable,
     pub(super) crashes: Crashes,
+    limits: AdmissionSettings,
     drained: Vec<Reply<()>>,
     draining: bool,
 }
@@ -72,6 +76,7 @@
             calls: Calls::default(),
             tickets: TicketTable::new(settings.tickets, settings.vm, settings.incarnation),
             crashes: Crashes::new(SuspectList::new(SuspectSettings::default(), region)),
+            limits: settings.limits,
             drained: Vec::new(),
             draining: false,
         }
@@ -103,7 +108,7 @@
             match self.locals.get_mut(&service) {
                 Some(local) => local.upstream = upstream,
                 None => {
-                    let admission = Admission::new();
+                    let admission = Admission::new(self.limits);
                     let local = Local {
                         upstream,
                         admission,
--- a/crates/policy/examples/choice/model.rs
+++ b/crates/policy/examples/choice/model.rs
@@ -9,10 +9,10 @@
     ServiceName, VmName,
 };
 use cornelvalve_policy::{
-    Admission, AdmissionAction, AdmissionActions, AdmissionEvent, AttemptEnd, AttemptId,
-    AttemptReport, Balancer, BalancerSettings, ChoiceRequest, CircuitBreaker, ConsecutiveBreaker,
-    Endpoint, EndpointIncarnation, FinishResult, HedgeBudget, LeastOutstanding, Locality,
-    NeverBreaks, Picker, PowerOfTwo, RequestId, RetryBudget, RetryDecision, RoundRobin,
+    Admission, AdmissionAction, AdmissionActions, AdmissionEvent, AdmissionSettings, AttemptEnd,
+    AttemptId, AttemptReport, Balancer, BalancerSettings, ChoiceRequest, CircuitBreaker,
+    ConsecutiveBreaker, Endpoint, EndpointIncarnation, FinishResult, HedgeBudget, LeastOutstanding,
+    Locality, NeverBreaks, Picker, PowerOfTwo, RequestId, RetryBudget, RetryDecision, RoundRobin,
     retry_decision,
 };
 use rand::rngs::SmallRng;
@@ -151,7 +151,7 @@
 }
 
 fn server(variant: Variant) -> Server {
-    let mut admission = Admission::new();
+    let mut admission = Admission::new(AdmissionSettings::default());
     let incarnation = Incarnation(1);
     let started = AdmissionEvent::UpstreamStarted {
         incarnation,
--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -112,6 +112,24 @@
     draining: bool,
 }
 
+/// Bounds that operators set.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct AdmissionSettings {
+    /// Requests that wait at most, whatever the slots.
+    pub queue: usize,
+    /// Connections that the upstream accepts at once.
+    pub connections: u16,
+}
+
+impl Default for AdmissionSettings {
+    fn default() -> Self {
+        Self {
+            queue: 64,
+            connections: 250,
+        }
+    }
+}
+
 /// Admission to one upstream.
 ///
 /// The queue is first in, first out, but for nested calls of running requests, which go first:
@@ -119,6 +137,7 @@
 /// later one could overtake with profit.
 #[derive(Default)]
 pub struct Admission {
+    settings: AdmissionSettings,
     upstream: Option<CurrentUpstream>,
     /// Last incarnation seen, so that a delayed announcement of an earlier one is ignored.
     newest: Option<Incarnation>,
@@ -139,8 +158,11 @@
 impl Admission {
     /// Creates admission without an upstream.
     #[must_use]
-    pub fn new() -> Self {
-        Self::default()
+    pub fn new(settings: AdmissionSettings) -> Self {
+        Self {
+            settings,
+            ..Self::default()
+        }
     }
 
     /// Applies an event and returns what follows from it.
@@ -250,7 +272,8 @@
         if ahead < limit.saturating_sub(working) {
             return false;
         }
-        let capacity = QUEUE_PER_SLOT * usize::from(upstream.limit.slots());
+        let per_slots = QUEUE_PER_SLOT * usize::from(upstream.limit.slots());
+        let capacity = per_slots.min(self.settings.queue);
         if self.queue.len() >= capacity {
             return true;
         }
@@ -286,6 +309,7 @@
             return;
         }
         self.newest = Some(incarnation);
+        let slots = slots.min(self.settings.connections);
         match &mut self.upstream {
             Some(upstream) if upstream.incarnation == incarnation => {
                 upstream.limit.set_slots(slots);
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -12,7 +12,8 @@
 mod ticket;
 
 pub use admission::{
-    Admission, AdmissionAction, AdmissionActions, AdmissionEvent, FinishResult, RequestId,
+    Admission, AdmissionAction, AdmissionActions, AdmissionEvent, AdmissionSettings, FinishResult,
+    RequestId,
 };
 pub use balancer::{
     AttemptEnd, AttemptId, AttemptReport, Balancer, BalancerSettings, Choice, ChoiceRequest,
--- a/crates/policy/tests/all/admission.rs
+++ b/crates/policy/tests/all/admission.rs
@@ -3,7 +3,9 @@
 use std::fmt::Write as _;
 
 use cornelvalve_model::{Incarnation, Moment, Nesting, TraceId};
-use cornelvalve_policy::{Admission, AdmissionAction, AdmissionEvent, FinishResult, RequestId};
+use cornelvalve_policy::{
+    Admission, AdmissionAction, AdmissionEvent, AdmissionSettings, FinishResult, RequestId,
+};
 use goldenscript::{Command, Context, Runner};
 
 use crate::script::{self, Result};
@@ -16,7 +18,7 @@
 impl AdmissionRunner {
     fn new() -> Self {
         Self {
-            admission: Admission::new(),
+            admission: Admission::new(AdmissionSettings::default()),
             now: Moment::from_millis(1_000),
         }
     }
--- a/crates/policy/tests/all/admission_fuzz.rs
+++ b/crates/policy/tests/all/admission_fuzz.rs
@@ -4,7 +4,9 @@
 use std::time::Duration;
 
 use cornelvalve_model::{Incarnation, Moment, Reason};
-use cornelvalve_policy::{Admission, AdmissionAction, AdmissionEvent, FinishResult, RequestId};
+use cornelvalve_policy::{
+    Admission, AdmissionAction, AdmissionEvent, AdmissionSettings, FinishResult, RequestId,
+};
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
@@ -232,7 +234,7 @@
 
     fn init_test((): &()) -> Observed {
         Observed {
-            admission: Admission::new(),
+            admission: Admission::new(AdmissionSettings::default()),
             now: Moment::from_millis(1),
             next_id: 0,
             deadlines: HashMap::new(),
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -14,6 +14,7 @@
 mod events;
 mod introducers;
 mod leaving;
+mod limits;
 mod metrics;
 mod outcome;
 mod path;
