--- a/tests/all/answers.rs
+++ b/tests/all/answers.rs
@@ -10,23 +10,9 @@
 
 const HOST: &str = "flotte.test";
 
-const ENTRY: VmSpec = VmSpec {
-    vm: "ouest-a-1",
-    region: "qc-ouest",
-    domain: "ouest-a",
-};
-
-const FIRST: VmSpec = VmSpec {
-    vm: "ouest-a-2",
-    region: "qc-ouest",
-    domain: "ouest-a",
-};
-
-const SECOND: VmSpec = VmSpec {
-    vm: "ouest-a-3",
-    region: "qc-ouest",
-    domain: "ouest-a",
-};
+const ENTRY: VmSpec = VmSpec::new("ouest-a-1", "qc-ouest", "ouest-a");
+const FIRST: VmSpec = VmSpec::new("ouest-a-2", "qc-ouest", "ouest-a");
+const SECOND: VmSpec = VmSpec::new("ouest-a-3", "qc-ouest", "ouest-a");
 
 /// An entry and the daemon beside one upstream of `flotte`.
 struct Path {
--- a/tests/all/bad_requests.rs
+++ b/tests/all/bad_requests.rs
@@ -108,11 +108,7 @@
 #[tokio::test]
 async fn ambiguous_requests_do_not_become_two() {
     let mesh = Mesh::start("smuggling");
-    let spec = VmSpec {
-        vm: "est-a-1",
-        region: "qc-est",
-        domain: "est-a",
-    };
+    let spec = VmSpec::new("est-a-1", "qc-est", "est-a");
     let daemon = mesh.daemon(spec, &[]);
     let response = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\nconnection: close\r\n\r\nok";
     let mut received = raw_upstream(daemon.upstream, "estimateur", response).await;
@@ -158,11 +154,7 @@
 #[tokio::test]
 async fn the_routed_host_is_the_one_that_the_upstream_sees() {
     let mesh = Mesh::start("bad-hosts");
-    let spec = VmSpec {
-        vm: "est-a-1",
-        region: "qc-est",
-        domain: "est-a",
-    };
+    let spec = VmSpec::new("est-a-1", "qc-est", "est-a");
     let daemon = mesh.daemon(spec, &[]);
     let response = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\nconnection: close\r\n\r\nok";
     let mut received = raw_upstream(daemon.upstream, "estimateur", response).await;
--- a/tests/all/budget.rs
+++ b/tests/all/budget.rs
@@ -15,11 +15,7 @@
 
 use crate::support::{Mesh, Meter, Received, VmSpec, check_rate};
 
-const VM: VmSpec = VmSpec {
-    vm: "est-a-1",
-    region: "qc-est",
-    domain: "est-a",
-};
+const VM: VmSpec = VmSpec::new("est-a-1", "qc-est", "est-a");
 
 /// Duration of the flood; longer than the window of ten seconds.
 const FLOOD: Duration = Duration::from_secs(11);
--- a/tests/all/cold.rs
+++ b/tests/all/cold.rs
@@ -9,17 +9,8 @@
 /// Requests that run at once at an upstream of which nothing is known.
 const COLD_LIMIT: u64 = 2;
 
-const ENTRY: VmSpec = VmSpec {
-    vm: "tokachi-a-1",
-    region: "tokachi",
-    domain: "tokachi-a",
-};
-
-const BESIDE: VmSpec = VmSpec {
-    vm: "tokachi-a-2",
-    region: "tokachi",
-    domain: "tokachi-a",
-};
+const ENTRY: VmSpec = VmSpec::new("tokachi-a-1", "tokachi", "tokachi-a");
+const BESIDE: VmSpec = VmSpec::new("tokachi-a-2", "tokachi", "tokachi-a");
 
 async fn wait_for_answer(entry: &DaemonProcess) {
     eventually("an answer", || async {
--- a/tests/all/crashes.rs
+++ b/tests/all/crashes.rs
@@ -8,23 +8,9 @@
 
 const HOST: &str = "cardview.test";
 
-const ENTRY: VmSpec = VmSpec {
-    vm: "ishikari-a-1",
-    region: "ishikari",
-    domain: "ishikari-a",
-};
-
-const FIRST: VmSpec = VmSpec {
-    vm: "ishikari-a-2",
-    region: "ishikari",
-    domain: "ishikari-a",
-};
-
-const SECOND: VmSpec = VmSpec {
-    vm: "ishikari-a-3",
-    region: "ishikari",
-    domain: "ishikari-a",
-};
+const ENTRY: VmSpec = VmSpec::new("ishikari-a-1", "ishikari", "ishikari-a");
+const FIRST: VmSpec = VmSpec::new("ishikari-a-2", "ishikari", "ishikari-a");
+const SECOND: VmSpec = VmSpec::new("ishikari-a-3", "ishikari", "ishikari-a");
 
 /// Fault that makes any request with the header crash the upstream.
 const CRASH: &str = r#"{ "crash_on": "x-crash" }"#;
--- a/tests/all/domain.rs
+++ b/tests/all/domain.rs
@@ -10,23 +10,9 @@
     Answer, DaemonProcess, Mesh, Process, VmSpec, eventually, request, send, try_runs,
 };
 
-const ENTRY: VmSpec = VmSpec {
-    vm: "est-a-1",
-    region: "qc-est",
-    domain: "est-a",
-};
-
-const OUT: VmSpec = VmSpec {
-    vm: "est-b-1",
-    region: "qc-est",
-    domain: "est-b",
-};
-
-const LATE: VmSpec = VmSpec {
-    vm: "est-b-2",
-    region: "qc-est",
-    domain: "est-b",
-};
+const ENTRY: VmSpec = VmSpec::new("est-a-1", "qc-est", "est-a");
+const OUT: VmSpec = VmSpec::new("est-b-1", "qc-est", "est-b");
+const LATE: VmSpec = VmSpec::new("est-b-2", "qc-est", "est-b");
 
 const SERVICE: &str = "estimateur";
 const HOST: &str = "estimateur.test";
--- a/tests/all/events.rs
+++ b/tests/all/events.rs
@@ -7,17 +7,8 @@
 
 use crate::support::{DaemonProcess, Mesh, VmSpec, eventually, request, send};
 
-const EST_A: VmSpec = VmSpec {
-    vm: "est-a-1",
-    region: "qc-est",
-    domain: "est-a",
-};
-
-const EST_B: VmSpec = VmSpec {
-    vm: "est-b-1",
-    region: "qc-est",
-    domain: "est-b",
-};
+const EST_A: VmSpec = VmSpec::new("est-a-1", "qc-est", "est-a");
+const EST_B: VmSpec = VmSpec::new("est-b-1", "qc-est", "est-b");
 
 const LOOPBACK: SocketAddr =
     SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 0);
--- a/tests/all/introducers.rs
+++ b/tests/all/introducers.rs
@@ -4,23 +4,9 @@
 
 use crate::support::{Mesh, VmSpec};
 
-const EST_A: VmSpec = VmSpec {
-    vm: "est-a-1",
-    region: "qc-est",
-    domain: "est-a",
-};
-
-const EST_B: VmSpec = VmSpec {
-    vm: "est-b-1",
-    region: "qc-est",
-    domain: "est-b",
-};
-
-const OUEST_A: VmSpec = VmSpec {
-    vm: "ouest-a-1",
-    region: "qc-ouest",
-    domain: "ouest-a",
-};
+const EST_A: VmSpec = VmSpec::new("est-a-1", "qc-est", "est-a");
+const EST_B: VmSpec = VmSpec::new("est-b-1", "qc-est", "est-b");
+const OUEST_A: VmSpec = VmSpec::new("ouest-a-1", "qc-ouest", "ouest-a");
 
 /// Returns an address at which nobody listens.
 fn dead_address() -> SocketAddr {
--- a/tests/all/leaving.rs
+++ b/tests/all/leaving.rs
@@ -7,23 +7,9 @@
 use crate::support::{DaemonProcess, Mesh, Process, VmSpec, announce, eventually, try_runs};
 use crate::support::{request, send};
 
-const ENTRY: VmSpec = VmSpec {
-    vm: "est-a-1",
-    region: "qc-est",
-    domain: "est-a",
-};
-
-const STAYING: VmSpec = VmSpec {
-    vm: "est-b-1",
-    region: "qc-est",
-    domain: "est-b",
-};
-
-const LEAVING: VmSpec = VmSpec {
-    vm: "est-b-2",
-    region: "qc-est",
-    domain: "est-b",
-};
+const ENTRY: VmSpec = VmSpec::new("est-a-1", "qc-est", "est-a");
+const STAYING: VmSpec = VmSpec::new("est-b-1", "qc-est", "est-b");
+const LEAVING: VmSpec = VmSpec::new("est-b-2", "qc-est", "est-b");
 
 const SERVICE: &str = "estimateur";
 const HOST: &str = "estimateur.test";
--- a/tests/all/limits.rs
+++ b/tests/all/limits.rs
@@ -4,11 +4,7 @@
 
 const HOST: &str = "cardview.test";
 
-const VM: VmSpec = VmSpec {
-    vm: "ishikari-a-1",
-    region: "ishikari",
-    domain: "ishikari-a",
-};
+const VM: VmSpec = VmSpec::new("ishikari-a-1", "ishikari", "ishikari-a");
 
 /// Starts a daemon with a setting and an upstream of some slots, sends requests at once and returns
 /// how many were answered and how many of the others ran.
--- a/tests/all/outcome.rs
+++ b/tests/all/outcome.rs
@@ -8,23 +8,9 @@
 
 const HOST: &str = "estimateur.test";
 
-const ENTRY: VmSpec = VmSpec {
-    vm: "est-a-1",
-    region: "qc-est",
-    domain: "est-a",
-};
-
-const FAULTY: VmSpec = VmSpec {
-    vm: "est-a-2",
-    region: "qc-est",
-    domain: "est-a",
-};
-
-const SOUND: VmSpec = VmSpec {
-    vm: "est-a-3",
-    region: "qc-est",
-    domain: "est-a",
-};
+const ENTRY: VmSpec = VmSpec::new("est-a-1", "qc-est", "est-a");
+const FAULTY: VmSpec = VmSpec::new("est-a-2", "qc-est", "est-a");
+const SOUND: VmSpec = VmSpec::new("est-a-3", "qc-est", "est-a");
 
 /// Creates the service and waits until the entry has its configuration.
 async fn configure(entry: &DaemonProcess) {
--- a/tests/all/privacy.rs
+++ b/tests/all/privacy.rs
@@ -5,17 +5,8 @@
 
 use crate::support::{DaemonProcess, Mesh, VmSpec, eventually, request, send};
 
-const EST_A: VmSpec = VmSpec {
-    vm: "est-a-1",
-    region: "qc-est",
-    domain: "est-a",
-};
-
-const EST_B: VmSpec = VmSpec {
-    vm: "est-b-1",
-    region: "qc-est",
-    domain: "est-b",
-};
+const EST_A: VmSpec = VmSpec::new("est-a-1", "qc-est", "est-a");
+const EST_B: VmSpec = VmSpec::new("est-b-1", "qc-est", "est-b");
 
 /// Part of every key, path, secret and body that the test sends.
 const MARK: &str = "zq7marked";
--- a/tests/all/publishing.rs
+++ b/tests/all/publishing.rs
@@ -11,23 +11,9 @@
 
 use crate::support::{DaemonProcess, Mesh, VmSpec, eventually};
 
-const EST_A: VmSpec = VmSpec {
-    vm: "est-a-1",
-    region: "qc-est",
-    domain: "est-a",
-};
-
-const EST_B: VmSpec = VmSpec {
-    vm: "est-b-1",
-    region: "qc-est",
-    domain: "est-b",
-};
-
-const OUEST_A: VmSpec = VmSpec {
-    vm: "ouest-a-1",
-    region: "qc-ouest",
-    domain: "ouest-a",
-};
+const EST_A: VmSpec = VmSpec::new("est-a-1", "qc-est", "est-a");
+const EST_B: VmSpec = VmSpec::new("est-b-1", "qc-est", "est-b");
+const OUEST_A: VmSpec = VmSpec::new("ouest-a-1", "qc-ouest", "ouest-a");
 
 const NO_FAULTS: LogFaults = LogFaults {
     down: false,
--- a/tests/all/residency.rs
+++ b/tests/all/residency.rs
@@ -8,17 +8,8 @@
 
 use crate::support::{DaemonOptions, DaemonProcess, Mesh, VmSpec, eventually, request, send};
 
-const EST: VmSpec = VmSpec {
-    vm: "est-a-1",
-    region: "qc-est",
-    domain: "est-a",
-};
-
-const OUEST: VmSpec = VmSpec {
-    vm: "ouest-a-1",
-    region: "qc-ouest",
-    domain: "ouest-a",
-};
+const EST: VmSpec = VmSpec::new("est-a-1", "qc-est", "est-a");
+const OUEST: VmSpec = VmSpec::new("ouest-a-1", "qc-ouest", "ouest-a");
 
 /// Found in the path, the key and the body of requests that must stay in their home region.
 const MARK: &str = "zq7marker";
--- a/tests/all/retry.rs
+++ b/tests/all/retry.rs
@@ -14,11 +14,7 @@
 const REQUESTS: usize = 40;
 
 const fn vm(vm: &'static str) -> VmSpec {
-    VmSpec {
-        vm,
-        region: "ishikari",
-        domain: "ishikari-a",
-    }
+    VmSpec::new(vm, "ishikari", "ishikari-a")
 }
 
 /// Announces an upstream on a port that refuses connections.
--- a/tests/all/stop.rs
+++ b/tests/all/stop.rs
@@ -2,17 +2,8 @@
 
 use crate::support::{Mesh, VmSpec, eventually, request, send};
 
-const EST_A: VmSpec = VmSpec {
-    vm: "est-a-1",
-    region: "qc-est",
-    domain: "est-a",
-};
-
-const EST_B: VmSpec = VmSpec {
-    vm: "est-b-1",
-    region: "qc-est",
-    domain: "est-b",
-};
+const EST_A: VmSpec = VmSpec::new("est-a-1", "qc-est", "est-a");
+const EST_B: VmSpec = VmSpec::new("est-b-1", "qc-est", "est-b");
 
 /// Guards against a planned stop that cuts off a running request or keeps the process alive.
 #[tokio::test]
--- a/tests/all/support/mesh.rs
+++ b/tests/all/support/mesh.rs
@@ -18,6 +18,13 @@
     pub(crate) domain: &'static str,
 }
 
+impl VmSpec {
+    /// Creates the place of a VM.
+    pub(crate) const fn new(vm: &'static str, region: &'static str, domain: &'static str) -> Self {
+        Self { vm, region, domain }
+    }
+}
+
 /// What a test sets for one daemon.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct DaemonOptions<'a> {
--- a/tests/all/support/rig.rs
+++ b/tests/all/support/rig.rs
@@ -4,17 +4,8 @@
 use super::mesh::{DaemonProcess, Mesh, VmSpec};
 use super::process::Process;
 
-const EST_A: VmSpec = VmSpec {
-    vm: "est-a-1",
-    region: "qc-est",
-    domain: "est-a",
-};
-
-const EST_B: VmSpec = VmSpec {
-    vm: "est-b-1",
-    region: "qc-est",
-    domain: "est-b",
-};
+const EST_A: VmSpec = VmSpec::new("est-a-1", "qc-est", "est-a");
+const EST_B: VmSpec = VmSpec::new("est-b-1", "qc-est", "est-b");
 
 /// Mesh that serves `estimateur.test`, with an at-most-once route `/file`.
 pub(crate) struct Rig {
--- a/tests/all/tickets.rs
+++ b/tests/all/tickets.rs
@@ -12,23 +12,9 @@
 const REMISE: &str = "remise.test";
 const LEDGER: &str = "ledger.test";
 
-const ENTRY: VmSpec = VmSpec {
-    vm: "est-a-1",
-    region: "qc-est",
-    domain: "est-a",
-};
-
-const OTHER_ENTRY: VmSpec = VmSpec {
-    vm: "est-b-1",
-    region: "qc-est",
-    domain: "est-b",
-};
-
-const HOLDER: VmSpec = VmSpec {
-    vm: "est-a-2",
-    region: "qc-est",
-    domain: "est-a",
-};
+const ENTRY: VmSpec = VmSpec::new("est-a-1", "qc-est", "est-a");
+const OTHER_ENTRY: VmSpec = VmSpec::new("est-b-1", "qc-est", "est-b");
+const HOLDER: VmSpec = VmSpec::new("est-a-2", "qc-est", "est-a");
 
 /// Lease that outlasts a dead upstream, so that the guard meets the refused connection.
 const LONG_LEASE: [&str; 2] = ["--lease-ms", "10000"];
