Replace the tick subscription of a restarted service

Cause, found by reading the whole change: five services wrote the same lines to subscribe to ticks, and the timer kept the subscription of the run before a restart. Both led to the same mailbox, so each restart added one more tick a period. The subscription now carries the service's name and replaces the earlier one, and Context::subscribe serves all five.

The allowance for stalled uploads stood in the entry and in the peer listener; both use the one of the exchange.

--- a/crates/daemon/src/announcer.rs
+++ b/crates/daemon/src/announcer.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cornelvalve_kernel::{Context, Mailbox, Reply, ServiceResult, TIMER, Tick, TimerMessage};
+use cornelvalve_kernel::{Context, Mailbox, Reply, ServiceResult, Tick};
 use cornelvalve_model::{Incarnation, ServiceName};
 use tokio::net::TcpListener;
 
@@ -84,12 +84,8 @@
     lease_max: Duration,
 ) -> ServiceResult {
     let own = context.registry.mailbox(ANNOUNCER)?;
-    let timer = context.registry.mailbox(TIMER)?;
-    timer
-        .send(TimerMessage::Subscribe {
-            period: TICK_PERIOD,
-            sink: own.tick_sink(AnnouncerMessage::Tick),
-        })
+    context
+        .subscribe(ANNOUNCER, TICK_PERIOD, AnnouncerMessage::Tick)
         .await?;
     let subscribers = Subscribers {
         guard: context.registry.mailbox(GUARD)?,
--- a/crates/daemon/src/catalog.rs
+++ b/crates/daemon/src/catalog.rs
@@ -15,7 +15,7 @@
 
 use cornelvalve_api::{LogStoreState, PeerRecords};
 use cornelvalve_catalog::{Catalog, PastVerdict};
-use cornelvalve_kernel::{Context, Reply, ServiceResult, TIMER, TimerMessage};
+use cornelvalve_kernel::{Context, Reply, ServiceResult};
 use cornelvalve_logstore::{LogStore, Page};
 use cornelvalve_model::{ChangeId, Offset, Revision};
 
@@ -117,12 +117,8 @@
     peer_addr: SocketAddr,
 ) -> ServiceResult {
     let own = context.registry.mailbox(CATALOG)?;
-    let timer = context.registry.mailbox(TIMER)?;
-    timer
-        .send(TimerMessage::Subscribe {
-            period: TICK_PERIOD,
-            sink: own.tick_sink(|_| CatalogMessage::Tick),
-        })
+    context
+        .subscribe(CATALOG, TICK_PERIOD, |_| CatalogMessage::Tick)
         .await?;
     let outbound = Outbound {
         own,
--- a/crates/daemon/src/entry/forward.rs
+++ b/crates/daemon/src/entry/forward.rs
@@ -20,13 +20,10 @@
 use super::{EntryHandler, Result};
 use crate::body::{Body, BodyEnd, BodyObserver, Observed, ProgressObserver};
 use crate::completion::Completion;
-use crate::exchange::HeadTimeout;
+use crate::exchange::{HeadTimeout, UPLOAD_ALLOWANCE};
 use crate::peers::ticket_of;
 use crate::router::{self, Attempt, AttemptQuery, RoutePlan, RouteRefusal, RouterMessage, Tried};
 
-/// Time without upload progress after which a streamed request counts as stalled.
-const UPLOAD_ALLOWANCE: Duration = Duration::from_secs(30);
-
 /// Request on its way, with all that each attempt needs.
 struct Forwarding<'a> {
     entry: &'a EntryHandler,
--- a/crates/daemon/src/exchange.rs
+++ b/crates/daemon/src/exchange.rs
@@ -57,6 +57,9 @@
     }
 }
 
+/// Time without upload progress after which a streamed request counts as stalled.
+pub(crate) const UPLOAD_ALLOWANCE: Duration = Duration::from_secs(30);
+
 /// Time allowed for the response head.
 #[derive(Debug)]
 pub(crate) struct HeadTimeout {
--- a/crates/daemon/src/guard.rs
+++ b/crates/daemon/src/guard.rs
@@ -18,7 +18,7 @@
 use std::time::Duration;
 
 use cornelvalve_catalog::Catalog;
-use cornelvalve_kernel::{Context, Reply, ServiceResult, TIMER, Tick, TimerMessage};
+use cornelvalve_kernel::{Context, Reply, ServiceResult, Tick};
 use cornelvalve_model::{
     Fingerprint, LoadHint, Moment, Nesting, Refusal, Revision, RouteName, ServiceName, TeamName,
     Upstream,
@@ -201,16 +201,8 @@
     mut context: Context<GuardMessage>,
     settings: GuardSettings,
 ) -> ServiceResult {
-    let timer = context.registry.mailbox(TIMER)?;
-    let sink = context
-        .registry
-        .mailbox(GUARD)?
-        .tick_sink(GuardMessage::Tick);
-    timer
-        .send(TimerMessage::Subscribe {
-            period: TICK_PERIOD,
-            sink,
-        })
+    context
+        .subscribe(GUARD, TICK_PERIOD, GuardMessage::Tick)
         .await?;
     let catalog = context.registry.mailbox(CATALOG)?;
     let _ = catalog.try_send(CatalogMessage::Republish);
--- a/crates/daemon/src/membership.rs
+++ b/crates/daemon/src/membership.rs
@@ -6,7 +6,7 @@
 
 use cornelvalve_api::Event as TimelineEvent;
 use cornelvalve_budget::Verdict;
-use cornelvalve_kernel::{Context, Mailbox, Reply, ServiceResult, TIMER, TimerMessage};
+use cornelvalve_kernel::{Context, Mailbox, Reply, ServiceResult};
 use cornelvalve_membership::{Action, Event, Membership, MembershipSettings, Message};
 use cornelvalve_model::{FailureDomain, Member, MemberState, Moment, Region, Revision, VmName};
 use cornelvalve_wire::datagram;
@@ -102,15 +102,9 @@
     seed: u64,
 ) -> ServiceResult {
     let settings = MembershipSettings::default();
-    let timer = context.registry.mailbox(TIMER)?;
-    let sink = context
-        .registry
-        .mailbox(MEMBERSHIP)?
-        .tick_sink(|_| MembershipMessage::Tick);
-    timer
-        .send(TimerMessage::Subscribe {
-            period: settings.tick_period(),
-            sink,
+    context
+        .subscribe(MEMBERSHIP, settings.tick_period(), |_| {
+            MembershipMessage::Tick
         })
         .await?;
     let mut service = MembershipService {
--- a/crates/daemon/src/peers/deliver.rs
+++ b/crates/daemon/src/peers/deliver.rs
@@ -15,15 +15,12 @@
 
 use super::PeerHandler;
 use crate::body::{Body, BodyEnd, BodyObserver, Observed, ProgressObserver};
-use crate::exchange::{ExchangeError, HeadTimeout};
+use crate::exchange::{ExchangeError, HeadTimeout, UPLOAD_ALLOWANCE};
 use crate::guard::{Permit, PermitEnd};
 
 /// Age from which a permit is void: its holder was paused, and the guard's rules may have changed.
 const MAX_PERMIT_AGE: Duration = Duration::from_millis(500);
 
-/// Time without upload progress after which a streamed request counts as stalled.
-pub(crate) const UPLOAD_ALLOWANCE: Duration = Duration::from_secs(30);
-
 /// Longest JSON body of a request between daemons.
 const MAX_JSON_BYTES: usize = 64 * 1024;
 
--- a/crates/daemon/src/pool.rs
+++ b/crates/daemon/src/pool.rs
@@ -7,7 +7,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use cornelvalve_kernel::{Context, Reply, ServiceResult, TIMER, Tick, TimerMessage};
+use cornelvalve_kernel::{Context, Reply, ServiceResult, Tick};
 use cornelvalve_model::Moment;
 use derive_more::Debug;
 use hyper::client::conn::http1::{self, SendRequest};
@@ -101,13 +101,8 @@
 
 /// Runs the pool service.
 pub(crate) async fn run_pool(mut context: Context<PoolMessage>) -> ServiceResult {
-    let sink = context.registry.mailbox(POOL)?.tick_sink(PoolMessage::Tick);
-    let timer = context.registry.mailbox(TIMER)?;
-    timer
-        .send(TimerMessage::Subscribe {
-            period: SWEEP_PERIOD,
-            sink,
-        })
+    context
+        .subscribe(POOL, SWEEP_PERIOD, PoolMessage::Tick)
         .await?;
     let mut idle: HashMap<SocketAddr, Vec<Idle>> = HashMap::new();
     loop {
--- a/crates/kernel/src/supervisor.rs
+++ b/crates/kernel/src/supervisor.rs
@@ -9,7 +9,7 @@
 use tokio::sync::{mpsc, watch};
 use tokio::time::Instant;
 
-use crate::{Clock, Inbox, Registry};
+use crate::{Clock, Inbox, Name, Registry, TIMER, Tick, TimerMessage};
 
 /// Result of a service run.
 ///
@@ -87,6 +87,29 @@
     pub clock: Arc<dyn Clock>,
 }
 
+impl<M: Send + 'static> Context<M> {
+    /// Subscribes the service to ticks of the timer service.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`crate::Error`] if `name` is not the name of a service or the timer does not run.
+    pub async fn subscribe(
+        &self,
+        name: Name<M>,
+        period: Duration,
+        wrap: fn(Tick) -> M,
+    ) -> crate::Result<()> {
+        let timer = self.registry.mailbox(TIMER)?;
+        let sink = self.registry.mailbox(name)?.tick_sink(wrap);
+        let subscribe = TimerMessage::Subscribe {
+            subscriber: name.as_str(),
+            period,
+            sink,
+        };
+        timer.send(subscribe).await
+    }
+}
+
 /// Restarts allowed within [`RESTART_WINDOW`] before the failure counts as permanent.
 const MAX_RESTARTS: usize = 5;
 
--- a/crates/kernel/src/timer.rs
+++ b/crates/kernel/src/timer.rs
@@ -30,8 +30,11 @@
 /// Messages to the timer service.
 #[derive(Debug)]
 pub enum TimerMessage {
-    /// Starts ticks at a fixed period.
+    /// Starts ticks at a fixed period, in place of those that the subscriber had before.
     Subscribe {
+        /// Name of the subscribing service. A service that was restarted subscribes again, and must
+        /// not get the ticks of its previous run as well.
+        subscriber: &'static str,
         /// Time between two ticks.
         period: Duration,
         /// Receives the ticks.
@@ -41,6 +44,7 @@
 }
 
 struct Subscription {
+    subscriber: &'static str,
     period: Duration,
     due: Instant,
     sink: Box<dyn TickSink>,
@@ -81,11 +85,15 @@
         tokio::select! {
             () = context.stop.requested() => return Ok(()),
             message = context.inbox.recv() => match message {
-                Some(TimerMessage::Subscribe { period, sink }) => subscriptions.push(Subscription {
-                    period,
-                    due: Instant::now() + period,
-                    sink,
-                }),
+                Some(TimerMessage::Subscribe { subscriber, period, sink }) => {
+                    subscriptions.retain(|s| s.subscriber != subscriber);
+                    subscriptions.push(Subscription {
+                        subscriber,
+                        period,
+                        due: Instant::now() + period,
+                        sink,
+                    });
+                }
                 None => return Ok(()),
             },
             () = sleep_until(next_due) => {
--- a/crates/kernel/tests/all.rs
+++ b/crates/kernel/tests/all.rs
@@ -5,7 +5,7 @@
 
 use cornelvalve_kernel::{
     Context, Error, Kernel, Name, OnFailure, Reply, ServiceOptions, ServiceResult, StopReason,
-    SystemClock, TIMER, Tick, TimerMessage,
+    SystemClock, Tick,
 };
 use tokio::sync::mpsc;
 
@@ -115,10 +115,8 @@
             move |mut context: Context<Tick>| {
                 let seen = seen.clone();
                 async move {
-                    let timer = context.registry.mailbox(TIMER)?;
-                    let sink = context.registry.mailbox(WATCHER)?.tick_sink(|tick| tick);
                     let period = Duration::from_millis(100);
-                    timer.send(TimerMessage::Subscribe { period, sink }).await?;
+                    context.subscribe(WATCHER, period, |tick| tick).await?;
                     while let Some(tick) = context.inbox.recv().await {
                         seen.send(tick).await?;
                     }
@@ -133,3 +131,34 @@
     assert!(ticks.recv().await.unwrap().late < Duration::from_millis(50));
     drop(kernel);
 }
+
+/// Guards against a restarted service that gets the ticks of its previous run as well.
+#[tokio::test(start_paused = true)]
+async fn second_subscription_replaces_the_first() {
+    let (seen, mut ticks) = mpsc::channel(64);
+    let kernel = Kernel::builder(Arc::new(SystemClock::new()))
+        .service(
+            WATCHER,
+            ServiceOptions::default(),
+            move |mut context: Context<Tick>| {
+                let seen = seen.clone();
+                async move {
+                    let period = Duration::from_millis(100);
+                    context.subscribe(WATCHER, period, |tick| tick).await?;
+                    context.subscribe(WATCHER, period, |tick| tick).await?;
+                    while let Some(tick) = context.inbox.recv().await {
+                        seen.send(tick).await?;
+                    }
+                    Ok(())
+                }
+            },
+        )
+        .start();
+    tokio::time::sleep(Duration::from_millis(1050)).await;
+    let mut count = 0;
+    while ticks.try_recv().is_ok() {
+        count += 1;
+    }
+    assert_eq!(count, 10);
+    drop(kernel);
+}
