--- a/crates/daemon/src/entry/forward.rs
+++ b/crates/daemon/src/entry/forward.rs
@@ -19,10 +19,10 @@
 use super::record::RequestRecord;
 use super::{EntryHandler, Result};
 use crate::body::{Body, BodyEnd, BodyObserver, Observed, ProgressObserver};
-use crate::completion::Completion;
 use crate::exchange::{HeadTimeout, UPLOAD_ALLOWANCE};
 use crate::peers::ticket_of;
 use crate::router::{self, Attempt, AttemptQuery, RoutePlan, RouteRefusal, RouterMessage, Tried};
+use cornelvalve_kernel::Completion;
 
 /// Request on its way, with all that each attempt needs.
 struct Forwarding<'a> {
--- a/crates/daemon/src/guard.rs
+++ b/crates/daemon/src/guard.rs
@@ -28,9 +28,9 @@
 use tokio::sync::mpsc;
 
 use crate::catalog::CatalogMessage;
-use crate::completion::Completion;
 use crate::names::{CATALOG, GUARD};
 use crate::timeline::TIMELINE;
+use cornelvalve_kernel::Completion;
 use events::GuardEvents;
 pub(crate) use state::GuardSettings;
 use state::GuardState;
--- a/crates/daemon/src/guard/admission.rs
+++ b/crates/daemon/src/guard/admission.rs
@@ -14,7 +14,7 @@
 use super::held::Started;
 use super::state::GuardState;
 use super::{Admitted, Call, Permit, PermitEnd, PermitReport};
-use crate::completion::Completion;
+use cornelvalve_kernel::Completion;
 
 /// Result alias of this module.
 type Result<T> = std::result::Result<T, Refusal>;
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -8,7 +8,6 @@
 mod body;
 mod budget;
 mod catalog;
-mod completion;
 mod daemon;
 mod entry;
 mod exchange;
--- a/crates/daemon/src/router.rs
+++ b/crates/daemon/src/router.rs
@@ -20,9 +20,9 @@
 use tokio::sync::mpsc;
 
 use crate::catalog::CatalogMessage;
-use crate::completion::Completion;
 use crate::membership::MembershipMessage;
 use crate::names::{CATALOG, MEMBERSHIP};
+use cornelvalve_kernel::Completion;
 use state::RouterState;
 
 /// Creates the picker of a router from a seed; called once for each start of the service.
--- a/crates/daemon/src/router/state.rs
+++ b/crates/daemon/src/router/state.rs
@@ -20,7 +20,7 @@
 use super::{
     AllowedRegions, Attempt, AttemptQuery, Balancing, RoutePlan, RouteQuery, RouteRefusal,
 };
-use crate::completion::Completion;
+use cornelvalve_kernel::Completion;
 
 /// Result alias of this module.
 type Result<T> = std::result::Result<T, Refusal>;
--- /dev/null
+++ b/crates/http1/src/encode.rs
@@ -0,0 +1,67 @@
+//! Encoding of message heads.
+
+use std::io::Write;
+
+use bytes::{BufMut, BytesMut};
+use http::header::{CONNECTION, CONTENT_LENGTH, HeaderMap, TRANSFER_ENCODING};
+use http::{Method, StatusCode};
+
+/// Room reserved for a head in bytes.
+const HEAD_CAPACITY: usize = 512;
+
+fn put_headers(out: &mut BytesMut, headers: &HeaderMap) {
+    for (name, value) in headers {
+        if *name == CONTENT_LENGTH || *name == TRANSFER_ENCODING || *name == CONNECTION {
+            continue;
+        }
+        out.put_slice(name.as_str().as_bytes());
+        out.put_slice(b": ");
+        out.put_slice(value.as_bytes());
+        out.put_slice(b"\r\n");
+    }
+}
+
+fn put_length(out: &mut BytesMut, length: usize) {
+    // Writing to memory cannot fail.
+    let _ = write!(out.writer(), "content-length: {length}\r\n");
+}
+
+/// Encodes a request head; the framing is stated anew.
+pub(crate) fn request_head(
+    method: &Method,
+    target: &str,
+    headers: &HeaderMap,
+    length: usize,
+) -> BytesMut {
+    let mut out = BytesMut::with_capacity(HEAD_CAPACITY);
+    out.put_slice(method.as_str().as_bytes());
+    out.put_u8(b' ');
+    out.put_slice(target.as_bytes());
+    out.put_slice(b" HTTP/1.1\r\n");
+    put_headers(&mut out, headers);
+    if length > 0 || !matches!(*method, Method::GET | Method::HEAD | Method::DELETE) {
+        put_length(&mut out, length);
+    }
+    out.put_slice(b"\r\n");
+    out
+}
+
+/// Appends a complete response; the framing is stated anew.
+pub(crate) fn response(
+    out: &mut BytesMut,
+    status: StatusCode,
+    headers: &HeaderMap,
+    body: &[u8],
+    keep_alive: bool,
+) {
+    out.reserve(HEAD_CAPACITY + body.len());
+    let reason = status.canonical_reason().unwrap_or("Unknown");
+    let _ = write!(out.writer(), "HTTP/1.1 {} {reason}\r\n", status.as_u16());
+    put_headers(out, headers);
+    put_length(out, body.len());
+    if !keep_alive {
+        out.put_slice(b"connection: close\r\n");
+    }
+    out.put_slice(b"\r\n");
+    out.put_slice(body);
+}
--- a/crates/daemon/src/completion.rs
+++ b/crates/kernel/src/completion.rs
@@ -7,14 +7,14 @@
 /// The channel is unbounded, because a lost report would leak a running count. The number of
 /// messages in it is bounded by the number of obligations that were handed out.
 #[derive(Debug)]
-pub(crate) struct Completion<T> {
+pub struct Completion<T> {
     sender: mpsc::UnboundedSender<T>,
     on_drop: Option<T>,
 }
 
 impl<T> Completion<T> {
     /// Creates an obligation that reports `on_drop` unless it is finished otherwise.
-    pub(crate) fn new(sender: mpsc::UnboundedSender<T>, on_drop: T) -> Self {
+    pub fn new(sender: mpsc::UnboundedSender<T>, on_drop: T) -> Self {
         Self {
             sender,
             on_drop: Some(on_drop),
@@ -22,14 +22,14 @@
     }
 
     /// Reports the end of the work.
-    pub(crate) fn finish(mut self, report: T) {
+    pub fn finish(mut self, report: T) {
         self.on_drop = None;
         // The receiver is gone only if the service restarted and forgot the work.
         let _ = self.sender.send(report);
     }
 
     /// Replaces the report that is sent on drop.
-    pub(crate) fn set_on_drop(&mut self, report: T) {
+    pub fn set_on_drop(&mut self, report: T) {
         self.on_drop = Some(report);
     }
 }
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -10,6 +10,7 @@
 //! starts later.
 
 mod clock;
+mod completion;
 mod error;
 mod kernel;
 mod mailbox;
@@ -18,6 +19,7 @@
 mod timer;
 
 pub use clock::{Clock, SystemClock};
+pub use completion::Completion;
 pub use error::{Error, Result};
 pub use kernel::{Kernel, KernelBuilder, StopReason};
 pub use mailbox::{Inbox, Mailbox, Reply};
--- /dev/null
+++ b/crates/policy/src/gate.rs
@@ -0,0 +1,368 @@
+//! Admission to one upstream whose speed changes many times a second.
+//!
+//! Answers the load of an upstream that shares its VM: for parts of a second the same work takes
+//! several times as long, while callers arrive in bursts. The gate knows the exact number of
+//! running calls, so that the upstream never queues. It estimates when a call would end here and
+//! hands back, as not run, every call that another place could end earlier; this makes the queue
+//! one of the whole system. What waits is started by priority, then by what can still meet its
+//! objective, and a call that cannot end before its deadline is refused at once. A cold upstream
+//! gets no more starts in a second than it tolerates.
+
+use std::collections::{HashMap, VecDeque};
+use std::time::Duration;
+
+use cornelvalve_model::Moment;
+use smallvec::SmallVec;
+
+/// Estimate of a call's work before the first one of its kind has ended.
+const DEFAULT_WORK: Duration = Duration::from_millis(60);
+
+/// Weight of a new sample of a call's work.
+const WORK_WEIGHT: f64 = 0.1;
+
+/// Share of its usual work that a call which runs longer than usual is expected to need still.
+const RESIDUAL_SHARE: f64 = 0.25;
+
+/// Span in which the starts at a cold upstream are counted. Longer than the second that the
+/// upstream counts, because starts arrive there with a jitter of some milliseconds.
+const COLD_WINDOW: Duration = Duration::from_millis(1100);
+
+/// Share of the time until its deadline that a call may be expected to wait. What waits longer
+/// would mostly be refused late.
+const LONGEST_WAIT_SHARE: f64 = 0.6;
+
+/// Difference below which another place counts as no better; a hand-back costs a round trip.
+const BETTER_BY: Duration = Duration::from_millis(8);
+
+/// Identifies a call at one gate.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct GateId(pub u64);
+
+/// Groups calls that take about the same work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct WorkKey(pub u64);
+
+/// Call that asks for admission.
+#[derive(Clone, Copy, Debug)]
+pub struct GateCall {
+    /// Identifies the call.
+    pub id: GateId,
+    /// Kind of work.
+    pub work: WorkKey,
+    /// Priority; lower numbers go first.
+    pub priority: u8,
+    /// Moment by which an answer meets the latency objective.
+    pub objective: Moment,
+    /// Moment after which nobody waits for the answer.
+    pub deadline: Moment,
+    /// Time after which the call would end at the next best place; `None` if there is no other.
+    pub elsewhere: Option<Duration>,
+}
+
+/// Why a call is not run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum GateRefusal {
+    /// Another place is expected to end the call earlier.
+    Elsewhere {
+        /// Expected time until the call would have ended here.
+        expected: Duration,
+    },
+    /// The call cannot end before its deadline.
+    Hopeless {
+        /// Expected time until the present queue is empty.
+        drain: Duration,
+    },
+}
+
+/// What the owner of the gate should do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum GateAction {
+    /// Start the call.
+    Start(GateId),
+    /// Refuse the call; it has not run.
+    Refuse(GateId, GateRefusal),
+}
+
+/// Actions in the order in which they should be carried out.
+pub type GateActions = SmallVec<[GateAction; 4]>;
+
+/// Rate limit of a cold upstream.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ColdRate {
+    /// Moment at which the upstream is warm.
+    pub until: Moment,
+    /// Starts that it tolerates in a second.
+    pub per_second: f64,
+}
+
+/// Load of a gate, as other daemons use it to place calls.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct GateLoad {
+    /// Calls that run.
+    pub running: u16,
+    /// Calls that wait.
+    pub waiting: u16,
+    /// Calls that may run at once.
+    pub slots: u16,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Running {
+    work: WorkKey,
+    since: Moment,
+}
+
+/// Admission to one upstream.
+#[derive(Debug)]
+pub struct Gate {
+    slots: usize,
+    /// How many times longer than usual work takes now.
+    slowdown: f64,
+    cold: Option<ColdRate>,
+    starts: VecDeque<Moment>,
+    running: HashMap<GateId, Running>,
+    queue: Vec<GateCall>,
+    /// Time that work of a kind takes at usual speed, in seconds.
+    usual: HashMap<WorkKey, f64>,
+}
+
+impl Gate {
+    /// Creates a gate for an upstream that runs `slots` calls at once.
+    #[must_use]
+    pub fn new(slots: usize) -> Self {
+        Self {
+            slots: slots.max(1),
+            slowdown: 1.0,
+            cold: None,
+            starts: VecDeque::new(),
+            running: HashMap::new(),
+            queue: Vec::new(),
+            usual: HashMap::new(),
+        }
+    }
+
+    /// Returns the load.
+    #[must_use]
+    pub fn load(&self) -> GateLoad {
+        let count = |n: usize| u16::try_from(n).unwrap_or(u16::MAX);
+        GateLoad {
+            running: count(self.running.len()),
+            waiting: count(self.queue.len()),
+            slots: count(self.slots),
+        }
+    }
+
+    /// Sets the number of calls that may run at once.
+    pub fn set_slots(&mut self, slots: usize, now: Moment) -> GateActions {
+        self.slots = slots.max(1);
+        self.advance(now)
+    }
+
+    /// Sets the rate limit of a cold upstream, or removes it.
+    pub fn set_cold(&mut self, cold: Option<ColdRate>, now: Moment) -> GateActions {
+        self.cold = cold;
+        self.advance(now)
+    }
+
+    /// Tells whether the upstream is cold.
+    #[must_use]
+    pub fn is_cold(&self, now: Moment) -> bool {
+        self.cold.is_some_and(|c| now < c.until)
+    }
+
+    /// Sets how many times longer than usual work takes at this moment.
+    ///
+    /// Waiting calls that another place would now end earlier are handed back.
+    pub fn set_slowdown(&mut self, slowdown: f64, now: Moment) -> GateActions {
+        let worse = slowdown > self.slowdown;
+        self.slowdown = slowdown.max(0.1);
+        let mut actions = GateActions::new();
+        if worse {
+            self.hand_back(now, &mut actions);
+        }
+        actions
+    }
+
+    /// Handles a call that asks for admission.
+    pub fn offer(&mut self, call: GateCall, now: Moment) -> GateActions {
+        let mut actions = GateActions::new();
+        let wait = self.expected_wait(&call, now);
+        let expected = wait + self.work(call.work).mul_f64(self.slowdown);
+        let left = call.deadline.since(now);
+        let limit = left.mul_f64(LONGEST_WAIT_SHARE);
+        if let Some(elsewhere) = call.elsewhere
+            && expected > elsewhere + BETTER_BY
+        {
+            let refusal = GateRefusal::Elsewhere { expected };
+            actions.push(GateAction::Refuse(call.id, refusal));
+        } else if wait > limit || wait + self.work(call.work) > left {
+            let drain = self.drain_time(now);
+            let refusal = GateRefusal::Hopeless { drain };
+            actions.push(GateAction::Refuse(call.id, refusal));
+        } else {
+            self.queue.push(call);
+            self.start_waiting(now, &mut actions);
+        }
+        actions
+    }
+
+    /// Handles the end of a call that was started, or its cancellation while it waited.
+    ///
+    /// `answered` tells that the upstream did all of the work, so that its time may be learned.
+    pub fn finish(&mut self, id: GateId, answered: bool, now: Moment) -> GateActions {
+        match self.running.remove(&id) {
+            Some(running) if answered => self.learn(running, now),
+            Some(_) => {}
+            None => self.queue.retain(|c| c.id != id),
+        }
+        self.advance(now)
+    }
+
+    /// Refuses what cannot end before its deadline any more and starts what may run.
+    pub fn advance(&mut self, now: Moment) -> GateActions {
+        let mut actions = GateActions::new();
+        let mut kept = std::mem::take(&mut self.queue);
+        kept.retain(|call| {
+            let hopeless = now + self.work(call.work) > call.deadline;
+            if hopeless {
+                let drain = self.drain_time(now);
+                let refusal = GateRefusal::Hopeless { drain };
+                actions.push(GateAction::Refuse(call.id, refusal));
+            }
+            !hopeless
+        });
+        self.queue = kept;
+        self.start_waiting(now, &mut actions);
+        actions
+    }
+
+    /// Refuses everything that waits, as when the upstream leaves.
+    pub fn refuse_waiting(&mut self) -> SmallVec<[GateId; 8]> {
+        self.queue.drain(..).map(|c| c.id).collect()
+    }
+
+    /// Returns the moment at which [`Gate::advance`] is due, if calls wait.
+    #[must_use]
+    pub fn next_due(&self, now: Moment) -> Option<Moment> {
+        let hopeless = self.queue.iter().map(|c| {
+            let work = self.work(c.work);
+            Moment(c.deadline.0.saturating_sub(nanos(work))) + Duration::from_millis(1)
+        });
+        let first = hopeless.min()?;
+        let rate_limited = self.is_cold(now) && self.running.len() < self.slots;
+        let oldest = self.starts.front().filter(|_| rate_limited);
+        let free = oldest.map(|s| *s + COLD_WINDOW + Duration::from_millis(1));
+        Some(free.map_or(first, |f| f.min(first)))
+    }
+
+    fn learn(&mut self, running: Running, now: Moment) {
+        let sample = now.since(running.since).as_secs_f64() / self.slowdown;
+        let usual = self.usual.entry(running.work);
+        let usual = usual.or_insert(DEFAULT_WORK.as_secs_f64());
+        *usual += (sample - *usual) * WORK_WEIGHT;
+    }
+
+    /// Returns the time that work of a kind takes at usual speed.
+    fn work(&self, key: WorkKey) -> Duration {
+        let seconds = self.usual.get(&key);
+        seconds.map_or(DEFAULT_WORK, |s| Duration::from_secs_f64(*s))
+    }
+
+    /// Returns the time for which a call would wait at the present speed.
+    fn expected_wait(&self, call: &GateCall, now: Moment) -> Duration {
+        let free = self.running.len() < self.slots && self.queue.is_empty();
+        if free && self.may_start(now) {
+            return Duration::ZERO;
+        }
+        let order = self.order(call, now);
+        let ahead = self.queue.iter().filter(|c| self.order(c, now) <= order);
+        let ahead: Duration = ahead.map(|c| self.work(c.work)).sum();
+        self.time_for(self.residual(now) + ahead)
+    }
+
+    /// Returns the time until everything that is here now has ended.
+    fn drain_time(&self, now: Moment) -> Duration {
+        let waiting: Duration = self.queue.iter().map(|c| self.work(c.work)).sum();
+        self.time_for(self.residual(now) + waiting)
+    }
+
+    fn time_for(&self, work: Duration) -> Duration {
+        let slots = self.slots as f64;
+        work.mul_f64(self.slowdown / slots)
+    }
+
+    /// Returns the work that the running calls still need, at usual speed.
+    fn residual(&self, now: Moment) -> Duration {
+        let rest = self.running.values().map(|r| {
+            let work = self.work(r.work);
+            let done = now.since(r.since).div_f64(self.slowdown);
+            work.saturating_sub(done).max(work.mul_f64(RESIDUAL_SHARE))
+        });
+        rest.sum()
+    }
+
+    /// Returns the place of a call in the queue; smaller ones go first.
+    fn order(&self, call: &GateCall, now: Moment) -> (u8, bool, Moment) {
+        let end = now + self.work(call.work).mul_f64(self.slowdown);
+        let late = end > call.objective;
+        let due = if late { call.deadline } else { call.objective };
+        (call.priority, late, due)
+    }
+
+    fn may_start(&self, now: Moment) -> bool {
+        match self.cold {
+            Some(cold) if now < cold.until => {
+                let recent = self.starts.iter().filter(|s| now.since(**s) < COLD_WINDOW);
+                (recent.count() as f64) < cold.per_second.max(1.0)
+            }
+            _ => true,
+        }
+    }
+
+    fn start_waiting(&mut self, now: Moment, actions: &mut GateActions) {
+        while self.running.len() < self.slots && self.may_start(now) {
+            let best = (0..self.queue.len()).min_by_key(|i| self.order(&self.queue[*i], now));
+            let Some(best) = best else {
+                return;
+            };
+            let call = self.queue.swap_remove(best);
+            let running = Running {
+                work: call.work,
+                since: now,
+            };
+            self.running.insert(call.id, running);
+            self.note_start(now);
+            actions.push(GateAction::Start(call.id));
+        }
+    }
+
+    fn note_start(&mut self, now: Moment) {
+        while self
+            .starts
+            .front()
+            .is_some_and(|s| now.since(*s) >= COLD_WINDOW)
+        {
+            self.starts.pop_front();
+        }
+        self.starts.push_back(now);
+    }
+
+    fn hand_back(&mut self, now: Moment, actions: &mut GateActions) {
+        let waiting = std::mem::take(&mut self.queue);
+        for call in waiting {
+            let wait = self.expected_wait(&call, now);
+            let expected = wait + self.work(call.work).mul_f64(self.slowdown);
+            match call.elsewhere {
+                Some(elsewhere) if expected > elsewhere + BETTER_BY => {
+                    let refusal = GateRefusal::Elsewhere { expected };
+                    actions.push(GateAction::Refuse(call.id, refusal));
+                }
+                _ => self.queue.push(call),
+            }
+        }
+    }
+}
+
+fn nanos(duration: Duration) -> u64 {
+    u64::try_from(duration.as_nanos()).unwrap_or(u64::MAX)
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -6,8 +6,11 @@
 mod admission;
 mod balancer;
 mod breaker;
+mod gate;
 mod picker;
+mod placement;
 mod retry;
+mod share;
 mod suspect;
 mod ticket;
 
@@ -20,8 +23,16 @@
     Endpoint, EndpointIncarnation, EndpointView, Locality,
 };
 pub use breaker::{BreakerState, CircuitBreaker, ConsecutiveBreaker, NeverBreaks};
+pub use gate::{
+    ColdRate, Gate, GateAction, GateActions, GateCall, GateId, GateLoad, GateRefusal, WorkKey,
+};
 pub use picker::{Candidate, LeastOutstanding, Picker, PowerOfTwo, RoundRobin};
+pub use placement::{
+    Distance, ExpectedEnd, InTurn, LoadReport, Place, PlaceEnd, PlaceOrder, PlaceWork, Placement,
+    Ranked,
+};
 pub use retry::{HedgeBudget, RetryBudget, RetryDecision, retry_decision};
+pub use share::{RetryShare, ShareSettings};
 pub use suspect::{HomeRegions, SharedSuspect, Start, SuspectList, SuspectSettings};
 pub use ticket::{
     Arrival, CallId, Cancelled, StoredAnswer, Ticket, TicketError, TicketList, TicketSettings,
--- /dev/null
+++ b/crates/policy/src/placement.rs
@@ -0,0 +1,286 @@
+//! Choice of an upstream by the expected end of a call and the cost of its bytes.
+//!
+//! Answers the load of services whose upstreams stand in several failure domains and regions, each
+//! slowed for parts of a second by its neighbours. Every place is judged by the time after which
+//! the call would end there: the network, the queue, the present slowdown of the upstream, and what
+//! is known of its failures. What was heard of another VM grows old within a fraction of a second
+//! and then counts as the usual state. Bytes between failure domains are metered, so a large body
+//! stays near by unless the other place is much better.
+
+use std::time::Duration;
+
+use cornelvalve_model::Moment;
+use smallvec::SmallVec;
+
+/// Slowdown expected of an upstream of which nothing recent is known.
+const USUAL_SLOWDOWN: f64 = 1.6;
+
+/// Age at which a report about another VM has lost most of its worth.
+const REPORT_LIFE: Duration = Duration::from_millis(250);
+
+/// Added time for each kilobyte that leaves the failure domain, in milliseconds.
+const DOMAIN_KILOBYTE_MS: f64 = 4.0;
+
+/// Added time for each kilobyte that leaves the region, in milliseconds.
+const REGION_KILOBYTE_MS: f64 = 8.0;
+
+/// Added time at an upstream whose calls all fail, in milliseconds.
+const FAILURE_MS: f64 = 1500.0;
+
+/// Time in which a remembered failure loses most of its weight.
+const FAILURE_LIFE: Duration = Duration::from_secs(3);
+
+/// Weight of a new result in the share of failures.
+const FAILURE_WEIGHT: f64 = 0.25;
+
+/// Time for which an upstream that gave no sign of life is avoided; doubles with each repeat.
+const SILENCE_PENALTY: Duration = Duration::from_millis(500);
+
+/// Largest number of doublings of [`SILENCE_PENALTY`].
+const MAX_SILENCE_DOUBLINGS: u32 = 3;
+
+/// Network between this daemon and an upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Distance {
+    /// The upstream beside this daemon.
+    Local,
+    /// Another VM of the failure domain.
+    Domain,
+    /// Another failure domain of the region.
+    Region,
+    /// Another region.
+    Remote,
+}
+
+impl Distance {
+    /// Returns the expected time for a call and its answer to cross the network, in milliseconds.
+    #[must_use]
+    pub fn round_trip_ms(self) -> f64 {
+        match self {
+            Self::Local => 0.0,
+            Self::Domain => 1.0,
+            Self::Region => 4.0,
+            Self::Remote => 62.0,
+        }
+    }
+
+    fn bytes_ms(self, bytes: usize) -> f64 {
+        let kilobytes = bytes as f64 / 1000.0;
+        match self {
+            Self::Local | Self::Domain => 0.0,
+            Self::Region => kilobytes * DOMAIN_KILOBYTE_MS,
+            Self::Remote => kilobytes * REGION_KILOBYTE_MS,
+        }
+    }
+}
+
+/// Load of an upstream as its daemon reported it.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct LoadReport {
+    /// Calls that run.
+    pub running: u16,
+    /// Calls that wait.
+    pub waiting: u16,
+    /// Calls that may run at once.
+    pub slots: u16,
+    /// How many times longer than usual work takes.
+    pub slowdown: f64,
+    /// Whether the upstream is cold.
+    pub cold: bool,
+}
+
+/// What this daemon has seen of one upstream.
+#[derive(Clone, Copy, Debug)]
+pub struct Place {
+    /// Network between this daemon and the upstream.
+    pub distance: Distance,
+    /// Whether the daemon there missed probes.
+    pub suspected: bool,
+    report: LoadReport,
+    reported: Option<Moment>,
+    /// Calls of this daemon that are on their way or run there.
+    outstanding: u16,
+    /// Of these, the ones sent since the last report.
+    unreported: u16,
+    failures: f64,
+    failed: Moment,
+    silences: u32,
+    avoid_until: Moment,
+}
+
+impl Place {
+    /// Creates a place of which nothing is known.
+    #[must_use]
+    pub fn new(distance: Distance) -> Self {
+        Self {
+            distance,
+            suspected: false,
+            report: LoadReport::default(),
+            reported: None,
+            outstanding: 0,
+            unreported: 0,
+            failures: 0.0,
+            failed: Moment::default(),
+            silences: 0,
+            avoid_until: Moment::default(),
+        }
+    }
+
+    /// Notes a report of the upstream's load.
+    pub fn reported(&mut self, report: LoadReport, now: Moment) {
+        self.report = report;
+        self.reported = Some(now);
+        self.unreported = 0;
+    }
+
+    /// Notes that a call was sent there.
+    pub fn sent(&mut self) {
+        self.outstanding = self.outstanding.saturating_add(1);
+        self.unreported = self.unreported.saturating_add(1);
+    }
+
+    /// Notes the end of a call that was sent there.
+    pub fn ended(&mut self, end: PlaceEnd, now: Moment) {
+        self.outstanding = self.outstanding.saturating_sub(1);
+        self.unreported = self.unreported.saturating_sub(1);
+        match end {
+            PlaceEnd::Answered => self.note_result(0.0, now),
+            PlaceEnd::Failed => self.note_result(1.0, now),
+            PlaceEnd::Silent => {
+                let doublings = self.silences.min(MAX_SILENCE_DOUBLINGS);
+                self.avoid_until = now + SILENCE_PENALTY * (1 << doublings);
+                self.silences += 1;
+            }
+            PlaceEnd::Cancelled => {}
+        }
+    }
+
+    fn note_result(&mut self, failed: f64, now: Moment) {
+        self.failures = self.failures_at(now);
+        self.failures += (failed - self.failures) * FAILURE_WEIGHT;
+        self.failed = now;
+        self.silences = 0;
+    }
+
+    /// Returns the share of failures, forgotten with time.
+    fn failures_at(&self, now: Moment) -> f64 {
+        self.failures * fade(now.since(self.failed), FAILURE_LIFE)
+    }
+
+    /// Tells whether the upstream gave no sign of life a short time ago.
+    #[must_use]
+    pub fn is_avoided(&self, now: Moment) -> bool {
+        self.suspected || now < self.avoid_until
+    }
+
+    /// Returns the time after which a call is expected to end here, in milliseconds.
+    #[must_use]
+    pub fn expected_ms(&self, work: &PlaceWork, now: Moment) -> f64 {
+        let known = match self.reported {
+            Some(at) if self.distance == Distance::Local => fade(now.since(at), REPORT_LIFE * 4),
+            Some(at) => fade(now.since(at), REPORT_LIFE),
+            None => 0.0,
+        };
+        let slowdown = USUAL_SLOWDOWN + (self.report.slowdown - USUAL_SLOWDOWN) * known;
+        let slots = f64::from(self.report.slots.max(1));
+        let reported = f64::from(self.report.running + self.report.waiting) * known;
+        let busy = (reported + f64::from(self.unreported)).max(f64::from(self.outstanding));
+        let queue = (busy + 1.0 - slots).max(0.0) / slots;
+        // A busy upstream is worse than an idle one even before it queues: its slots may be full
+        // when the call arrives.
+        let crowding = 0.15 * (busy / slots).min(1.0);
+        let cold = if self.report.cold { 2.0 } else { 1.0 };
+        work.work_ms * slowdown * cold * (1.0 + queue + crowding)
+            + self.distance.round_trip_ms()
+            + self.distance.bytes_ms(work.bytes)
+            + self.failures_at(now) * FAILURE_MS
+    }
+}
+
+/// Call to be placed.
+#[derive(Clone, Copy, Debug)]
+pub struct PlaceWork {
+    /// Work at usual speed, in milliseconds.
+    pub work_ms: f64,
+    /// Bytes of request and response together.
+    pub bytes: usize,
+}
+
+/// How a call at a place ended, as far as the place is concerned.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PlaceEnd {
+    /// The upstream answered.
+    Answered,
+    /// The upstream failed the call or spoiled its answer.
+    Failed,
+    /// Nothing was heard of the VM.
+    Silent,
+    /// The end says nothing about the place.
+    Cancelled,
+}
+
+/// Order in which places should be tried.
+pub type PlaceOrder = SmallVec<[Ranked; 8]>;
+
+/// Place with its expected end.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Ranked {
+    /// Index of the place among those that were given.
+    pub index: usize,
+    /// Time after which the call is expected to end there, in milliseconds.
+    pub expected_ms: f64,
+}
+
+/// Policy that orders places.
+pub trait Placement: Send + Sync {
+    /// Returns the places, best first. Places that gave no sign of life come last.
+    fn order(&mut self, places: &[Place], work: &PlaceWork, now: Moment) -> PlaceOrder;
+}
+
+/// Orders places by the expected end of the call.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct ExpectedEnd;
+
+impl Placement for ExpectedEnd {
+    fn order(&mut self, places: &[Place], work: &PlaceWork, now: Moment) -> PlaceOrder {
+        let mut order: PlaceOrder = places
+            .iter()
+            .enumerate()
+            .map(|(index, place)| Ranked {
+                index,
+                expected_ms: place.expected_ms(work, now),
+            })
+            .collect();
+        let key = |r: &Ranked| (places[r.index].is_avoided(now), r.expected_ms);
+        order.sort_by(|a, b| {
+            let ((a_avoided, a_ms), (b_avoided, b_ms)) = (key(a), key(b));
+            a_avoided.cmp(&b_avoided).then(a_ms.total_cmp(&b_ms))
+        });
+        order
+    }
+}
+
+/// Orders places in turn; the baseline that measurements compare with.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct InTurn {
+    next: usize,
+}
+
+impl Placement for InTurn {
+    fn order(&mut self, places: &[Place], work: &PlaceWork, now: Moment) -> PlaceOrder {
+        self.next = self.next.wrapping_add(1);
+        let count = places.len();
+        let indices = (0..count).map(|i| (i + self.next) % count.max(1));
+        indices
+            .map(|index| Ranked {
+                index,
+                expected_ms: places[index].expected_ms(work, now),
+            })
+            .collect()
+    }
+}
+
+/// Returns the weight of what is `age` old: one when fresh, falling exponentially.
+fn fade(age: Duration, life: Duration) -> f64 {
+    (-age.as_secs_f64() / life.as_secs_f64()).exp()
+}
--- /dev/null
+++ b/crates/relay/src/check_ins.rs
@@ -0,0 +1,92 @@
+//! Check-ins service: the upstream tells its state here.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use cornelvalve_http1::{
+    BoxFuture, DecodeLimits, Handler, Reply, Request, ServerOptions, SocketTimeouts,
+    serve_connection,
+};
+use cornelvalve_kernel::{Context, Mailbox, ServiceResult};
+use http::StatusCode;
+use http::header::{CONTENT_TYPE, HeaderValue};
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+
+use crate::listener::run_listener;
+use crate::messages::{GuardMessage, ListenerMessage};
+use crate::names::GUARD;
+use crate::ports::CheckInForm;
+
+/// Limits of connections that carry control calls.
+pub(crate) const CONTROL_OPTIONS: ServerOptions = ServerOptions {
+    limits: DecodeLimits {
+        head_bytes: 8 * 1024,
+        body_bytes: 64 * 1024,
+    },
+    request_timeout: Duration::from_secs(3),
+    idle_timeout: Duration::from_secs(30),
+};
+
+/// Runs the check-ins service.
+pub(crate) async fn run_check_ins(
+    context: Context<ListenerMessage>,
+    listener: Arc<TcpListener>,
+    timeouts: SocketTimeouts,
+    form: Arc<dyn CheckInForm>,
+) -> ServiceResult {
+    let handler = Arc::new(CheckIns {
+        guard: context.registry.mailbox(GUARD)?,
+        form,
+    });
+    run_listener(context, &listener, timeouts, move |stream, _| {
+        let handler = Arc::clone(&handler);
+        async move {
+            let (_stay, draining) = watch::channel(false);
+            let served = serve_connection(stream, &*handler, CONTROL_OPTIONS, draining).await;
+            if let Err(e) = served {
+                log::debug!("connection for check-ins ended: {e}");
+            }
+        }
+    })
+    .await
+}
+
+struct CheckIns {
+    guard: Mailbox<GuardMessage>,
+    form: Arc<dyn CheckInForm>,
+}
+
+impl Handler for CheckIns {
+    fn handle(&self, request: Request) -> BoxFuture<'static, Reply> {
+        let decoded = self.form.decode(&request);
+        let (guard, confirmation) = (self.guard.clone(), self.form.confirmation());
+        Box::pin(async move {
+            let check_in = match decoded {
+                Ok(check_in) => check_in,
+                Err((status, reason)) => {
+                    log::warn!(event = "check-in-unreadable", status = status.as_u16(), reason = reason.as_str(); "call is no check-in");
+                    return Reply::empty(status);
+                }
+            };
+            // Confirmed only once the guard acts on it, because the confirmation binds.
+            let acted = guard.ask(|reply| GuardMessage::CheckIn {
+                check_in: Box::new(check_in),
+                reply,
+            });
+            match acted.await {
+                Ok(()) => {
+                    let mut reply = Reply::empty(StatusCode::OK);
+                    let json = HeaderValue::from_static("application/json");
+                    reply.headers.insert(CONTENT_TYPE, json);
+                    reply.body = confirmation;
+                    reply
+                }
+                Err(e) => {
+                    log::warn!(event = "check-in-dropped"; "{e}");
+                    Reply::empty(StatusCode::SERVICE_UNAVAILABLE)
+                }
+            }
+        })
+    }
+}
--- /dev/null
+++ b/crates/relay/src/entry.rs
@@ -0,0 +1,129 @@
+//! Entry service: takes the requests of callers on this VM.
+
+mod forward;
+mod offer;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use cornelvalve_http1::{
+    BoxFuture, DecodeLimits, Error, Handler, Reply, Request, ServerOptions, SocketTimeouts,
+    serve_connection,
+};
+use cornelvalve_kernel::{Clock, Context, Mailbox, ServiceResult};
+use cornelvalve_model::ServiceName;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+
+use crate::hop::FrameConnection;
+use crate::links::Links;
+use crate::listener::run_listener;
+use crate::messages::{LimitsReceiver, ListenerMessage, PoolMessage, RouterMessage, StatsMessage};
+use crate::names::{PEER_POOL, ROUTER, STATS};
+use crate::ports::{Cause, Dialect, FinalRefusal};
+use crate::runner::Runner;
+
+/// Parts that the entry needs besides other services.
+#[derive(Clone)]
+pub(crate) struct EntryParts {
+    pub(crate) listener: Arc<TcpListener>,
+    pub(crate) timeouts: SocketTimeouts,
+    pub(crate) limits: LimitsReceiver,
+    pub(crate) draining: watch::Receiver<bool>,
+    pub(crate) links: Links,
+    pub(crate) own_service: ServiceName,
+    pub(crate) runner: Runner,
+}
+
+/// What each request needs; one for all connections.
+pub(crate) struct EntryHandler {
+    router: Mailbox<RouterMessage>,
+    pool: Mailbox<PoolMessage<FrameConnection>>,
+    stats: Mailbox<StatsMessage>,
+    dialect: Arc<dyn Dialect>,
+    clock: Arc<dyn Clock>,
+    links: Links,
+    own_service: ServiceName,
+    runner: Runner,
+}
+
+/// Runs the entry service.
+pub(crate) async fn run_entry(
+    context: Context<ListenerMessage>,
+    parts: EntryParts,
+) -> ServiceResult {
+    let handler = Arc::new(EntryHandler {
+        router: context.registry.mailbox(ROUTER)?,
+        pool: context.registry.mailbox(PEER_POOL)?,
+        stats: context.registry.mailbox(STATS)?,
+        dialect: Arc::clone(&parts.runner.dialect),
+        clock: Arc::clone(&context.clock),
+        links: parts.links,
+        own_service: parts.own_service,
+        runner: parts.runner,
+    });
+    let (limits, draining) = (parts.limits, parts.draining);
+    run_listener(
+        context,
+        &parts.listener,
+        parts.timeouts,
+        move |stream, from| {
+            let callers = Callers(Arc::clone(&handler));
+            let (limits, draining) = (*limits.borrow(), draining.clone());
+            async move {
+                let options = ServerOptions {
+                    limits: DecodeLimits {
+                        head_bytes: limits.head_bytes,
+                        body_bytes: limits.body_bytes,
+                    },
+                    request_timeout: limits.head_timeout,
+                    idle_timeout: limits.idle_timeout,
+                };
+                if let Err(e) = serve_connection(stream, &callers, options, draining).await {
+                    log_end(from, &e);
+                }
+            }
+        },
+    )
+    .await
+}
+
+fn log_end(from: SocketAddr, error: &std::io::Error) {
+    log::debug!("connection of {from} ended: {error}");
+}
+
+/// Connections of callers.
+struct Callers(Arc<EntryHandler>);
+
+impl Handler for Callers {
+    fn handle(&self, request: Request) -> BoxFuture<'static, Reply> {
+        let entry = Arc::clone(&self.0);
+        Box::pin(async move { forward::serve(&entry, request).await })
+    }
+
+    fn reject(&self, error: &Error) -> Reply {
+        log::info!(event = "request-rejected", status = error.status().as_u16(); "{error}");
+        Reply::empty(error.status())
+    }
+}
+
+impl EntryHandler {
+    /// Returns the reply for a request that the product itself ends.
+    fn refuse(&self, refusal: &FinalRefusal) -> Reply {
+        let (status, headers) = self.dialect.refusal(refusal);
+        Reply {
+            status,
+            headers,
+            ..Reply::empty(status)
+        }
+    }
+}
+
+/// Returns the refusal of a request for which there is nothing to wait.
+fn refusal(cause: Cause) -> FinalRefusal {
+    FinalRefusal {
+        cause,
+        not_run: true,
+        retry_after: None,
+    }
+}
--- /dev/null
+++ b/crates/relay/src/entry/forward.rs
@@ -0,0 +1,352 @@
+//! The way of one request: plan, places, attempts, final answer.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use cornelvalve_http1::{Reply, Request};
+use cornelvalve_model::Moment;
+use http::header::HOST;
+use tokio::time::{Instant, timeout_at};
+
+use super::{EntryHandler, refusal};
+use crate::desired::Repeat;
+use crate::hop::{HopAnswer, HopHeaders, HopOutcome, HopRequest};
+use crate::messages::{
+    PlaceQuery, Plan, RequestEnd, RequestRecord, RouterMessage, StatsMessage, Tried,
+};
+use crate::ports::{Cause, FinalRefusal};
+
+/// Longest wait of a request whose caller and route state none.
+const DEFAULT_TIME: Duration = Duration::from_secs(30);
+
+/// Time before the end of the wait at which a request is answered, so that the answer is in time.
+const ANSWER_MARGIN: Duration = Duration::from_millis(20);
+
+/// Times that a request may be handed back before the next place keeps it.
+const MAX_HAND_BACKS: usize = 3;
+
+/// Places that may refuse a request, besides hand-backs, before it is refused to its caller.
+const MAX_REFUSALS: usize = 6;
+
+/// Shortest Retry-After, so that a caller does not return into the same queue.
+const MIN_RETRY_AFTER: Duration = Duration::from_millis(50);
+
+/// Longest Retry-After; what is known of the queue now says little of later.
+const MAX_RETRY_AFTER: Duration = Duration::from_secs(2);
+
+/// Request on its way with all that its attempts need.
+struct Forwarding<'a> {
+    entry: &'a EntryHandler,
+    request: &'a Request,
+    headers: HopHeaders,
+    attempt: Option<Box<str>>,
+    plan: Arc<Plan>,
+    started: Moment,
+    deadline: Moment,
+    progress: Progress,
+}
+
+/// What has become of a request so far.
+#[derive(Debug, Default)]
+struct Progress {
+    tried: Tried,
+    handed_back: Tried,
+    /// Attempts that may have reached an upstream.
+    arrivals: u32,
+    refusals: usize,
+    /// Whether an attempt is under way or an earlier one may have run.
+    may_have_run: bool,
+    /// Shortest wait for room that a place named.
+    wait: Option<Duration>,
+    /// Failure that an upstream answered, kept while another one is asked.
+    fallback: Option<HopAnswer>,
+}
+
+/// Serves a request of a caller.
+pub(super) async fn serve(entry: &EntryHandler, request: Request) -> Reply {
+    let started = entry.clock.now();
+    let mut record = Recorded::begin(entry, started);
+    let head = entry.dialect.caller_head(&request.headers);
+    let host = request.headers.get(HOST).and_then(|h| h.to_str().ok());
+    let asked = entry.router.ask(|reply| RouterMessage::Plan {
+        host: host.unwrap_or_default().into(),
+        target: request.target.clone(),
+        reply,
+    });
+    let plan = match asked.await {
+        Ok(Ok(plan)) => plan,
+        Ok(Err(cause)) => {
+            log::info!(event = "request-refused", request = head.attempt.as_deref(), cause:% = cause, target = request.target.as_ref(); "no route");
+            record.end(RequestEnd::Refused(cause), &Progress::default());
+            return entry.refuse(&refusal(cause));
+        }
+        Err(e) => {
+            log::warn!(event = "router-unavailable", request = head.attempt.as_deref(); "{e}");
+            record.end(RequestEnd::Refused(Cause::Internal), &Progress::default());
+            return entry.refuse(&refusal(Cause::Internal));
+        }
+    };
+    let time = head
+        .time_left
+        .unwrap_or(DEFAULT_TIME)
+        .min(plan.route.timeout);
+    let mut headers = request.headers.clone();
+    entry.dialect.strip(&mut headers);
+    let mut forwarding = Forwarding {
+        entry,
+        request: &request,
+        headers: HopHeaders::of(&headers),
+        attempt: head.attempt,
+        plan,
+        started,
+        deadline: started + time.saturating_sub(ANSWER_MARGIN),
+        progress: Progress::default(),
+    };
+    let end = Instant::now() + forwarding.time_left();
+    let outcome = timeout_at(end, forwarding.run()).await;
+    let outcome = outcome.unwrap_or_else(|_| forwarding.timed_out());
+    forwarding.conclude(outcome, &mut record)
+}
+
+/// How a request ended.
+enum Conclusion {
+    Answer(HopAnswer),
+    Refusal(FinalRefusal),
+}
+
+impl Forwarding<'_> {
+    fn time_left(&self) -> Duration {
+        self.deadline.since(self.entry.clock.now())
+    }
+
+    /// Tries places until one answers or no further attempt is allowed.
+    async fn run(&mut self) -> Conclusion {
+        loop {
+            let placed = match self.place().await {
+                Ok(placed) => placed,
+                Err(cause) => return self.give_up(cause),
+            };
+            let vm = placed.vm.clone();
+            let request = self.hop_request(placed.elsewhere);
+            log::debug!(event = "placed", request = self.attempt.as_deref(), vm = vm.as_str(), expected_ms = placed.expected.as_millis() as u64, arrivals = self.progress.arrivals; "attempt");
+            let earlier = std::mem::replace(&mut self.progress.may_have_run, true);
+            let plan = Arc::clone(&self.plan);
+            let outcome = self.entry.offer(placed, request, &plan).await;
+            match outcome {
+                HopOutcome::Answered(answer) if answer.failed && self.may_repeat() => {
+                    self.progress.arrivals += 1;
+                    self.progress.tried.push(vm);
+                    self.progress.fallback = Some(answer);
+                }
+                HopOutcome::Answered(answer) => return Conclusion::Answer(answer),
+                HopOutcome::NotRun {
+                    cause,
+                    arrived,
+                    wait,
+                } => {
+                    self.progress.may_have_run = earlier;
+                    log::debug!(event = "not-run", request = self.attempt.as_deref(), vm = vm.as_str(), cause:% = cause, wait_ms = wait.as_millis() as u64; "not run there");
+                    if let Some(end) = self.not_run(vm, cause, arrived, wait) {
+                        return end;
+                    }
+                }
+                HopOutcome::Unknown { cause } => {
+                    self.progress.arrivals += 1;
+                    self.progress.tried.push(vm);
+                    if !self.may_repeat() {
+                        return self.give_up(cause);
+                    }
+                }
+            }
+        }
+    }
+
+    /// Notes that a place did not run the request; returns the end if it was the last one.
+    fn not_run(
+        &mut self,
+        vm: cornelvalve_model::VmName,
+        cause: Cause,
+        arrived: bool,
+        wait: Duration,
+    ) -> Option<Conclusion> {
+        let progress = &mut self.progress;
+        if cause == Cause::Elsewhere {
+            progress.handed_back.push(vm);
+            return None;
+        }
+        if matches!(cause, Cause::Overloaded) || arrived {
+            let least = progress.wait.map_or(wait, |w| w.min(wait));
+            progress.wait = Some(least);
+        }
+        progress.tried.push(vm);
+        progress.refusals += 1;
+        if arrived {
+            progress.arrivals += 1;
+        }
+        let spent = progress.arrivals >= u32::from(self.plan.route.attempts.max(1));
+        (progress.refusals >= MAX_REFUSALS || spent).then(|| self.give_up(cause))
+    }
+
+    /// Tells whether a request that may have run may be sent to a further upstream.
+    fn may_repeat(&self) -> bool {
+        let attempts = u32::from(self.plan.route.attempts.max(1));
+        self.plan.route.repeat == Repeat::Idempotent && self.progress.arrivals < attempts
+    }
+
+    async fn place(&self) -> Result<crate::messages::Placed, Cause> {
+        let progress = &self.progress;
+        let query = PlaceQuery {
+            plan: Arc::clone(&self.plan),
+            tried: progress.tried.clone(),
+            handed_back: progress.handed_back.clone(),
+            again: progress.arrivals > 0,
+            settle: progress.handed_back.len() >= MAX_HAND_BACKS,
+            body_bytes: self.request.body.len(),
+        };
+        let placed = self.ask_place(query.clone()).await;
+        match placed {
+            // Every place handed it back, so the best of them has to keep it.
+            Err(Cause::NoUpstream) if !progress.handed_back.is_empty() && !query.settle => {
+                let query = PlaceQuery {
+                    settle: true,
+                    ..query
+                };
+                self.ask_place(query).await
+            }
+            placed => placed,
+        }
+    }
+
+    async fn ask_place(&self, query: PlaceQuery) -> Result<crate::messages::Placed, Cause> {
+        let query = Box::new(query);
+        let asked = self
+            .entry
+            .router
+            .ask(|reply| RouterMessage::Place { query, reply });
+        asked.await.unwrap_or_else(|e| {
+            log::warn!(event = "router-unavailable", request = self.attempt.as_deref(); "{e}");
+            Err(Cause::Internal)
+        })
+    }
+
+    fn hop_request(&self, elsewhere: Option<Duration>) -> HopRequest {
+        let Plan {
+            route,
+            service,
+            version,
+            ..
+        } = &*self.plan;
+        let elapsed = self.entry.clock.now().since(self.started);
+        HopRequest {
+            attempt: self.attempt.clone(),
+            service: service.clone(),
+            caller: self.entry.own_service.clone(),
+            route: route.name.clone(),
+            version: *version,
+            repeat: route.repeat,
+            homes: route.homes.clone(),
+            priority: route.priority,
+            objective_left: route.objective.saturating_sub(elapsed),
+            time_left: self.time_left(),
+            elsewhere,
+            method: self.request.method.as_str().into(),
+            target: self.request.target.clone(),
+            headers: self.headers.clone(),
+            body: Bytes::clone(&self.request.body),
+        }
+    }
+
+    /// Ends a request for which there is no further place.
+    fn give_up(&mut self, cause: Cause) -> Conclusion {
+        if let Some(answer) = self.progress.fallback.take() {
+            return Conclusion::Answer(answer);
+        }
+        let not_run = !self.progress.may_have_run;
+        let wait = self.progress.wait.unwrap_or(MIN_RETRY_AFTER);
+        Conclusion::Refusal(FinalRefusal {
+            cause,
+            not_run,
+            retry_after: not_run.then(|| wait.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER)),
+        })
+    }
+
+    fn timed_out(&mut self) -> Conclusion {
+        self.give_up(Cause::Deadline)
+    }
+
+    fn conclude(&self, conclusion: Conclusion, record: &mut Recorded<'_>) -> Reply {
+        let took = self.entry.clock.now().since(self.started);
+        let route = self.plan.route.name.as_ref();
+        match conclusion {
+            Conclusion::Answer(answer) => {
+                let end = if answer.failed {
+                    RequestEnd::Failed
+                } else {
+                    RequestEnd::Answered
+                };
+                log::debug!(event = "request-answered", request = self.attempt.as_deref(), route = route, status = answer.status, took_ms = took.as_millis() as u64, arrivals = self.progress.arrivals, hand_backs = self.progress.handed_back.len(); "answered");
+                record.end(end, &self.progress);
+                Reply {
+                    status: answer.status(),
+                    headers: answer.headers.to_map(),
+                    body: answer.body,
+                    close: false,
+                }
+            }
+            Conclusion::Refusal(refusal) => {
+                let end = if refusal.not_run {
+                    RequestEnd::Refused(refusal.cause)
+                } else {
+                    RequestEnd::Unknown(refusal.cause)
+                };
+                log::info!(event = "request-refused", request = self.attempt.as_deref(), route = route, service = self.plan.service.as_str(), version = self.plan.version.0, cause:% = refusal.cause, not_run = refusal.not_run, took_ms = took.as_millis() as u64, arrivals = self.progress.arrivals, hand_backs = self.progress.handed_back.len(); "not served");
+                record.end(end, &self.progress);
+                self.entry.refuse(&refusal)
+            }
+        }
+    }
+}
+
+/// Counts the end of a request even if its caller leaves.
+struct Recorded<'a> {
+    entry: &'a EntryHandler,
+    started: Moment,
+    ended: bool,
+}
+
+impl<'a> Recorded<'a> {
+    fn begin(entry: &'a EntryHandler, started: Moment) -> Self {
+        count(entry, StatsMessage::Began);
+        Self {
+            entry,
+            started,
+            ended: false,
+        }
+    }
+
+    fn end(&mut self, end: RequestEnd, progress: &Progress) {
+        self.ended = true;
+        let record = RequestRecord {
+            end,
+            took: self.entry.clock.now().since(self.started),
+            arrivals: progress.arrivals,
+            hand_backs: u32::try_from(progress.handed_back.len()).unwrap_or(u32::MAX),
+        };
+        count(self.entry, StatsMessage::Request(record));
+    }
+}
+
+impl Drop for Recorded<'_> {
+    fn drop(&mut self) {
+        if !self.ended {
+            self.end(RequestEnd::Left, &Progress::default());
+        }
+    }
+}
+
+fn count(entry: &EntryHandler, message: StatsMessage) {
+    if let Err(e) = entry.stats.try_send(message) {
+        log::debug!("request was not counted: {e}");
+    }
+}
--- /dev/null
+++ b/crates/relay/src/guard/state.rs
@@ -0,0 +1,526 @@
+//! State of the guard: the upstream, the gate before it and the calls at the gate.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use cornelvalve_kernel::{Mailbox, Reply};
+use cornelvalve_model::{Incarnation, Moment, Upstream, UpstreamState};
+use cornelvalve_policy::{
+    ColdRate, Gate, GateAction, GateActions, GateCall, GateId, GateRefusal, LoadReport,
+};
+use smallvec::SmallVec;
+use tokio::sync::mpsc;
+
+use super::GuardSettings;
+use super::upstream::{CheckInEffect, UpstreamProcess};
+use crate::desired::ControlView;
+use crate::messages::{
+    AdmitCall, Admitted, LoadsMessage, MembersMessage, MonitorMessage, Permit, PermitEnd,
+    PermitReport, RouterMessage,
+};
+use crate::ports::{Cause, CheckIn, HealthReport, UpstreamLoad};
+use cornelvalve_kernel::Completion;
+
+/// Requests that an upstream runs at once before it has told.
+const DEFAULT_SLOTS: usize = 8;
+
+/// Path that tells the health of an upstream of a service that is not described yet.
+const DEFAULT_HEALTH_PATH: &str = "/health";
+
+/// Wait for a health answer before the next question.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Pause between questions while the upstream cannot be reached or is not known.
+const LOST_PROBE_PERIOD: Duration = Duration::from_millis(250);
+
+/// Age of the load information at which a slow upstream is asked for it. Slow times last parts of a
+/// second, and a slow upstream gets few requests whose answers would tell.
+const SLOW_PROBE_PERIOD: Duration = Duration::from_millis(120);
+
+/// Age of the load information at which any other upstream is asked for it.
+const IDLE_PROBE_PERIOD: Duration = Duration::from_millis(700);
+
+/// Slowdown from which an upstream counts as slow.
+const SLOW: f64 = 1.5;
+
+/// Ratio of two slowdowns that neighbours should hear of.
+const TOLD_RATIO: f64 = 1.4;
+
+/// Longest time without work for the guard.
+const MAX_SLEEP: Duration = Duration::from_secs(5);
+
+/// Retry-After given when it is not known when there will be room.
+const DEFAULT_WAIT: Duration = Duration::from_millis(300);
+
+/// Services that the guard tells of changes.
+pub(super) struct Outlets {
+    pub(super) reports: mpsc::UnboundedSender<PermitReport>,
+    pub(super) members: Mailbox<MembersMessage>,
+    pub(super) router: Mailbox<RouterMessage>,
+    pub(super) loads: Mailbox<LoadsMessage>,
+    pub(super) monitor: Mailbox<MonitorMessage>,
+}
+
+/// State of the guard.
+pub(super) struct GuardState {
+    settings: GuardSettings,
+    outlets: Outlets,
+    gate: Gate,
+    slots: usize,
+    slowdown: f64,
+    process: Option<UpstreamProcess>,
+    /// Processes that were replaced; late check-ins of theirs are passed over.
+    retired: SmallVec<[Arc<str>; 4]>,
+    /// Whether the upstream took no connection at the last try.
+    unreachable: bool,
+    waiting: HashMap<u64, Reply<Admitted>>,
+    running: usize,
+    view: Arc<ControlView>,
+    drain: Option<Reply<()>>,
+    draining: bool,
+    next_id: u64,
+    /// Time of the newest load information.
+    informed: Moment,
+    /// Time of the health question that is not answered yet.
+    probing: Option<Moment>,
+    told: Option<LoadReport>,
+}
+
+impl GuardState {
+    pub(super) fn new(settings: GuardSettings, outlets: Outlets, now: Moment) -> Self {
+        Self {
+            settings,
+            outlets,
+            gate: Gate::new(DEFAULT_SLOTS),
+            slots: DEFAULT_SLOTS,
+            slowdown: 1.0,
+            process: None,
+            retired: SmallVec::new(),
+            unreachable: false,
+            waiting: HashMap::new(),
+            running: 0,
+            view: Arc::default(),
+            drain: None,
+            draining: false,
+            next_id: 0,
+            informed: now,
+            probing: None,
+            told: None,
+        }
+    }
+
+    /// Asks the upstream for its health, so that it is known before its next check-in.
+    pub(super) fn begin(&mut self, now: Moment) {
+        self.probe(now);
+    }
+
+    /// Returns the moment at which [`GuardState::advance`] is due.
+    pub(super) fn next_due(&self, now: Moment) -> Moment {
+        let gate = self.gate.next_due(now);
+        let probe = self.next_probe();
+        let due = gate.into_iter().chain(probe).min();
+        due.unwrap_or(now + MAX_SLEEP).min(now + MAX_SLEEP)
+    }
+
+    pub(super) fn advance(&mut self, now: Moment) {
+        let actions = self.gate.advance(now);
+        self.carry_out(actions, now);
+        if self.next_probe().is_some_and(|due| due <= now) {
+            self.probe(now);
+        }
+    }
+
+    fn next_probe(&self) -> Option<Moment> {
+        if let Some(asked) = self.probing {
+            return Some(asked + PROBE_TIMEOUT);
+        }
+        let lost = match &self.process {
+            Some(process) if process.is_leaving() => return None,
+            Some(_) => self.unreachable,
+            None => true,
+        };
+        let period = if lost {
+            LOST_PROBE_PERIOD
+        } else if self.slowdown >= SLOW {
+            SLOW_PROBE_PERIOD
+        } else {
+            IDLE_PROBE_PERIOD
+        };
+        Some(self.informed + period)
+    }
+
+    fn probe(&mut self, now: Moment) {
+        let service = self.view.desired.as_ref();
+        let service = service.and_then(|d| d.service(&self.settings.service));
+        let path = service.map_or(DEFAULT_HEALTH_PATH, |s| &s.health_path);
+        self.probing = Some(now);
+        let probe = MonitorMessage::Probe {
+            addr: self.settings.addr,
+            path: path.into(),
+        };
+        if let Err(e) = self.outlets.monitor.try_send(probe) {
+            log::debug!("{e}; asking again later");
+        }
+    }
+
+    pub(super) fn set_control(&mut self, view: Arc<ControlView>, now: Moment) {
+        let domain = &self.settings.domain;
+        let was_out = self.view.domains_out.contains(domain);
+        let is_out = view.domains_out.contains(domain);
+        self.view = view;
+        if is_out && !was_out {
+            self.refuse_waiting(Cause::DomainOut);
+        }
+        if was_out && !is_out {
+            self.expect_cold(now);
+        }
+        self.update_cold(now);
+    }
+
+    /// Treats the upstream as cold until its health path says otherwise.
+    fn expect_cold(&mut self, now: Moment) {
+        let spec = self.view.desired.as_ref();
+        let spec = spec.and_then(|d| d.service(&self.settings.service));
+        let cold_for = spec.map_or(Duration::ZERO, |s| s.cold_for);
+        if let Some(process) = &mut self.process {
+            process.cold_until = process.cold_until.max(now + cold_for);
+        }
+        self.probe(now);
+    }
+
+    fn update_cold(&mut self, now: Moment) {
+        let spec = self.view.desired.as_ref();
+        let spec = spec.and_then(|d| d.service(&self.settings.service));
+        let cold = self.process.as_ref().zip(spec).map(|(p, s)| ColdRate {
+            until: p.cold_until,
+            per_second: s.cold_rate,
+        });
+        let cold = cold.filter(|c| now < c.until);
+        let actions = self.gate.set_cold(cold, now);
+        self.carry_out(actions, now);
+        self.tell_load(now);
+    }
+
+    pub(super) fn check_in(&mut self, check_in: CheckIn, now: Moment) {
+        let instance = check_in.instance.as_ref();
+        let other_addr = check_in.addr.is_some_and(|a| a != self.settings.addr);
+        let other_service = check_in
+            .service
+            .as_ref()
+            .is_some_and(|s| *s != self.settings.service);
+        if other_addr || other_service || self.retired.iter().any(|r| **r == *instance) {
+            log::info!(event = "check-in-passed-over", instance = instance; "check-in is not of the present upstream");
+            return;
+        }
+        let old = self.process.clone();
+        let effect = match &mut self.process {
+            Some(process) => process.check_in(&check_in, now),
+            None => {
+                self.process = Some(UpstreamProcess::announced(&check_in, now));
+                CheckInEffect::Changed
+            }
+        };
+        if effect == CheckInEffect::Stale {
+            log::info!(event = "check-in-passed-over", instance = instance, sequence = check_in.sequence; "check-in is older than what is known");
+            return;
+        }
+        if let Some(slots) = check_in.slots {
+            self.set_slots(usize::from(slots), now);
+        }
+        if effect == CheckInEffect::Changed {
+            self.retire(old);
+            self.unreachable = false;
+            log::info!(event = "upstream-changed", instance = instance, state:% = check_in.state, sequence = check_in.sequence, cold_ms = check_in.cold_for.as_millis() as u64; "upstream changed");
+            self.upstream_changed(now);
+        }
+        self.update_cold(now);
+    }
+
+    /// Remembers a process that another one has replaced.
+    fn retire(&mut self, old: Option<UpstreamProcess>) {
+        let current = self.process.as_ref().map(|p| Arc::clone(&p.instance));
+        let old = old
+            .map(|p| p.instance)
+            .filter(|i| Some(i) != current.as_ref());
+        if let Some(instance) = old {
+            if self.retired.len() == self.retired.inline_size() {
+                self.retired.remove(0);
+            }
+            self.retired.push(instance);
+        }
+    }
+
+    fn set_slots(&mut self, slots: usize, now: Moment) {
+        if slots > 0 && slots != self.slots {
+            self.slots = slots;
+            let actions = self.gate.set_slots(slots, now);
+            self.carry_out(actions, now);
+        }
+    }
+
+    pub(super) fn health(&mut self, report: Option<HealthReport>, now: Moment) {
+        self.probing = None;
+        self.informed = now;
+        let Some(report) = report else {
+            self.set_unreachable(true, now);
+            return;
+        };
+        self.set_unreachable(false, now);
+        if let Some(instance) = report.instance.as_deref() {
+            self.probed(instance, &report, now);
+        }
+        if let Some(load) = report.load {
+            self.observe(load, now);
+        }
+        self.update_cold(now);
+    }
+
+    fn probed(&mut self, instance: &str, report: &HealthReport, now: Moment) {
+        match &mut self.process {
+            Some(process) if *process.instance == *instance => {
+                process.cold_until = now + report.cold_for.unwrap_or_default();
+            }
+            _ => {
+                let old = self.process.take();
+                self.process = Some(UpstreamProcess::probed(instance, report, now));
+                self.retire(old);
+                log::info!(event = "upstream-changed", instance = instance, healthy = report.healthy; "health path names another process");
+                self.upstream_changed(now);
+            }
+        }
+    }
+
+    fn set_unreachable(&mut self, unreachable: bool, now: Moment) {
+        if unreachable == self.unreachable {
+            return;
+        }
+        self.unreachable = unreachable;
+        if unreachable {
+            self.refuse_waiting(Cause::Unreachable);
+        }
+        log::info!(event = "upstream-reachable", reachable = !unreachable; "upstream reachable or not");
+        self.upstream_changed(now);
+    }
+
+    /// Notes load that the upstream reported.
+    fn observe(&mut self, load: UpstreamLoad, now: Moment) {
+        self.informed = now;
+        self.set_slots(usize::from(load.slots), now);
+        if let Some(slowdown) = load.slowdown {
+            self.slowdown = slowdown;
+            let actions = self.gate.set_slowdown(slowdown, now);
+            self.carry_out(actions, now);
+        }
+        self.tell_load(now);
+    }
+
+    /// Acts on a change of the process or its state.
+    fn upstream_changed(&mut self, now: Moment) {
+        if !self.takes_work() {
+            self.refuse_waiting(Cause::Leaving);
+        }
+        let upstreams = self.process.iter().map(|p| Upstream {
+            service: self.settings.service.clone(),
+            port: self.settings.addr.port(),
+            slots: u16::try_from(self.slots).unwrap_or(u16::MAX),
+            incarnation: Incarnation(p.born),
+            state: if self.unreachable && p.is_ready() {
+                UpstreamState::Lost
+            } else {
+                p.state
+            },
+        });
+        let message = MembersMessage::Upstreams(upstreams.collect());
+        if let Err(e) = self.outlets.members.try_send(message) {
+            log::warn!(event = "upstream-not-passed-on"; "{e}");
+        }
+        self.tell_load(now);
+    }
+
+    fn takes_work(&self) -> bool {
+        let ready = self.process.as_ref().is_some_and(UpstreamProcess::is_ready);
+        ready && !self.unreachable && !self.draining
+    }
+
+    pub(super) fn load(&self, now: Moment) -> Option<LoadReport> {
+        self.process.as_ref()?;
+        let load = self.gate.load();
+        Some(LoadReport {
+            running: load.running,
+            waiting: load.waiting,
+            slots: load.slots,
+            slowdown: self.slowdown,
+            cold: self.gate.is_cold(now),
+        })
+    }
+
+    /// Tells the router the load, and neighbours if it changed much.
+    fn tell_load(&mut self, now: Moment) {
+        let Some(load) = self.load(now) else {
+            return;
+        };
+        if let Err(e) = self.outlets.router.try_send(RouterMessage::OwnLoad(load)) {
+            log::debug!("{e}; the next change tells the load");
+        }
+        let news = self.told.is_none_or(|told| {
+            let ratio = load.slowdown / told.slowdown.max(0.01);
+            let crowded = |l: &LoadReport| l.waiting > 0;
+            !(1.0 / TOLD_RATIO..=TOLD_RATIO).contains(&ratio)
+                || told.cold != load.cold
+                || (crowded(&told) != crowded(&load) && load.waiting != 1)
+        });
+        if news
+            && self
+                .outlets
+                .loads
+                .try_send(LoadsMessage::Changed(load))
+                .is_ok()
+        {
+            self.told = Some(load);
+        }
+    }
+
+    pub(super) fn admit(&mut self, call: AdmitCall, reply: Reply<Admitted>, now: Moment) {
+        if let Err(cause) = self.check(&call) {
+            reply.send(Admitted::Refused {
+                cause,
+                wait: DEFAULT_WAIT,
+                load: self.load(now),
+            });
+            return;
+        }
+        self.next_id += 1;
+        let id = self.next_id;
+        self.waiting.insert(id, reply);
+        let call = GateCall {
+            id: GateId(id),
+            work: call.work,
+            priority: call.priority,
+            objective: call.objective,
+            deadline: call.deadline,
+            elsewhere: call.elsewhere,
+        };
+        let actions = self.gate.offer(call, now);
+        self.carry_out(actions, now);
+        self.drop_abandoned(now);
+        self.tell_load(now);
+    }
+
+    /// Checks what no wait would change.
+    fn check(&self, call: &AdmitCall) -> Result<(), Cause> {
+        if self.view.domains_out.contains(&self.settings.domain) {
+            return Err(Cause::DomainOut);
+        }
+        if !call.homes.is_empty() && !call.homes.contains(&self.settings.region) {
+            return Err(Cause::NoUpstream);
+        }
+        if call.service != self.settings.service || !self.takes_work() {
+            return Err(Cause::Leaving);
+        }
+        Ok(())
+    }
+
+    /// Removes calls from the gate whose senders have gone.
+    fn drop_abandoned(&mut self, now: Moment) {
+        let abandoned = self.waiting.iter().filter(|(_, r)| r.is_abandoned());
+        let abandoned: SmallVec<[u64; 4]> = abandoned.map(|(id, _)| *id).collect();
+        for id in abandoned {
+            self.waiting.remove(&id);
+            let actions = self.gate.finish(GateId(id), false, now);
+            self.carry_out(actions, now);
+        }
+    }
+
+    pub(super) fn finish(&mut self, report: PermitReport, now: Moment) {
+        self.running = self.running.saturating_sub(1);
+        if let Some(load) = report.load {
+            self.observe(load, now);
+        }
+        match report.end {
+            PermitEnd::Unreachable => self.set_unreachable(true, now),
+            PermitEnd::OtherInstance => self.probe(now),
+            PermitEnd::Lost if self.probing.is_none() => self.probe(now),
+            _ => {}
+        }
+        let answered = report.end == PermitEnd::Answered;
+        let actions = self.gate.finish(GateId(report.id), answered, now);
+        self.carry_out(actions, now);
+        self.tell_load(now);
+        self.report_drained();
+    }
+
+    fn carry_out(&mut self, actions: GateActions, now: Moment) {
+        let mut pending = actions;
+        while !pending.is_empty() {
+            let mut further = GateActions::new();
+            for action in std::mem::take(&mut pending) {
+                further.extend(self.act(action, now));
+            }
+            pending = further;
+        }
+    }
+
+    fn act(&mut self, action: GateAction, now: Moment) -> GateActions {
+        match action {
+            GateAction::Start(GateId(id)) => {
+                let reply = self.waiting.remove(&id).filter(|r| !r.is_abandoned());
+                let instance = self.process.as_ref().map(|p| Arc::clone(&p.instance));
+                let Some(reply) = reply else {
+                    return self.gate.finish(GateId(id), false, now);
+                };
+                self.running += 1;
+                let cancelled = PermitReport {
+                    id,
+                    end: PermitEnd::Cancelled,
+                    load: None,
+                };
+                reply.send(Admitted::Run(Permit {
+                    addr: self.settings.addr,
+                    instance,
+                    report: Completion::new(self.outlets.reports.clone(), cancelled),
+                    id,
+                }));
+            }
+            GateAction::Refuse(GateId(id), refusal) => {
+                if let Some(reply) = self.waiting.remove(&id) {
+                    let (cause, wait) = match refusal {
+                        GateRefusal::Elsewhere { expected } => (Cause::Elsewhere, expected),
+                        GateRefusal::Hopeless { drain } => (Cause::Overloaded, drain),
+                    };
+                    let load = self.load(now);
+                    reply.send(Admitted::Refused { cause, wait, load });
+                }
+            }
+        }
+        GateActions::new()
+    }
+
+    fn refuse_waiting(&mut self, cause: Cause) {
+        for GateId(id) in self.gate.refuse_waiting() {
+            if let Some(reply) = self.waiting.remove(&id) {
+                reply.send(Admitted::Refused {
+                    cause,
+                    wait: DEFAULT_WAIT,
+                    load: None,
+                });
+            }
+        }
+    }
+
+    pub(super) fn drain(&mut self, reply: Reply<()>, now: Moment) {
+        self.draining = true;
+        self.drain = Some(reply);
+        self.refuse_waiting(Cause::Leaving);
+        self.tell_load(now);
+        self.report_drained();
+    }
+
+    fn report_drained(&mut self) {
+        if self.running == 0
+            && let Some(reply) = self.drain.take()
+        {
+            reply.send(());
+        }
+    }
+}
--- /dev/null
+++ b/crates/relay/src/lib.rs
@@ -0,0 +1,32 @@
+//! Daemon beside one upstream on a platform that keeps what must last.
+//!
+//! The crate holds the request path (`entry`, `router`, `peers`, `guard`, `runner`), membership and
+//! configuration as services of the kernel. Decisions are state machines of `cornelvalve-policy`.
+//! The platform's protocol is behind the traits of [`ports`]: store, dialect of HTTP and form of
+//! check-ins.
+
+mod check_ins;
+mod control;
+pub mod desired;
+mod entry;
+mod guard;
+mod hop;
+mod links;
+mod listener;
+mod loads;
+pub mod logging;
+mod members;
+mod messages;
+mod monitor;
+mod names;
+mod node;
+mod peers;
+mod pool;
+pub mod ports;
+mod ready;
+mod registry;
+mod router;
+mod runner;
+mod stats;
+
+pub use node::{Listen, Node, NodeSettings, Parts, Result, StartError};
--- /dev/null
+++ b/crates/relay/src/members.rs
@@ -0,0 +1,208 @@
+//! Membership service: owns the datagram socket and wraps the membership state machine.
+
+use std::net::{SocketAddr, UdpSocket as StdSocket};
+use std::sync::Arc;
+use std::time::Duration;
+
+use cornelvalve_kernel::{Context, Mailbox, ServiceResult};
+use cornelvalve_membership::{Action, Event, Membership, MembershipSettings, Message};
+use cornelvalve_model::{Member, Moment, Revision, VmName};
+use cornelvalve_wire::datagram;
+use tokio::net::UdpSocket;
+
+use crate::desired::Version;
+use crate::messages::{
+    ControlMessage, LoadsMessage, MembersMessage, RegistryMessage, RouterMessage,
+};
+use crate::names::{CONTROL, LOADS, MEMBERS, REGISTRY, ROUTER};
+
+/// Largest datagram that is read.
+const RECEIVE_BYTES: usize = 2048;
+
+/// Settings for deployments that lose a failure domain for a few seconds.
+fn settings() -> MembershipSettings {
+    MembershipSettings {
+        remote_period: Duration::from_secs(2),
+        sync_period: Duration::from_secs(10),
+        suspicion_periods: 3,
+        ..MembershipSettings::default()
+    }
+}
+
+/// Runs the membership service.
+pub(crate) async fn run_members(
+    mut context: Context<MembersMessage>,
+    socket: Arc<StdSocket>,
+    own: Member,
+    seed: u64,
+) -> ServiceResult {
+    let settings = settings();
+    context
+        .subscribe(MEMBERS, settings.tick_period(), |_| MembersMessage::Tick)
+        .await?;
+    let mut service = MembersService {
+        socket: UdpSocket::from_std(socket.try_clone()?)?,
+        own_vm: own.vm.clone(),
+        membership: Membership::new(settings, own, seed),
+        joined: false,
+        behind: false,
+        router: context.registry.mailbox(ROUTER)?,
+        control: context.registry.mailbox(CONTROL)?,
+        registry: context.registry.mailbox(REGISTRY)?,
+        loads: context.registry.mailbox(LOADS)?,
+    };
+    service.publish_all();
+    let mut buffer = [0; RECEIVE_BYTES];
+    loop {
+        tokio::select! {
+            () = context.stop.requested() => return Ok(()),
+            message = context.inbox.recv() => match message {
+                Some(message) => service.handle(message, context.clock.now()).await,
+                None => return Ok(()),
+            },
+            received = service.socket.recv_from(&mut buffer) => match received {
+                Ok((length, from)) => {
+                    let datagram = buffer.get(..length).unwrap_or_default();
+                    service.receive(datagram, from, context.clock.now()).await;
+                }
+                // An earlier datagram met a closed port; the probes notice what it means.
+                Err(e) => log::debug!("receive failed: {e}"),
+            },
+        }
+    }
+}
+
+struct MembersService {
+    socket: UdpSocket,
+    own_vm: VmName,
+    membership: Membership,
+    /// Whether the registry knows that others were found.
+    joined: bool,
+    /// Whether the router missed a message and needs all records again.
+    behind: bool,
+    router: Mailbox<RouterMessage>,
+    control: Mailbox<ControlMessage>,
+    registry: Mailbox<RegistryMessage>,
+    loads: Mailbox<LoadsMessage>,
+}
+
+impl MembersService {
+    async fn handle(&mut self, message: MembersMessage, now: Moment) {
+        match message {
+            MembersMessage::Upstreams(upstreams) => {
+                self.on(Event::SetUpstreams(upstreams), now).await;
+            }
+            MembersMessage::Applied(revision) => {
+                self.on(Event::SetRevision(revision), now).await;
+            }
+            MembersMessage::Seeds(seeds) => {
+                self.on(Event::AddSeeds(seeds.into_iter().collect()), now)
+                    .await;
+            }
+            MembersMessage::Leave => self.on(Event::Leave, now).await,
+            MembersMessage::Republish => self.publish_all(),
+            MembersMessage::Tick => {
+                if self.behind {
+                    self.publish_all();
+                }
+                self.on(Event::Tick, now).await;
+            }
+        }
+    }
+
+    async fn receive(&mut self, bytes: &[u8], from: SocketAddr, now: Moment) {
+        match datagram::decode(bytes) {
+            Ok(message) => self.on(Event::Received { from, message }, now).await,
+            Err(e) => log::debug!("datagram from {from} was dropped: {e}"),
+        }
+    }
+
+    async fn on(&mut self, event: Event, now: Moment) {
+        let actions = self.membership.on(event, now);
+        let mut changed = Vec::new();
+        for action in actions {
+            match action {
+                Action::Send { to, message, .. } => self.send(to, &message).await,
+                Action::MemberChanged(vm) => changed.push(vm),
+                Action::PeerRevision { vm, revision, .. } => self.report_ahead(&vm, revision),
+                // Requests show at first hand whether a region can be reached.
+                Action::RegionChanged(_) | Action::RevisionReported { .. } => {}
+            }
+        }
+        if !changed.is_empty() {
+            self.publish(changed);
+        }
+    }
+
+    fn report_ahead(&self, vm: &VmName, revision: Revision) {
+        let Some(member) = self.membership.get(vm) else {
+            return;
+        };
+        let message = ControlMessage::PeerAhead {
+            addr: member.peer_addr,
+            version: Version(revision.0),
+        };
+        if let Err(e) = self.control.try_send(message) {
+            log::debug!("{e}; the next probe reports the same version again");
+        }
+    }
+
+    async fn send(&self, to: SocketAddr, message: &Message) {
+        let sent = match datagram::encode(message) {
+            Ok(bytes) => self.socket.send_to(&bytes, to).await.map(|_| ()),
+            Err(e) => {
+                log::warn!(event = "datagram-not-sent"; "{e}");
+                return;
+            }
+        };
+        if let Err(e) = sent {
+            log::debug!("send to {to} failed: {e}");
+        }
+    }
+
+    fn publish_all(&mut self) {
+        let all: Vec<VmName> = self.membership.members().map(|m| m.vm.clone()).collect();
+        self.behind = false;
+        self.publish(all);
+    }
+
+    fn publish(&mut self, changed: Vec<VmName>) {
+        let mut members = Vec::new();
+        let mut removed = Vec::new();
+        for vm in changed {
+            match self.membership.get(&vm) {
+                Some(member) => {
+                    log::info!(event = "member-changed", vm = vm.as_str(), state:% = member.state, upstreams = member.upstreams.len(); "member changed");
+                    members.push(member.clone());
+                }
+                None => removed.push(vm),
+            }
+        }
+        let message = RouterMessage::Members { members, removed };
+        if let Err(e) = self.router.try_send(message) {
+            log::warn!(event = "members-not-passed-on"; "{e}; sent again with the next tick");
+            self.behind = true;
+        }
+        self.tell_others();
+    }
+
+    /// Tells the registry that others are known, and whom to tell the load.
+    fn tell_others(&mut self) {
+        let own = self.membership.own();
+        let others = self.membership.members();
+        let others = others.filter(|m| m.vm != self.own_vm && m.state.takes_work());
+        let (mut any, mut near) = (false, Vec::new());
+        for member in others {
+            any = true;
+            if member.region == own.region {
+                near.push(member.peer_addr);
+            }
+        }
+        if any && !self.joined && self.registry.try_send(RegistryMessage::Joined).is_ok() {
+            self.joined = true;
+        }
+        if let Err(e) = self.loads.try_send(LoadsMessage::Neighbours(near)) {
+            log::debug!("{e}; the next change tells all neighbours");
+        }
+    }
+}
--- /dev/null
+++ b/crates/relay/src/messages.rs
@@ -0,0 +1,400 @@
+//! Messages of the services.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use cornelvalve_kernel::{Reply, Tick};
+use cornelvalve_model::{Member, Moment, Revision, Upstream, VmName};
+use cornelvalve_policy::{LoadReport, PlaceEnd, WorkKey};
+use smallvec::SmallVec;
+
+use crate::desired::{CallerLimits, ControlView, RouteSpec, Version};
+use crate::ports::{Addresses, Cause, CheckIn, HealthReport, UpstreamLoad};
+use cornelvalve_kernel::Completion;
+use cornelvalve_model::ServiceName;
+
+/// Messages to a listener: none yet, its connections are its work.
+#[derive(Debug)]
+pub(crate) enum ListenerMessage {}
+
+/// Messages to the control service.
+#[derive(Debug)]
+pub(crate) enum ControlMessage {
+    /// A read of the store ended.
+    Read(Box<crate::control::ReadResult>),
+    /// A peer answered with its view.
+    PeerView(Box<ControlView>),
+    /// A peer has a later version than this daemon.
+    PeerAhead {
+        /// Address of the peer.
+        addr: SocketAddr,
+        /// Its version.
+        version: Version,
+    },
+    /// Asks for the present view.
+    View {
+        /// Receives it.
+        reply: Reply<Arc<ControlView>>,
+    },
+    /// Publishes the present view to all services again.
+    Republish,
+}
+
+/// Messages to the registry service.
+#[derive(Debug)]
+pub(crate) enum RegistryMessage {
+    /// Other daemons are known now.
+    Joined,
+}
+
+/// Messages to the membership service.
+#[derive(Debug)]
+pub(crate) enum MembersMessage {
+    /// The upstream beside this daemon as it is now.
+    Upstreams(SmallVec<[Upstream; 1]>),
+    /// This daemon has applied a version.
+    Applied(Revision),
+    /// Addresses of other daemons.
+    Seeds(Addresses),
+    /// This daemon stops; sent again, it has stopped.
+    Leave,
+    /// Sends all members to the router again.
+    Republish,
+    /// Periodic tick.
+    Tick,
+}
+
+/// Messages to the service that tells neighbours the load.
+#[derive(Debug)]
+pub(crate) enum LoadsMessage {
+    /// The load of the upstream changed so much that neighbours should know.
+    Changed(LoadReport),
+    /// Addresses of the daemons to be told.
+    Neighbours(Vec<SocketAddr>),
+}
+
+/// Route that a request takes, as decided once for all its attempts.
+#[derive(Debug)]
+pub(crate) struct Plan {
+    /// Route.
+    pub(crate) route: RouteSpec,
+    /// Service among those of the route.
+    pub(crate) service: ServiceName,
+    /// Version of the desired state.
+    pub(crate) version: Version,
+    /// Kind of work.
+    pub(crate) work: WorkKey,
+}
+
+/// VMs that a request need not be offered to again.
+pub(crate) type Tried = SmallVec<[VmName; 4]>;
+
+/// Asks for a place for one attempt.
+#[derive(Clone, Debug)]
+pub(crate) struct PlaceQuery {
+    /// Route of the request.
+    pub(crate) plan: Arc<Plan>,
+    /// VMs where it cannot be served.
+    pub(crate) tried: Tried,
+    /// VMs that handed it back because another place should be faster.
+    pub(crate) handed_back: Tried,
+    /// Whether it has reached an upstream before, so that the retry budget must allow it.
+    pub(crate) again: bool,
+    /// Whether the place should keep it even if it must wait.
+    pub(crate) settle: bool,
+    /// Size of its body in bytes.
+    pub(crate) body_bytes: usize,
+}
+
+/// Place for one attempt.
+#[derive(Debug)]
+pub(crate) struct Placed {
+    /// VM.
+    pub(crate) vm: VmName,
+    /// Address of its daemon; `None` for the upstream beside this daemon.
+    pub(crate) addr: Option<SocketAddr>,
+    /// Time within which its daemon must confirm that it has the request.
+    pub(crate) taken_within: Duration,
+    /// Time after which the request would end at the next best place.
+    pub(crate) elsewhere: Option<Duration>,
+    /// Expected time until the request ends.
+    pub(crate) expected: Duration,
+    /// Reports the end of the attempt.
+    pub(crate) report: Completion<PlaceReport>,
+}
+
+/// End of an attempt at a place.
+#[derive(Clone, Debug)]
+pub(crate) struct PlaceReport {
+    /// VM.
+    pub(crate) vm: VmName,
+    /// How it ended.
+    pub(crate) end: PlaceEnd,
+    /// Load that the answer reported.
+    pub(crate) load: Option<LoadReport>,
+    /// What a served request took.
+    pub(crate) served: Option<Served>,
+}
+
+/// What a served request took.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Served {
+    /// Kind of work.
+    pub(crate) work: WorkKey,
+    /// Time for which the upstream worked.
+    pub(crate) held: Duration,
+    /// Size of the response body in bytes.
+    pub(crate) body_bytes: usize,
+}
+
+/// Messages to the router.
+#[derive(Debug)]
+pub(crate) enum RouterMessage {
+    /// Finds the route of a request.
+    Plan {
+        /// Host.
+        host: Box<str>,
+        /// Request target.
+        target: Box<str>,
+        /// Receives the plan, or why there is none.
+        reply: Reply<Result<Arc<Plan>, Cause>>,
+    },
+    /// Finds a place for an attempt.
+    Place {
+        /// What is asked.
+        query: Box<PlaceQuery>,
+        /// Receives the place, or why there is none.
+        reply: Reply<Result<Placed, Cause>>,
+    },
+    /// Members changed.
+    Members {
+        /// Their records.
+        members: Vec<Member>,
+        /// Names of those that are no members any more.
+        removed: Vec<VmName>,
+    },
+    /// A neighbour tells the load of its upstream.
+    Report {
+        /// Address of its daemon.
+        addr: SocketAddr,
+        /// The load.
+        load: LoadReport,
+    },
+    /// The load of the upstream beside this daemon.
+    OwnLoad(LoadReport),
+    /// What operators have decided.
+    Control(Arc<ControlView>),
+}
+
+/// Call that asks for admission.
+#[derive(Clone, Debug)]
+pub(crate) struct AdmitCall {
+    /// Service that should run it.
+    pub(crate) service: ServiceName,
+    /// Regions in which it may be served.
+    pub(crate) homes: SmallVec<[cornelvalve_model::Region; 2]>,
+    /// Kind of work.
+    pub(crate) work: WorkKey,
+    /// Priority.
+    pub(crate) priority: u8,
+    /// Moment by which an answer meets the latency objective.
+    pub(crate) objective: Moment,
+    /// Moment after which nobody waits for the answer.
+    pub(crate) deadline: Moment,
+    /// Time after which it would end at the next best place.
+    pub(crate) elsewhere: Option<Duration>,
+}
+
+/// Answer to a call for admission.
+#[derive(Debug)]
+pub(crate) enum Admitted {
+    /// The call may run.
+    Run(Permit),
+    /// The call does not run.
+    Refused {
+        /// Why.
+        cause: Cause,
+        /// Time after which there is expected to be room.
+        wait: Duration,
+        /// Load of the upstream.
+        load: Option<LoadReport>,
+    },
+}
+
+/// Right to send one request to the upstream.
+#[derive(Debug)]
+pub(crate) struct Permit {
+    /// Address of the upstream.
+    pub(crate) addr: SocketAddr,
+    /// Identifier of the process that should run it.
+    pub(crate) instance: Option<Arc<str>>,
+    /// Reports the end.
+    pub(crate) report: Completion<PermitReport>,
+    /// Identifies the permit.
+    pub(crate) id: u64,
+}
+
+/// End of a permitted request.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct PermitReport {
+    /// Identifies the permit.
+    pub(crate) id: u64,
+    /// How it ended.
+    pub(crate) end: PermitEnd,
+    /// Load that the upstream reported.
+    pub(crate) load: Option<UpstreamLoad>,
+}
+
+/// How a permitted request ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum PermitEnd {
+    /// The upstream answered.
+    Answered,
+    /// The upstream refused to run it.
+    Refused,
+    /// Another process has the upstream's address.
+    OtherInstance,
+    /// The upstream took no connection.
+    Unreachable,
+    /// The connection or the answer failed.
+    Lost,
+    /// Nobody waits for it any more.
+    Cancelled,
+}
+
+/// Messages to the guard.
+#[derive(Debug)]
+pub(crate) enum GuardMessage {
+    /// Asks for admission.
+    Admit {
+        /// The call.
+        call: Box<AdmitCall>,
+        /// Receives the answer, possibly after a wait.
+        reply: Reply<Admitted>,
+    },
+    /// The upstream checked in; the reply tells that the guard acts on it.
+    CheckIn {
+        /// The check-in.
+        check_in: Box<CheckIn>,
+        /// Receives the confirmation.
+        reply: Reply<()>,
+    },
+    /// The health path answered, or could not be reached.
+    Health(Option<HealthReport>),
+    /// What operators have decided.
+    Control(Arc<ControlView>),
+    /// Takes nothing new; replies when nothing runs.
+    Drain {
+        /// Receives the end of the drain.
+        reply: Reply<()>,
+    },
+    /// Asks for the present load.
+    Load {
+        /// Receives it; `None` without an upstream.
+        reply: Reply<Option<LoadReport>>,
+    },
+}
+
+/// Messages to the monitor.
+#[derive(Debug)]
+pub(crate) enum MonitorMessage {
+    /// Asks the upstream's health path now.
+    Probe {
+        /// Address of the upstream.
+        addr: SocketAddr,
+        /// Path.
+        path: Box<str>,
+    },
+}
+
+/// Messages to a pool of idle connections.
+#[derive(Debug)]
+pub(crate) enum PoolMessage<C> {
+    /// Asks for an idle connection.
+    Checkout {
+        /// Address.
+        addr: SocketAddr,
+        /// Receives it; `None` if there is none.
+        reply: Reply<Option<C>>,
+    },
+    /// Hands back a connection whose exchange ended cleanly.
+    Return {
+        /// Address.
+        addr: SocketAddr,
+        /// The connection.
+        connection: C,
+        /// Time for which it may stay idle.
+        idle_for: Duration,
+    },
+    /// Periodic tick.
+    Tick(Tick),
+}
+
+/// Messages to the counting service.
+#[derive(Debug)]
+pub(crate) enum StatsMessage {
+    /// A request of a caller ended.
+    Request(RequestRecord),
+    /// Asks for the metrics as text.
+    Scrape {
+        /// Receives them.
+        reply: Reply<String>,
+    },
+    /// Asks whether the daemon is ready, and the limits on callers.
+    Ready {
+        /// Receives the answer.
+        reply: Reply<bool>,
+    },
+    /// What operators have decided.
+    Control(Arc<ControlView>),
+    /// The daemon stops.
+    Stopping,
+    /// Asks for the time since the last request ended, and the number that run.
+    Activity {
+        /// Receives it.
+        reply: Reply<Activity>,
+    },
+    /// A request of a caller has begun.
+    Began,
+}
+
+/// How busy the entry is.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Activity {
+    /// Requests that run.
+    pub(crate) running: u64,
+    /// Time since the last request began or ended.
+    pub(crate) quiet: Duration,
+}
+
+/// How a request of a caller ended.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct RequestRecord {
+    /// Whether an upstream answered; else why not.
+    pub(crate) end: RequestEnd,
+    /// Time from its last byte to the answer.
+    pub(crate) took: Duration,
+    /// Attempts that reached an upstream.
+    pub(crate) arrivals: u32,
+    /// Times that it was handed back.
+    pub(crate) hand_backs: u32,
+}
+
+/// End of a request of a caller.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub(crate) enum RequestEnd {
+    /// An upstream answered.
+    Answered,
+    /// An upstream answered with a failure.
+    Failed,
+    /// It was refused and has not run.
+    Refused(Cause),
+    /// It may have run.
+    Unknown(Cause),
+    /// The caller left.
+    Left,
+}
+
+/// Limits on callers in force, shared with the connections.
+pub(crate) type LimitsReceiver = tokio::sync::watch::Receiver<CallerLimits>;
--- /dev/null
+++ b/crates/relay/src/peers.rs
@@ -0,0 +1,85 @@
+//! Peers service: takes requests of other daemons for the upstream beside this one.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use cornelvalve_http1::SocketTimeouts;
+use cornelvalve_kernel::{Context, Mailbox, ServiceResult};
+use tokio::net::{TcpListener, TcpStream};
+
+use crate::hop::{self, FrameConnection, HopCall, HopError, HopReply, HopRequest};
+use crate::listener::run_listener;
+use crate::messages::{ControlMessage, ListenerMessage};
+use crate::names::CONTROL;
+use crate::runner::Runner;
+
+/// Runs the peers service.
+pub(crate) async fn run_peers(
+    context: Context<ListenerMessage>,
+    listener: Arc<TcpListener>,
+    timeouts: SocketTimeouts,
+    runner: Runner,
+) -> ServiceResult {
+    let control = context.registry.mailbox(CONTROL)?;
+    run_listener(context, &listener, timeouts, move |stream, from| {
+        let peer = Peer {
+            runner: runner.clone(),
+            control: control.clone(),
+        };
+        peer.serve(stream, from)
+    })
+    .await
+}
+
+struct Peer {
+    runner: Runner,
+    control: Mailbox<ControlMessage>,
+}
+
+impl Peer {
+    async fn serve(self, stream: TcpStream, from: SocketAddr) {
+        let mut connection = FrameConnection::new(stream);
+        loop {
+            match self.serve_one(&mut connection).await {
+                Ok(()) => {}
+                Err(HopError::Closed) => return,
+                Err(e) => {
+                    log::debug!("connection of {from} ended: {e}");
+                    return;
+                }
+            }
+        }
+    }
+
+    async fn serve_one(&self, connection: &mut FrameConnection) -> hop::Result<()> {
+        match connection.receive().await? {
+            HopCall::Run(request) => self.run(connection, request).await,
+            HopCall::Control => {
+                let view = self
+                    .control
+                    .ask(|reply| ControlMessage::View { reply })
+                    .await;
+                let view = view.map_err(|e| HopError::Malformed(e.to_string()))?;
+                let reply = HopReply::Control(Box::new(view.as_ref().clone()));
+                connection.send(&hop::encode(&reply)?).await
+            }
+        }
+    }
+
+    /// Runs a request unless its sender closes the connection meanwhile.
+    async fn run(&self, connection: &mut FrameConnection, request: HopRequest) -> hop::Result<()> {
+        connection.send(&hop::encode(&HopReply::Taken)?).await?;
+        let result = tokio::select! {
+            result = self.runner.run(&request) => result,
+            () = connection.closed() => {
+                log::debug!(event = "cancelled-here", request = request.attempt.as_deref(); "the other daemon cancelled the request");
+                return Err(HopError::Closed);
+            }
+        };
+        let reply = HopReply::Done {
+            outcome: result.outcome,
+            load: result.load.map(Into::into),
+        };
+        connection.send(&hop::encode(&reply)?).await
+    }
+}
--- /dev/null
+++ b/crates/relay/src/runner.rs
@@ -0,0 +1,245 @@
+//! Runs one request at the upstream beside the daemon, once the guard has admitted it.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use cornelvalve_http1::{ClientConnection, ExchangeError, OutgoingRequest, Response};
+use cornelvalve_kernel::{Clock, Mailbox};
+use cornelvalve_model::{Fingerprint, Moment};
+use cornelvalve_policy::{LoadReport, WorkKey};
+use http::HeaderMap;
+use tokio::time::{Instant, timeout_at};
+
+use crate::hop::{HopAnswer, HopHeaders, HopOutcome, HopRequest};
+use crate::links::Links;
+use crate::messages::{
+    AdmitCall, Admitted, GuardMessage, Permit, PermitEnd, PermitReport, PoolMessage,
+};
+use crate::ports::{Cause, Dialect, UpstreamHead, UpstreamLoad, Verdict};
+
+/// Retry-After given when it is not known when there will be room.
+const DEFAULT_WAIT: Duration = Duration::from_millis(300);
+
+/// Least time for which a request is still worth sending to the upstream.
+const LEAST_TIME_LEFT: Duration = Duration::from_millis(5);
+
+/// Way to the upstream; clones share the services behind it.
+#[derive(Clone)]
+pub(crate) struct Runner {
+    pub(crate) guard: Mailbox<GuardMessage>,
+    pub(crate) pool: Mailbox<PoolMessage<ClientConnection>>,
+    pub(crate) dialect: Arc<dyn Dialect>,
+    pub(crate) clock: Arc<dyn Clock>,
+    pub(crate) links: Links,
+}
+
+/// Outcome of a request with the load of the upstream after it.
+pub(crate) struct RunResult {
+    pub(crate) outcome: HopOutcome,
+    pub(crate) load: Option<LoadReport>,
+}
+
+/// What an exchange with the upstream brought.
+struct Exchanged {
+    outcome: HopOutcome,
+    end: PermitEnd,
+    load: Option<UpstreamLoad>,
+}
+
+impl Exchanged {
+    fn not_run(cause: Cause, end: PermitEnd, arrived: bool) -> Self {
+        Self {
+            outcome: HopOutcome::NotRun {
+                cause,
+                arrived,
+                wait: DEFAULT_WAIT,
+            },
+            end,
+            load: None,
+        }
+    }
+
+    fn unknown(cause: Cause, end: PermitEnd) -> Self {
+        Self {
+            outcome: HopOutcome::Unknown { cause },
+            end,
+            load: None,
+        }
+    }
+}
+
+impl Runner {
+    /// Runs a request. Dropping the future cancels it.
+    pub(crate) async fn run(&self, request: &HopRequest) -> RunResult {
+        let now = self.clock.now();
+        let deadline = now + request.time_left;
+        let call = AdmitCall {
+            service: request.service.clone(),
+            homes: request.homes.clone(),
+            work: WorkKey(Fingerprint::of(&[request.route.as_bytes()]).0),
+            priority: request.priority,
+            objective: now + request.objective_left,
+            deadline,
+            elsewhere: request.elsewhere,
+        };
+        let asked = self.guard.ask(|reply| GuardMessage::Admit {
+            call: Box::new(call),
+            reply,
+        });
+        match asked.await {
+            Ok(Admitted::Run(permit)) => self.run_permitted(request, permit, deadline).await,
+            Ok(Admitted::Refused { cause, wait, load }) => {
+                log::debug!(event = "refused-here", request = request.attempt.as_deref(), cause:% = cause, wait_ms = wait.as_millis() as u64; "guard refused");
+                let outcome = HopOutcome::NotRun {
+                    cause,
+                    arrived: false,
+                    wait,
+                };
+                RunResult { outcome, load }
+            }
+            Err(e) => {
+                log::warn!(event = "guard-unavailable", request = request.attempt.as_deref(); "{e}");
+                let outcome = HopOutcome::NotRun {
+                    cause: Cause::Internal,
+                    arrived: false,
+                    wait: DEFAULT_WAIT,
+                };
+                RunResult {
+                    outcome,
+                    load: None,
+                }
+            }
+        }
+    }
+
+    async fn run_permitted(
+        &self,
+        request: &HopRequest,
+        permit: Permit,
+        deadline: Moment,
+    ) -> RunResult {
+        let started = self.clock.now();
+        let exchanged = self.exchange(request, &permit, deadline).await;
+        let held = self.clock.now().since(started);
+        let mut outcome = exchanged.outcome;
+        if let HopOutcome::Answered(answer) = &mut outcome {
+            answer.held = held;
+        }
+        log::debug!(event = "upstream-ended", request = request.attempt.as_deref(), instance = permit.instance.as_deref(), end:? = exchanged.end, held_ms = held.as_millis() as u64; "exchange with the upstream ended");
+        permit.report.finish(PermitReport {
+            id: permit.id,
+            end: exchanged.end,
+            load: exchanged.load,
+        });
+        let load = self.guard.ask(|reply| GuardMessage::Load { reply }).await;
+        RunResult {
+            outcome,
+            load: load.ok().flatten(),
+        }
+    }
+
+    /// Sends the request to the upstream; once more if a kept connection turned out to be closed.
+    async fn exchange(&self, request: &HopRequest, permit: &Permit, deadline: Moment) -> Exchanged {
+        let mut tries = 0;
+        loop {
+            tries += 1;
+            let now = self.clock.now();
+            let time_left = deadline.since(now);
+            if time_left < LEAST_TIME_LEFT {
+                return Exchanged::not_run(Cause::Deadline, PermitEnd::Cancelled, false);
+            }
+            let end = Instant::now() + time_left;
+            let opened = timeout_at(end, self.links.upstream(&self.pool, permit.addr)).await;
+            let (connection, reused) = match opened {
+                Ok(Ok(opened)) => opened,
+                Ok(Err(e)) => {
+                    log::info!(event = "upstream-unreachable", request = request.attempt.as_deref(); "{e}");
+                    return Exchanged::not_run(Cause::Unreachable, PermitEnd::Unreachable, false);
+                }
+                Err(_) => {
+                    return Exchanged::not_run(Cause::Deadline, PermitEnd::Cancelled, false);
+                }
+            };
+            let sent = self.send(request, permit, connection, end).await;
+            match sent {
+                Err(ExchangeError::NotSent(_)) if reused && tries < 3 => {}
+                Err(e) => return failure(&e, request),
+                Ok(exchanged) => return exchanged,
+            }
+        }
+    }
+
+    async fn send(
+        &self,
+        request: &HopRequest,
+        permit: &Permit,
+        mut connection: ClientConnection,
+        end: Instant,
+    ) -> Result<Exchanged, ExchangeError> {
+        let mut headers: HeaderMap = request.headers.to_map();
+        let head = UpstreamHead {
+            caller: &request.caller,
+            instance: permit.instance.as_deref(),
+            time_left: end.saturating_duration_since(Instant::now()),
+        };
+        self.dialect.set_upstream_head(&mut headers, head);
+        let attempt = request.attempt.as_deref();
+        let outgoing = OutgoingRequest {
+            method: &request.method(),
+            target: &request.target,
+            headers: &headers,
+            body: &request.body,
+        };
+        let exchange = connection.exchange(outgoing, |r| self.dialect.belongs(r, attempt));
+        let Ok(result) = timeout_at(end, exchange).await else {
+            return Ok(Exchanged::unknown(Cause::Deadline, PermitEnd::Cancelled));
+        };
+        let response = result?;
+        let idle_for = self.dialect.keep_alive(&response.headers);
+        if response.keep_alive {
+            self.links
+                .keep_upstream(&self.pool, permit.addr, connection, idle_for);
+        }
+        Ok(self.judge(response, attempt))
+    }
+
+    fn judge(&self, response: Response, attempt: Option<&str>) -> Exchanged {
+        let load = self.dialect.load(&response.headers);
+        let exchanged = match self.dialect.verdict(&response, attempt) {
+            Verdict::Answer { failed } => Exchanged {
+                outcome: HopOutcome::Answered(self.answer(response, failed)),
+                end: PermitEnd::Answered,
+                load: None,
+            },
+            Verdict::NotRun => Exchanged::not_run(Cause::UpstreamRefused, PermitEnd::Refused, true),
+            Verdict::OtherInstance => {
+                Exchanged::not_run(Cause::Leaving, PermitEnd::OtherInstance, false)
+            }
+            Verdict::Spoiled => Exchanged::unknown(Cause::SpoiledAnswer, PermitEnd::Lost),
+        };
+        Exchanged { load, ..exchanged }
+    }
+
+    fn answer(&self, response: Response, failed: bool) -> HopAnswer {
+        let mut headers = response.headers;
+        self.dialect.strip(&mut headers);
+        HopAnswer {
+            status: response.status.as_u16(),
+            failed,
+            headers: HopHeaders::of(&headers),
+            body: response.body,
+            held: Duration::ZERO,
+        }
+    }
+}
+
+fn failure(error: &ExchangeError, request: &HopRequest) -> Exchanged {
+    log::info!(event = "upstream-exchange-failed", request = request.attempt.as_deref(); "{error}");
+    match error {
+        ExchangeError::NotSent(_) => {
+            Exchanged::not_run(Cause::Unreachable, PermitEnd::Unreachable, false)
+        }
+        ExchangeError::Lost(_) => Exchanged::unknown(Cause::ConnectionLost, PermitEnd::Lost),
+        ExchangeError::Invalid(_) => Exchanged::unknown(Cause::SpoiledAnswer, PermitEnd::Lost),
+    }
+}
--- /dev/null
+++ b/crates/relay/src/stats.rs
@@ -0,0 +1,165 @@
+//! Counting service: requests by end, latencies, readiness and the limits on callers in force.
+
+use std::sync::Arc;
+
+use cornelvalve_kernel::{Context, ServiceResult};
+use cornelvalve_model::Moment;
+use derive_more::{Display, Error};
+use prometheus::{Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry};
+use tokio::sync::watch;
+
+use crate::desired::{CallerLimits, ControlView};
+use crate::messages::{Activity, ControlMessage, RequestEnd, RequestRecord, StatsMessage};
+use crate::names::CONTROL;
+
+/// Result alias of this module.
+type Result<T> = std::result::Result<T, MetricsError>;
+
+/// Bounds of the request latency in seconds.
+const LATENCY_BOUNDS_S: [f64; 10] = [0.01, 0.03, 0.06, 0.1, 0.2, 0.3, 0.4, 0.8, 1.5, 3.0];
+
+/// Reports that the instruments cannot be set up.
+#[derive(Debug, Display, Error)]
+#[display("metrics cannot be set up: {_0}")]
+struct MetricsError(#[error(not(source))] prometheus::Error);
+
+impl From<prometheus::Error> for MetricsError {
+    fn from(error: prometheus::Error) -> Self {
+        Self(error)
+    }
+}
+
+/// Instruments of the daemon.
+struct Instruments {
+    registry: Registry,
+    requests: IntCounterVec,
+    arrivals: IntCounter,
+    hand_backs: IntCounter,
+    latency: Histogram,
+    version: IntGauge,
+}
+
+impl Instruments {
+    fn new() -> Result<Self> {
+        let opts = |name: &str, help: &str| Opts::new(format!("cornelvalve_{name}"), help);
+        let instruments = Self {
+            registry: Registry::new(),
+            requests: IntCounterVec::new(
+                opts("requests_total", "Requests of callers by end and cause"),
+                &["end", "cause"],
+            )?,
+            arrivals: IntCounter::with_opts(opts("repeats_total", "Attempts after a first one"))?,
+            hand_backs: IntCounter::with_opts(opts("hand_backs_total", "Requests handed back"))?,
+            latency: Histogram::with_opts(
+                HistogramOpts::new("cornelvalve_request_seconds", "Time to the answer")
+                    .buckets(LATENCY_BOUNDS_S.to_vec()),
+            )?,
+            version: IntGauge::with_opts(opts("version", "Version of the desired state"))?,
+        };
+        let registry = &instruments.registry;
+        registry.register(Box::new(instruments.requests.clone()))?;
+        registry.register(Box::new(instruments.arrivals.clone()))?;
+        registry.register(Box::new(instruments.hand_backs.clone()))?;
+        registry.register(Box::new(instruments.latency.clone()))?;
+        registry.register(Box::new(instruments.version.clone()))?;
+        Ok(instruments)
+    }
+
+    fn record(&self, record: &RequestRecord) {
+        let cause = match record.end {
+            RequestEnd::Refused(cause) | RequestEnd::Unknown(cause) => cause.to_string(),
+            RequestEnd::Answered | RequestEnd::Failed | RequestEnd::Left => String::new(),
+        };
+        let end = match record.end {
+            RequestEnd::Answered => "answered",
+            RequestEnd::Failed => "failed",
+            RequestEnd::Refused(_) => "refused",
+            RequestEnd::Unknown(_) => "unknown",
+            RequestEnd::Left => "left",
+        };
+        self.requests.with_label_values(&[end, &cause]).inc();
+        self.arrivals.inc_by(u64::from(record.arrivals));
+        self.hand_backs.inc_by(u64::from(record.hand_backs));
+        self.latency.observe(record.took.as_secs_f64());
+    }
+
+    fn text(&self) -> String {
+        let families = self.registry.gather();
+        prometheus::TextEncoder::new()
+            .encode_to_string(&families)
+            .unwrap_or_else(|e| {
+                log::warn!(event = "metrics-unreadable"; "{e}");
+                String::new()
+            })
+    }
+}
+
+/// Runs the counting service.
+pub(crate) async fn run_stats(
+    mut context: Context<StatsMessage>,
+    limits: Arc<watch::Sender<CallerLimits>>,
+) -> ServiceResult {
+    context
+        .registry
+        .mailbox(CONTROL)?
+        .send(ControlMessage::Republish)
+        .await?;
+    let mut stats = Stats {
+        instruments: Instruments::new()?,
+        running: 0,
+        touched: context.clock.now(),
+        has_state: false,
+        stopping: false,
+    };
+    loop {
+        let message = tokio::select! {
+            () = context.stop.requested() => return Ok(()),
+            message = context.inbox.recv() => message,
+        };
+        let Some(message) = message else {
+            return Ok(());
+        };
+        stats.handle(message, &limits, context.clock.now());
+    }
+}
+
+struct Stats {
+    instruments: Instruments,
+    running: u64,
+    touched: Moment,
+    has_state: bool,
+    stopping: bool,
+}
+
+impl Stats {
+    fn handle(&mut self, message: StatsMessage, limits: &watch::Sender<CallerLimits>, now: Moment) {
+        match message {
+            StatsMessage::Began => {
+                self.running += 1;
+                self.touched = now;
+            }
+            StatsMessage::Request(record) => {
+                self.running = self.running.saturating_sub(1);
+                self.touched = now;
+                self.instruments.record(&record);
+            }
+            StatsMessage::Scrape { reply } => reply.send(self.instruments.text()),
+            StatsMessage::Ready { reply } => reply.send(self.has_state && !self.stopping),
+            StatsMessage::Control(view) => self.set_control(&view, limits),
+            StatsMessage::Stopping => self.stopping = true,
+            StatsMessage::Activity { reply } => reply.send(Activity {
+                running: self.running,
+                quiet: now.since(self.touched),
+            }),
+        }
+    }
+
+    fn set_control(&mut self, view: &ControlView, limits: &watch::Sender<CallerLimits>) {
+        if let Some(desired) = &view.desired {
+            self.has_state = true;
+            let version = i64::try_from(desired.version.0).unwrap_or(i64::MAX);
+            self.instruments.version.set(version);
+            limits.send_replace(desired.limits);
+        }
+    }
+}
