Bound attempts by the route's limit, ask for fresh load and refuse late in a stop

Attempts are now a decision of their own with tests; a stopping daemon refuses new requests after its notice time; the guard asks for the load when what it knows is older than 30 ms.

Usual work is now learned from the work given while a call ran, not from the slowdown at its end.

--- a/crates/policy/src/gate.rs
+++ b/crates/policy/src/gate.rs
@@ -109,7 +109,8 @@
 #[derive(Clone, Copy, Debug)]
 struct Running {
     work: WorkKey,
-    since: Moment,
+    /// Work that the upstream had done for any call since the gate began, when this one started.
+    begun: f64,
 }
 
 /// Admission to one upstream.
@@ -118,6 +119,10 @@
     slots: usize,
     /// How many times longer than usual work takes now.
     slowdown: f64,
+    /// Work in seconds that a call would have been given since the gate began.
+    done: f64,
+    /// Moment up to which `done` is counted.
+    counted: Moment,
     cold: Option<ColdRate>,
     starts: VecDeque<Moment>,
     running: HashMap<GateId, Running>,
@@ -133,6 +138,8 @@
         Self {
             slots: slots.max(1),
             slowdown: 1.0,
+            done: 0.0,
+            counted: Moment::default(),
             cold: None,
             starts: VecDeque::new(),
             running: HashMap::new(),
@@ -175,6 +182,8 @@
     /// Waiting calls that another place would now end earlier are handed back.
     pub fn set_slowdown(&mut self, slowdown: f64, now: Moment) -> GateActions {
         let worse = slowdown > self.slowdown;
+        self.done = self.done_at(now);
+        self.counted = now;
         self.slowdown = slowdown.max(0.1);
         let mut actions = GateActions::new();
         if worse {
@@ -255,15 +264,21 @@
         Some(free.map_or(first, |f| f.min(first)))
     }
 
+    /// Returns the work that a call would have been given since the gate began, in seconds.
+    fn done_at(&self, now: Moment) -> f64 {
+        self.done + now.since(self.counted).as_secs_f64() / self.slowdown
+    }
+
     fn learn(&mut self, running: Running, now: Moment) {
-        let sample = now.since(running.since).as_secs_f64() / self.slowdown;
+        let sample = self.done_at(now) - running.begun;
         let usual = self.usual.entry(running.work);
         let usual = usual.or_insert(DEFAULT_WORK.as_secs_f64());
         *usual += (sample - *usual) * WORK_WEIGHT;
     }
 
     /// Returns the time that work of a kind takes at usual speed.
-    fn work(&self, key: WorkKey) -> Duration {
+    #[must_use]
+    pub fn work(&self, key: WorkKey) -> Duration {
         let seconds = self.usual.get(&key);
         seconds.map_or(DEFAULT_WORK, |s| Duration::from_secs_f64(*s))
     }
@@ -295,8 +310,9 @@
     fn residual(&self, now: Moment) -> Duration {
         let rest = self.running.values().map(|r| {
             let work = self.work(r.work);
-            let done = now.since(r.since).div_f64(self.slowdown);
-            work.saturating_sub(done).max(work.mul_f64(RESIDUAL_SHARE))
+            let done = (self.done_at(now) - r.begun).max(0.0);
+            work.saturating_sub(Duration::from_secs_f64(done))
+                .max(work.mul_f64(RESIDUAL_SHARE))
         });
         rest.sum()
     }
@@ -328,7 +344,7 @@
             let call = self.queue.swap_remove(best);
             let running = Running {
                 work: call.work,
-                since: now,
+                begun: self.done_at(now),
             };
             self.running.insert(call.id, running);
             self.note_start(now);
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -4,6 +4,7 @@
 //! [`Moment`](cornelvalve_model::Moment) and carries out the result.
 
 mod admission;
+mod attempts;
 mod balancer;
 mod breaker;
 mod gate;
@@ -18,6 +19,7 @@
     Admission, AdmissionAction, AdmissionActions, AdmissionEvent, AdmissionSettings, FinishResult,
     RequestId,
 };
+pub use attempts::{AttemptResult, Attempts};
 pub use balancer::{
     AttemptEnd, AttemptId, AttemptReport, Balancer, BalancerSettings, Choice, ChoiceRequest,
     Endpoint, EndpointIncarnation, EndpointView, Locality,
--- a/crates/policy/tests/all/main.rs
+++ b/crates/policy/tests/all/main.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod admission_fuzz;
+mod attempts;
 mod balancer;
 mod balancer_fuzz;
 mod breaker;
--- a/crates/relay/src/entry.rs
+++ b/crates/relay/src/entry.rs
@@ -30,6 +30,7 @@
     pub(crate) timeouts: SocketTimeouts,
     pub(crate) limits: LimitsReceiver,
     pub(crate) draining: watch::Receiver<bool>,
+    pub(crate) refusing: watch::Receiver<bool>,
     pub(crate) links: Links,
     pub(crate) own_service: ServiceName,
     pub(crate) runner: Runner,
@@ -45,6 +46,8 @@
     links: Links,
     own_service: ServiceName,
     runner: Runner,
+    /// Set shortly before the end of the daemon: new requests are refused.
+    refusing: watch::Receiver<bool>,
 }
 
 /// Runs the entry service.
@@ -61,6 +64,7 @@
         links: parts.links,
         own_service: parts.own_service,
         runner: parts.runner,
+        refusing: parts.refusing,
     });
     let (limits, draining) = (parts.limits, parts.draining);
     run_listener(
--- a/crates/relay/src/entry/forward.rs
+++ b/crates/relay/src/entry/forward.rs
@@ -5,7 +5,8 @@
 
 use bytes::Bytes;
 use cornelvalve_http1::{Reply, Request};
-use cornelvalve_model::Moment;
+use cornelvalve_model::{Moment, VmName};
+use cornelvalve_policy::{AttemptResult, Attempts};
 use http::header::HOST;
 use tokio::time::{Instant, timeout_at};
 
@@ -13,7 +14,7 @@
 use crate::desired::Repeat;
 use crate::hop::{HopAnswer, HopHeaders, HopOutcome, HopRequest};
 use crate::messages::{
-    PlaceQuery, Plan, RequestEnd, RequestRecord, RouterMessage, StatsMessage, Tried,
+    PlaceQuery, Placed, Plan, RequestEnd, RequestRecord, RouterMessage, StatsMessage,
 };
 use crate::ports::{Cause, FinalRefusal};
 
@@ -23,11 +24,8 @@
 /// Time before the end of the wait at which a request is answered, so that the answer is in time.
 const ANSWER_MARGIN: Duration = Duration::from_millis(20);
 
-/// Times that a request may be handed back before the next place keeps it.
-const MAX_HAND_BACKS: usize = 3;
-
-/// Places that may refuse a request, besides hand-backs, before it is refused to its caller.
-const MAX_REFUSALS: usize = 6;
+/// Time after which a daemon that stops has been started again.
+const RESTART_TIME: Duration = Duration::from_millis(800);
 
 /// Shortest Retry-After, so that a caller does not return into the same queue.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(50);
@@ -44,19 +42,9 @@
     plan: Arc<Plan>,
     started: Moment,
     deadline: Moment,
-    progress: Progress,
-}
-
-/// What has become of a request so far.
-#[derive(Debug, Default)]
-struct Progress {
-    tried: Tried,
-    handed_back: Tried,
-    /// Attempts that may have reached an upstream.
-    arrivals: u32,
-    refusals: usize,
-    /// Whether an attempt is under way or an earlier one may have run.
-    may_have_run: bool,
+    attempts: Attempts,
+    /// Whether an attempt is under way.
+    offered: bool,
     /// Shortest wait for room that a place named.
     wait: Option<Duration>,
     /// Failure that an upstream answered, kept while another one is asked.
@@ -69,6 +57,14 @@
     let mut record = Recorded::begin(entry, started);
     let head = entry.dialect.caller_head(&request.headers);
     let host = request.headers.get(HOST).and_then(|h| h.to_str().ok());
+    if *entry.refusing.borrow() {
+        log::info!(event = "request-refused", request = head.attempt.as_deref(), cause:% = Cause::Leaving; "daemon stops");
+        record.end(RequestEnd::Refused(Cause::Leaving), None);
+        return entry.refuse(&FinalRefusal {
+            retry_after: Some(RESTART_TIME),
+            ..refusal(Cause::Leaving)
+        });
+    }
     let asked = entry.router.ask(|reply| RouterMessage::Plan {
         host: host.unwrap_or_default().into(),
         target: request.target.clone(),
@@ -78,12 +74,12 @@
         Ok(Ok(plan)) => plan,
         Ok(Err(cause)) => {
             log::info!(event = "request-refused", request = head.attempt.as_deref(), cause:% = cause, target = request.target.as_ref(); "no route");
-            record.end(RequestEnd::Refused(cause), &Progress::default());
+            record.end(RequestEnd::Refused(cause), None);
             return entry.refuse(&refusal(cause));
         }
         Err(e) => {
             log::warn!(event = "router-unavailable", request = head.attempt.as_deref(); "{e}");
-            record.end(RequestEnd::Refused(Cause::Internal), &Progress::default());
+            record.end(RequestEnd::Refused(Cause::Internal), None);
             return entry.refuse(&refusal(Cause::Internal));
         }
     };
@@ -98,10 +94,13 @@
         request: &request,
         headers: HopHeaders::of(&headers),
         attempt: head.attempt,
+        attempts: Attempts::new(plan.route.attempts, plan.route.repeat == Repeat::Idempotent),
         plan,
         started,
         deadline: started + time.saturating_sub(ANSWER_MARGIN),
-        progress: Progress::default(),
+        offered: false,
+        wait: None,
+        fallback: None,
     };
     let end = Instant::now() + forwarding.time_left();
     let outcome = timeout_at(end, forwarding.run()).await;
@@ -129,85 +128,69 @@
             };
             let vm = placed.vm.clone();
             let request = self.hop_request(placed.elsewhere);
-            log::debug!(event = "placed", request = self.attempt.as_deref(), vm = vm.as_str(), expected_ms = placed.expected.as_millis() as u64, arrivals = self.progress.arrivals; "attempt");
-            let earlier = std::mem::replace(&mut self.progress.may_have_run, true);
+            log::debug!(event = "placed", request = self.attempt.as_deref(), vm = vm.as_str(), expected_ms = placed.expected.as_millis() as u64, arrivals = self.attempts.arrivals(); "attempt");
+            self.offered = true;
             let plan = Arc::clone(&self.plan);
             let outcome = self.entry.offer(placed, request, &plan).await;
-            match outcome {
-                HopOutcome::Answered(answer) if answer.failed && self.may_repeat() => {
-                    self.progress.arrivals += 1;
-                    self.progress.tried.push(vm);
-                    self.progress.fallback = Some(answer);
+            self.offered = false;
+            let cause = match outcome {
+                HopOutcome::Answered(answer) if !answer.failed => {
+                    return Conclusion::Answer(answer);
+                }
+                HopOutcome::Answered(answer) => {
+                    self.fallback = Some(answer);
+                    if !self.attempts.note(vm, AttemptResult::MayHaveRun) {
+                        return self.give_up(Cause::UpstreamRefused);
+                    }
+                    continue;
                 }
-                HopOutcome::Answered(answer) => return Conclusion::Answer(answer),
                 HopOutcome::NotRun {
                     cause,
                     arrived,
                     wait,
                 } => {
-                    self.progress.may_have_run = earlier;
                     log::debug!(event = "not-run", request = self.attempt.as_deref(), vm = vm.as_str(), cause:% = cause, wait_ms = wait.as_millis() as u64; "not run there");
-                    if let Some(end) = self.not_run(vm, cause, arrived, wait) {
-                        return end;
-                    }
-                }
-                HopOutcome::Unknown { cause } => {
-                    self.progress.arrivals += 1;
-                    self.progress.tried.push(vm);
-                    if !self.may_repeat() {
+                    if !self.not_run(vm, cause, arrived, wait) {
                         return self.give_up(cause);
                     }
+                    continue;
                 }
+                HopOutcome::Unknown { cause } => cause,
+            };
+            if !self.attempts.note(vm, AttemptResult::MayHaveRun) {
+                return self.give_up(cause);
             }
         }
     }
 
-    /// Notes that a place did not run the request; returns the end if it was the last one.
-    fn not_run(
-        &mut self,
-        vm: cornelvalve_model::VmName,
-        cause: Cause,
-        arrived: bool,
-        wait: Duration,
-    ) -> Option<Conclusion> {
-        let progress = &mut self.progress;
-        if cause == Cause::Elsewhere {
-            progress.handed_back.push(vm);
-            return None;
-        }
+    /// Notes that a place did not run the request; tells whether another one may be asked.
+    fn not_run(&mut self, vm: VmName, cause: Cause, arrived: bool, wait: Duration) -> bool {
         if matches!(cause, Cause::Overloaded) || arrived {
-            let least = progress.wait.map_or(wait, |w| w.min(wait));
-            progress.wait = Some(least);
-        }
-        progress.tried.push(vm);
-        progress.refusals += 1;
-        if arrived {
-            progress.arrivals += 1;
+            let least = self.wait.map_or(wait, |w| w.min(wait));
+            self.wait = Some(least);
         }
-        let spent = progress.arrivals >= u32::from(self.plan.route.attempts.max(1));
-        (progress.refusals >= MAX_REFUSALS || spent).then(|| self.give_up(cause))
-    }
-
-    /// Tells whether a request that may have run may be sent to a further upstream.
-    fn may_repeat(&self) -> bool {
-        let attempts = u32::from(self.plan.route.attempts.max(1));
-        self.plan.route.repeat == Repeat::Idempotent && self.progress.arrivals < attempts
+        let result = match cause {
+            _ if arrived => AttemptResult::RefusedByUpstream,
+            Cause::Elsewhere => AttemptResult::HandedBack,
+            _ => AttemptResult::RefusedByDaemon,
+        };
+        self.attempts.note(vm, result)
     }
 
-    async fn place(&self) -> Result<crate::messages::Placed, Cause> {
-        let progress = &self.progress;
+    async fn place(&self) -> Result<Placed, Cause> {
+        let attempts = &self.attempts;
         let query = PlaceQuery {
             plan: Arc::clone(&self.plan),
-            tried: progress.tried.clone(),
-            handed_back: progress.handed_back.clone(),
-            again: progress.arrivals > 0,
-            settle: progress.handed_back.len() >= MAX_HAND_BACKS,
+            tried: attempts.tried().into(),
+            handed_back: attempts.handed_back().into(),
+            again: attempts.arrivals() > 0,
+            settle: attempts.should_settle(),
             body_bytes: self.request.body.len(),
         };
         let placed = self.ask_place(query.clone()).await;
         match placed {
             // Every place handed it back, so the best of them has to keep it.
-            Err(Cause::NoUpstream) if !progress.handed_back.is_empty() && !query.settle => {
+            Err(Cause::NoUpstream) if !query.handed_back.is_empty() && !query.settle => {
                 let query = PlaceQuery {
                     settle: true,
                     ..query
@@ -218,7 +201,7 @@
         }
     }
 
-    async fn ask_place(&self, query: PlaceQuery) -> Result<crate::messages::Placed, Cause> {
+    async fn ask_place(&self, query: PlaceQuery) -> Result<Placed, Cause> {
         let query = Box::new(query);
         let asked = self
             .entry
@@ -259,11 +242,11 @@
 
     /// Ends a request for which there is no further place.
     fn give_up(&mut self, cause: Cause) -> Conclusion {
-        if let Some(answer) = self.progress.fallback.take() {
+        if let Some(answer) = self.fallback.take() {
             return Conclusion::Answer(answer);
         }
-        let not_run = !self.progress.may_have_run;
-        let wait = self.progress.wait.unwrap_or(MIN_RETRY_AFTER);
+        let not_run = !self.offered && !self.attempts.may_have_run();
+        let wait = self.wait.unwrap_or(MIN_RETRY_AFTER);
         Conclusion::Refusal(FinalRefusal {
             cause,
             not_run,
@@ -285,8 +268,8 @@
                 } else {
                     RequestEnd::Answered
                 };
-                log::debug!(event = "request-answered", request = self.attempt.as_deref(), route = route, status = answer.status, took_ms = took.as_millis() as u64, arrivals = self.progress.arrivals, hand_backs = self.progress.handed_back.len(); "answered");
-                record.end(end, &self.progress);
+                log::debug!(event = "request-answered", request = self.attempt.as_deref(), route = route, status = answer.status, took_ms = took.as_millis() as u64, arrivals = self.attempts.arrivals(), hand_backs = self.attempts.handed_back().len(); "answered");
+                record.end(end, Some(&self.attempts));
                 Reply {
                     status: answer.status(),
                     headers: answer.headers.to_map(),
@@ -300,8 +283,8 @@
                 } else {
                     RequestEnd::Unknown(refusal.cause)
                 };
-                log::info!(event = "request-refused", request = self.attempt.as_deref(), route = route, service = self.plan.service.as_str(), version = self.plan.version.0, cause:% = refusal.cause, not_run = refusal.not_run, took_ms = took.as_millis() as u64, arrivals = self.progress.arrivals, hand_backs = self.progress.handed_back.len(); "not served");
-                record.end(end, &self.progress);
+                log::info!(event = "request-refused", request = self.attempt.as_deref(), route = route, service = self.plan.service.as_str(), version = self.plan.version.0, cause:% = refusal.cause, not_run = refusal.not_run, took_ms = took.as_millis() as u64, arrivals = self.attempts.arrivals(), hand_backs = self.attempts.handed_back().len(); "not served");
+                record.end(end, Some(&self.attempts));
                 self.entry.refuse(&refusal)
             }
         }
@@ -325,13 +308,14 @@
         }
     }
 
-    fn end(&mut self, end: RequestEnd, progress: &Progress) {
+    fn end(&mut self, end: RequestEnd, attempts: Option<&Attempts>) {
         self.ended = true;
+        let hand_backs = attempts.map_or(0, |a| a.handed_back().len());
         let record = RequestRecord {
             end,
             took: self.entry.clock.now().since(self.started),
-            arrivals: progress.arrivals,
-            hand_backs: u32::try_from(progress.handed_back.len()).unwrap_or(u32::MAX),
+            arrivals: attempts.map_or(0, |a| u32::from(a.arrivals())),
+            hand_backs: u32::try_from(hand_backs).unwrap_or(u32::MAX),
         };
         count(self.entry, StatsMessage::Request(record));
     }
@@ -340,7 +324,7 @@
 impl Drop for Recorded<'_> {
     fn drop(&mut self) {
         if !self.ended {
-            self.end(RequestEnd::Left, &Progress::default());
+            self.end(RequestEnd::Left, None);
         }
     }
 }
--- a/crates/relay/src/entry/offer.rs
+++ b/crates/relay/src/entry/offer.rs
@@ -162,7 +162,7 @@
     match outcome {
         HopOutcome::Answered(answer) if !answer.failed => Some(Served {
             work: plan.work,
-            held: answer.held,
+            usual: answer.usual,
             body_bytes: answer.body.len(),
         }),
         _ => None,
--- a/crates/relay/src/guard.rs
+++ b/crates/relay/src/guard.rs
@@ -73,6 +73,8 @@
         GuardMessage::Health(report) => state.health(report, now),
         GuardMessage::Control(view) => state.set_control(view, now),
         GuardMessage::Drain { reply } => state.drain(reply, now),
-        GuardMessage::Load { reply } => reply.send(state.load(now)),
+        GuardMessage::Load { work, reply } => {
+            reply.send((state.load(now), state.usual_work(work)));
+        }
     }
 }
--- a/crates/relay/src/guard/state.rs
+++ b/crates/relay/src/guard/state.rs
@@ -7,7 +7,7 @@
 use cornelvalve_kernel::{Mailbox, Reply};
 use cornelvalve_model::{Incarnation, Moment, Upstream, UpstreamState};
 use cornelvalve_policy::{
-    ColdRate, Gate, GateAction, GateActions, GateCall, GateId, GateRefusal, LoadReport,
+    ColdRate, Gate, GateAction, GateActions, GateCall, GateId, GateRefusal, LoadReport, WorkKey,
 };
 use smallvec::SmallVec;
 use tokio::sync::mpsc;
@@ -41,6 +41,14 @@
 /// Age of the load information at which any other upstream is asked for it.
 const IDLE_PROBE_PERIOD: Duration = Duration::from_millis(700);
 
+/// Age of the load information above which it is asked for before a call is admitted that another
+/// place could serve. Work that begins in a slow time takes several times as long, and the answer
+/// costs about a millisecond.
+const FRESH: Duration = Duration::from_millis(30);
+
+/// Longest wait of a call for that answer.
+const FRESH_WAIT: Duration = Duration::from_millis(10);
+
 /// Slowdown from which an upstream counts as slow.
 const SLOW: f64 = 1.5;
 
@@ -75,6 +83,8 @@
     /// Whether the upstream took no connection at the last try.
     unreachable: bool,
     waiting: HashMap<u64, Reply<Admitted>>,
+    /// Calls that wait for fresh load information, with the end of their wait.
+    unjudged: Vec<(GateCall, Moment)>,
     running: usize,
     view: Arc<ControlView>,
     drain: Option<Reply<()>>,
@@ -99,6 +109,7 @@
             retired: SmallVec::new(),
             unreachable: false,
             waiting: HashMap::new(),
+            unjudged: Vec::new(),
             running: 0,
             view: Arc::default(),
             drain: None,
@@ -119,11 +130,15 @@
     pub(super) fn next_due(&self, now: Moment) -> Moment {
         let gate = self.gate.next_due(now);
         let probe = self.next_probe();
-        let due = gate.into_iter().chain(probe).min();
+        let judge = self.unjudged.iter().map(|(_, end)| *end).min();
+        let due = gate.into_iter().chain(probe).chain(judge).min();
         due.unwrap_or(now + MAX_SLEEP).min(now + MAX_SLEEP)
     }
 
     pub(super) fn advance(&mut self, now: Moment) {
+        if self.unjudged.iter().any(|(_, end)| *end <= now) {
+            self.judge(now);
+        }
         let actions = self.gate.advance(now);
         self.carry_out(actions, now);
         if self.next_probe().is_some_and(|due| due <= now) {
@@ -264,6 +279,7 @@
         self.informed = now;
         let Some(report) = report else {
             self.set_unreachable(true, now);
+            self.judge(now);
             return;
         };
         self.set_unreachable(false, now);
@@ -274,6 +290,7 @@
             self.observe(load, now);
         }
         self.update_cold(now);
+        self.judge(now);
     }
 
     fn probed(&mut self, instance: &str, report: &HealthReport, now: Moment) {
@@ -355,6 +372,11 @@
         })
     }
 
+    /// Returns the time that work of a kind takes at usual speed.
+    pub(super) fn usual_work(&self, work: WorkKey) -> Duration {
+        self.gate.work(work)
+    }
+
     /// Tells the router the load, and neighbours if it changed much.
     fn tell_load(&mut self, now: Moment) {
         let Some(load) = self.load(now) else {
@@ -401,12 +423,38 @@
             deadline: call.deadline,
             elsewhere: call.elsewhere,
         };
+        let stale = now.since(self.informed) > FRESH;
+        if stale && call.elsewhere.is_some() {
+            self.unjudged.push((call, now + FRESH_WAIT));
+            if self.probing.is_none() {
+                self.probe(now);
+            }
+            return;
+        }
+        self.offer(call, now);
+    }
+
+    /// Offers a call to the gate.
+    fn offer(&mut self, call: GateCall, now: Moment) {
         let actions = self.gate.offer(call, now);
         self.carry_out(actions, now);
         self.drop_abandoned(now);
         self.tell_load(now);
     }
 
+    /// Offers the calls to the gate that waited for fresh load information.
+    fn judge(&mut self, now: Moment) {
+        for (call, _) in std::mem::take(&mut self.unjudged) {
+            if self.takes_work() {
+                self.offer(call, now);
+            } else if let Some(reply) = self.waiting.remove(&call.id.0) {
+                let load = self.load(now);
+                let (cause, wait) = (Cause::Leaving, DEFAULT_WAIT);
+                reply.send(Admitted::Refused { cause, wait, load });
+            }
+        }
+    }
+
     /// Checks what no wait would change.
     fn check(&self, call: &AdmitCall) -> Result<(), Cause> {
         if self.view.domains_out.contains(&self.settings.domain) {
@@ -427,6 +475,7 @@
         let abandoned: SmallVec<[u64; 4]> = abandoned.map(|(id, _)| *id).collect();
         for id in abandoned {
             self.waiting.remove(&id);
+            self.unjudged.retain(|(call, _)| call.id.0 != id);
             let actions = self.gate.finish(GateId(id), false, now);
             self.carry_out(actions, now);
         }
@@ -478,6 +527,7 @@
                 reply.send(Admitted::Run(Permit {
                     addr: self.settings.addr,
                     instance,
+                    slowdown: self.slowdown,
                     report: Completion::new(self.outlets.reports.clone(), cancelled),
                     id,
                 }));
--- a/crates/relay/src/hop.rs
+++ b/crates/relay/src/hop.rs
@@ -132,8 +132,8 @@
     pub(crate) headers: HopHeaders,
     /// Body.
     pub(crate) body: Bytes,
-    /// Time for which the upstream worked.
-    pub(crate) held: Duration,
+    /// Time that such work takes there at usual speed.
+    pub(crate) usual: Duration,
 }
 
 impl HopAnswer {
--- a/crates/relay/src/messages.rs
+++ b/crates/relay/src/messages.rs
@@ -142,8 +142,8 @@
 pub(crate) struct Served {
     /// Kind of work.
     pub(crate) work: WorkKey,
-    /// Time for which the upstream worked.
-    pub(crate) held: Duration,
+    /// Time that such work takes there at usual speed.
+    pub(crate) usual: Duration,
     /// Size of the response body in bytes.
     pub(crate) body_bytes: usize,
 }
@@ -229,6 +229,8 @@
     pub(crate) addr: SocketAddr,
     /// Identifier of the process that should run it.
     pub(crate) instance: Option<Arc<str>>,
+    /// How many times longer than usual work takes there, as last reported.
+    pub(crate) slowdown: f64,
     /// Reports the end.
     pub(crate) report: Completion<PermitReport>,
     /// Identifies the permit.
@@ -291,8 +293,11 @@
     },
     /// Asks for the present load.
     Load {
-        /// Receives it; `None` without an upstream.
-        reply: Reply<Option<LoadReport>>,
+        /// Kind of work.
+        work: WorkKey,
+        /// Receives the load, `None` without an upstream, and the time that the work takes at usual
+        /// speed.
+        reply: Reply<(Option<LoadReport>, Duration)>,
     },
 }
 
@@ -350,7 +355,7 @@
     Control(Arc<ControlView>),
     /// The daemon stops.
     Stopping,
-    /// Asks for the time since the last request ended, and the number that run.
+    /// Asks for the number of requests that run.
     Activity {
         /// Receives it.
         reply: Reply<Activity>,
@@ -364,8 +369,6 @@
 pub(crate) struct Activity {
     /// Requests that run.
     pub(crate) running: u64,
-    /// Time since the last request began or ended.
-    pub(crate) quiet: Duration,
 }
 
 /// How a request of a caller ended.
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -45,9 +45,6 @@
 /// Time that each service gets to end.
 const SERVICE_GRACE: Duration = Duration::from_millis(200);
 
-/// Time without a request after which callers have been sent elsewhere.
-const QUIET: Duration = Duration::from_millis(600);
-
 /// Period of the question whether a stopping daemon is idle.
 const IDLE_CHECK: Duration = Duration::from_millis(50);
 
@@ -148,6 +145,7 @@
 pub struct Node {
     kernel: Kernel,
     draining: watch::Sender<bool>,
+    refusing: watch::Sender<bool>,
     grace: Duration,
     notice: Duration,
 }
@@ -161,6 +159,7 @@
     pub fn start(settings: NodeSettings, parts: Parts) -> Result<Self> {
         let sockets = Sockets::bind(&settings.listen)?;
         let (draining, drain_receiver) = watch::channel(false);
+        let (refusing, refuse_receiver) = watch::channel(false);
         let (grace, notice) = (settings.grace, settings.notice);
         log::info!(event = "started", vm = settings.vm.as_str(), service = settings.service.as_str(), domain = settings.domain.as_str(), peers:% = settings.listen.peers; "daemon started");
         let assembly = Assembly {
@@ -168,10 +167,12 @@
             parts,
             sockets,
             draining: drain_receiver,
+            refusing: refuse_receiver,
         };
         Ok(Self {
             kernel: assembly.build().start(),
             draining,
+            refusing,
             grace,
             notice,
         })
@@ -219,15 +220,18 @@
         }
     }
 
-    /// Waits until callers have been sent elsewhere and none of their requests runs.
+    /// Waits until callers have had time to notice, then refuses new requests until none runs.
+    ///
+    /// Callers keep coming if too few other daemons of the failure domain are ready.
     async fn wait_until_idle(&self, earliest: Instant) {
         tokio::time::sleep_until(earliest).await;
+        self.refusing.send_replace(true);
         let Ok(stats) = self.kernel.mailbox(STATS) else {
             return;
         };
         loop {
             match activity(&stats).await {
-                Some(activity) if activity.running > 0 || activity.quiet < QUIET => {}
+                Some(activity) if activity.running > 0 => {}
                 _ => return,
             }
             sleep(IDLE_CHECK).await;
@@ -294,6 +298,7 @@
     parts: Parts,
     sockets: Sockets,
     draining: watch::Receiver<bool>,
+    refusing: watch::Receiver<bool>,
 }
 
 impl Assembly {
@@ -433,6 +438,7 @@
         let entry_runner = peer_runner.clone();
         let callers = Arc::clone(&sockets.callers);
         let (limits, draining) = (limits.subscribe(), self.draining.clone());
+        let refusing = self.refusing.clone();
         let own_service = self.settings.service.clone();
         builder
             .service(READY, options, move |context| {
@@ -455,6 +461,7 @@
             .service(ENTRY, options, move |context| {
                 let (listener, runner) = (Arc::clone(&callers), entry_runner.clone());
                 let (limits, draining) = (limits.clone(), draining.clone());
+                let refusing = refusing.clone();
                 let own_service = own_service.clone();
                 async move {
                     let parts = EntryParts {
@@ -462,6 +469,7 @@
                         timeouts: LOCAL_TIMEOUTS,
                         limits,
                         draining,
+                        refusing,
                         links: Self::links(),
                         own_service,
                         runner: runner.runner(&context)?,
--- a/crates/relay/src/router/state.rs
+++ b/crates/relay/src/router/state.rs
@@ -260,14 +260,13 @@
             endpoint.place.reported(load, now);
         }
         if let Some(served) = report.served {
-            let slowdown = report.load.map_or(1.0, |l| l.slowdown);
-            self.learn(served, slowdown);
+            self.learn(served);
         }
     }
 
-    fn learn(&mut self, served: Served, slowdown: f64) {
+    fn learn(&mut self, served: Served) {
         let usual = self.usual.entry(served.work).or_default();
-        let work_ms = served.held.as_secs_f64() * 1000.0 / slowdown.max(0.1);
+        let work_ms = served.usual.as_secs_f64() * 1000.0;
         let bytes = served.body_bytes as f64;
         usual.work_ms += (work_ms - usual.work_ms) * SAMPLE_WEIGHT;
         usual.response_bytes += (bytes - usual.response_bytes) * SAMPLE_WEIGHT;
--- a/crates/relay/src/runner.rs
+++ b/crates/relay/src/runner.rs
@@ -76,7 +76,7 @@
         let call = AdmitCall {
             service: request.service.clone(),
             homes: request.homes.clone(),
-            work: WorkKey(Fingerprint::of(&[request.route.as_bytes()]).0),
+            work: work_key(request),
             priority: request.priority,
             objective: now + request.objective_left,
             deadline,
@@ -122,20 +122,20 @@
         let exchanged = self.exchange(request, &permit, deadline).await;
         let held = self.clock.now().since(started);
         let mut outcome = exchanged.outcome;
-        if let HopOutcome::Answered(answer) = &mut outcome {
-            answer.held = held;
-        }
-        log::debug!(event = "upstream-ended", request = request.attempt.as_deref(), instance = permit.instance.as_deref(), end:? = exchanged.end, held_ms = held.as_millis() as u64; "exchange with the upstream ended");
+        let slowdown = exchanged.load.and_then(|l| l.slowdown);
+        log::debug!(event = "upstream-ended", request = request.attempt.as_deref(), instance = permit.instance.as_deref(), end:? = exchanged.end, held_ms = held.as_millis() as u64, slowdown_before = permit.slowdown, slowdown = slowdown; "exchange with the upstream ended");
         permit.report.finish(PermitReport {
             id: permit.id,
             end: exchanged.end,
             load: exchanged.load,
         });
-        let load = self.guard.ask(|reply| GuardMessage::Load { reply }).await;
-        RunResult {
-            outcome,
-            load: load.ok().flatten(),
+        let work = work_key(request);
+        let asked = self.guard.ask(|reply| GuardMessage::Load { work, reply });
+        let (load, usual) = asked.await.unwrap_or_default();
+        if let HopOutcome::Answered(answer) = &mut outcome {
+            answer.usual = usual;
         }
+        RunResult { outcome, load }
     }
 
     /// Sends the request to the upstream; once more if a kept connection turned out to be closed.
@@ -228,11 +228,15 @@
             failed,
             headers: HopHeaders::of(&headers),
             body: response.body,
-            held: Duration::ZERO,
+            usual: Duration::ZERO,
         }
     }
 }
 
+fn work_key(request: &HopRequest) -> WorkKey {
+    WorkKey(Fingerprint::of(&[request.route.as_bytes()]).0)
+}
+
 fn failure(error: &ExchangeError, request: &HopRequest) -> Exchanged {
     log::info!(event = "upstream-exchange-failed", request = request.attempt.as_deref(); "{error}");
     match error {
--- a/crates/relay/src/stats.rs
+++ b/crates/relay/src/stats.rs
@@ -3,7 +3,6 @@
 use std::sync::Arc;
 
 use cornelvalve_kernel::{Context, ServiceResult};
-use cornelvalve_model::Moment;
 use derive_more::{Display, Error};
 use prometheus::{Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry};
 use tokio::sync::watch;
@@ -107,7 +106,6 @@
     let mut stats = Stats {
         instruments: Instruments::new()?,
         running: 0,
-        touched: context.clock.now(),
         has_state: false,
         stopping: false,
     };
@@ -119,28 +117,25 @@
         let Some(message) = message else {
             return Ok(());
         };
-        stats.handle(message, &limits, context.clock.now());
+        stats.handle(message, &limits);
     }
 }
 
 struct Stats {
     instruments: Instruments,
     running: u64,
-    touched: Moment,
     has_state: bool,
     stopping: bool,
 }
 
 impl Stats {
-    fn handle(&mut self, message: StatsMessage, limits: &watch::Sender<CallerLimits>, now: Moment) {
+    fn handle(&mut self, message: StatsMessage, limits: &watch::Sender<CallerLimits>) {
         match message {
             StatsMessage::Began => {
                 self.running += 1;
-                self.touched = now;
             }
             StatsMessage::Request(record) => {
                 self.running = self.running.saturating_sub(1);
-                self.touched = now;
                 self.instruments.record(&record);
             }
             StatsMessage::Scrape { reply } => reply.send(self.instruments.text()),
@@ -149,7 +144,6 @@
             StatsMessage::Stopping => self.stopping = true,
             StatsMessage::Activity { reply } => reply.send(Activity {
                 running: self.running,
-                quiet: now.since(self.touched),
             }),
         }
     }
