--- a/crates/policy/src/gate.rs
+++ b/crates/policy/src/gate.rs
@@ -31,6 +31,17 @@
 /// would mostly be refused late.
 const LONGEST_WAIT_SHARE: f64 = 0.6;
 
+/// Span over which it is remembered that calls had to wait.
+const PRESSURE_SPAN: Duration = Duration::from_millis(700);
+
+/// Share of that span above which a call that would miss its objective is refused at once: what
+/// can still meet its objective goes first and leaves no room for it.
+const MAX_LATE_PRESSURE: f64 = 0.6;
+
+/// Share of its time after which a waiting call that will miss its objective is refused, so that
+/// its caller may come back while there is time.
+const LATE_WAIT_SHARE: f64 = 0.5;
+
 /// Difference below which another place counts as no better; a hand-back costs a round trip.
 const BETTER_BY: Duration = Duration::from_millis(8);
 
@@ -106,6 +117,12 @@
     pub slots: u16,
 }
 
+#[derive(Clone, Copy, Debug)]
+struct Waiting {
+    call: GateCall,
+    since: Moment,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Running {
     work: WorkKey,
@@ -126,7 +143,10 @@
     cold: Option<ColdRate>,
     starts: VecDeque<Moment>,
     running: HashMap<GateId, Running>,
-    queue: Vec<GateCall>,
+    queue: Vec<Waiting>,
+    /// Share of the recent time in which calls waited.
+    pressure: f64,
+    pressed: Moment,
     /// Time that work of a kind takes at usual speed, in seconds.
     usual: HashMap<WorkKey, f64>,
 }
@@ -144,6 +164,8 @@
             starts: VecDeque::new(),
             running: HashMap::new(),
             queue: Vec::new(),
+            pressure: 0.0,
+            pressed: Moment::default(),
             usual: HashMap::new(),
         }
     }
@@ -195,26 +217,38 @@
     /// Handles a call that asks for admission.
     pub fn offer(&mut self, call: GateCall, now: Moment) -> GateActions {
         let mut actions = GateActions::new();
+        self.note_pressure(now);
         let wait = self.expected_wait(&call, now);
         let expected = wait + self.work(call.work).mul_f64(self.slowdown);
         let left = call.deadline.since(now);
         let limit = left.mul_f64(LONGEST_WAIT_SHARE);
+        let late = !wait.is_zero() && now + expected > call.objective;
+        let crowded = late && self.pressure > MAX_LATE_PRESSURE;
         if let Some(elsewhere) = call.elsewhere
             && expected > elsewhere + BETTER_BY
         {
             let refusal = GateRefusal::Elsewhere { expected };
             actions.push(GateAction::Refuse(call.id, refusal));
-        } else if wait > limit || wait + self.work(call.work) > left {
+        } else if crowded || wait > limit || wait + self.work(call.work) > left {
             let drain = self.drain_time(now);
             let refusal = GateRefusal::Hopeless { drain };
             actions.push(GateAction::Refuse(call.id, refusal));
         } else {
-            self.queue.push(call);
+            self.queue.push(Waiting { call, since: now });
             self.start_waiting(now, &mut actions);
         }
         actions
     }
 
+    /// Updates the share of the recent time in which calls waited.
+    fn note_pressure(&mut self, now: Moment) {
+        let span = now.since(self.pressed).as_secs_f64();
+        let keep = (-span / PRESSURE_SPAN.as_secs_f64()).exp();
+        let waited = if self.queue.is_empty() { 0.0 } else { 1.0 };
+        self.pressure = self.pressure * keep + waited * (1.0 - keep);
+        self.pressed = now;
+    }
+
     /// Handles the end of a call that was started, or its cancellation while it waited.
     ///
     /// `answered` tells that the upstream did all of the work, so that its time may be learned.
@@ -222,7 +256,10 @@
         match self.running.remove(&id) {
             Some(running) if answered => self.learn(running, now),
             Some(_) => {}
-            None => self.queue.retain(|c| c.id != id),
+            None => {
+                self.note_pressure(now);
+                self.queue.retain(|w| w.call.id != id);
+            }
         }
         self.advance(now)
     }
@@ -230,9 +267,11 @@
     /// Refuses what cannot end before its deadline any more and starts what may run.
     pub fn advance(&mut self, now: Moment) -> GateActions {
         let mut actions = GateActions::new();
+        self.note_pressure(now);
         let mut kept = std::mem::take(&mut self.queue);
-        kept.retain(|call| {
-            let hopeless = now + self.work(call.work) > call.deadline;
+        kept.retain(|waiting| {
+            let call = &waiting.call;
+            let hopeless = self.last_start(waiting) < now;
             if hopeless {
                 let drain = self.drain_time(now);
                 let refusal = GateRefusal::Hopeless { drain };
@@ -247,23 +286,31 @@
 
     /// Refuses everything that waits, as when the upstream leaves.
     pub fn refuse_waiting(&mut self) -> SmallVec<[GateId; 8]> {
-        self.queue.drain(..).map(|c| c.id).collect()
+        self.queue.drain(..).map(|w| w.call.id).collect()
     }
 
     /// Returns the moment at which [`Gate::advance`] is due, if calls wait.
     #[must_use]
     pub fn next_due(&self, now: Moment) -> Option<Moment> {
-        let hopeless = self.queue.iter().map(|c| {
-            let work = self.work(c.work);
-            Moment(c.deadline.0.saturating_sub(nanos(work))) + Duration::from_millis(1)
-        });
-        let first = hopeless.min()?;
+        let last = self.queue.iter().map(|w| self.last_start(w));
+        let first = last.min()? + Duration::from_millis(1);
         let rate_limited = self.is_cold(now) && self.running.len() < self.slots;
         let oldest = self.starts.front().filter(|_| rate_limited);
         let free = oldest.map(|s| *s + COLD_WINDOW + Duration::from_millis(1));
         Some(free.map_or(first, |f| f.min(first)))
     }
 
+    /// Returns the moment after which a waiting call is refused.
+    fn last_start(&self, waiting: &Waiting) -> Moment {
+        let call = &waiting.call;
+        let work = self.work(call.work);
+        let before = |end: Moment| Moment(end.0.saturating_sub(nanos(work)));
+        let time = call.deadline.since(waiting.since);
+        let patience = waiting.since + time.mul_f64(LATE_WAIT_SHARE);
+        let in_time = before(call.objective);
+        before(call.deadline).min(patience.max(in_time))
+    }
+
     /// Returns the work that a call would have been given since the gate began, in seconds.
     fn done_at(&self, now: Moment) -> f64 {
         self.done + now.since(self.counted).as_secs_f64() / self.slowdown
@@ -290,14 +337,16 @@
             return Duration::ZERO;
         }
         let order = self.order(call, now);
-        let ahead = self.queue.iter().filter(|c| self.order(c, now) <= order);
+        let waiting = self.queue.iter().map(|w| &w.call);
+        let ahead = waiting.filter(|c| self.order(c, now) <= order);
         let ahead: Duration = ahead.map(|c| self.work(c.work)).sum();
         self.time_for(self.residual(now) + ahead)
     }
 
     /// Returns the time until everything that is here now has ended.
     fn drain_time(&self, now: Moment) -> Duration {
-        let waiting: Duration = self.queue.iter().map(|c| self.work(c.work)).sum();
+        let waiting = self.queue.iter().map(|w| self.work(w.call.work));
+        let waiting: Duration = waiting.sum();
         self.time_for(self.residual(now) + waiting)
     }
 
@@ -337,11 +386,12 @@
 
     fn start_waiting(&mut self, now: Moment, actions: &mut GateActions) {
         while self.running.len() < self.slots && self.may_start(now) {
-            let best = (0..self.queue.len()).min_by_key(|i| self.order(&self.queue[*i], now));
-            let Some(best) = best else {
+            let calls = self.queue.iter().map(|w| self.order(&w.call, now));
+            let best = calls.enumerate().min_by_key(|(_, order)| *order);
+            let Some((best, _)) = best else {
                 return;
             };
-            let call = self.queue.swap_remove(best);
+            let call = self.queue.swap_remove(best).call;
             let running = Running {
                 work: call.work,
                 begun: self.done_at(now),
@@ -365,7 +415,8 @@
 
     fn hand_back(&mut self, now: Moment, actions: &mut GateActions) {
         let waiting = std::mem::take(&mut self.queue);
-        for call in waiting {
+        for entry in waiting {
+            let call = entry.call;
             let wait = self.expected_wait(&call, now);
             let expected = wait + self.work(call.work).mul_f64(self.slowdown);
             match call.elsewhere {
@@ -373,7 +424,7 @@
                     let refusal = GateRefusal::Elsewhere { expected };
                     actions.push(GateAction::Refuse(call.id, refusal));
                 }
-                _ => self.queue.push(call),
+                _ => self.queue.push(entry),
             }
         }
     }
--- a/crates/policy/src/share.rs
+++ b/crates/policy/src/share.rs
@@ -11,7 +11,7 @@
 
 /// Share of the common budget that is used. The rest covers repeats that this daemon cannot see,
 /// such as the calls that a repeated request makes again.
-const USED_SHARE: f64 = 0.6;
+const USED_SHARE: f64 = 0.65;
 
 /// Parts into which the window is divided.
 const BUCKETS: u32 = 10;
--- a/crates/relay/src/entry/forward.rs
+++ b/crates/relay/src/entry/forward.rs
@@ -27,6 +27,9 @@
 /// Time after which a daemon that stops has been started again.
 const RESTART_TIME: Duration = Duration::from_millis(800);
 
+/// Time in which an upstream that a service lacks may have come: a check-in and its way here.
+const MISSING_UPSTREAM_TIME: Duration = Duration::from_secs(1);
+
 /// Shortest Retry-After, so that a caller does not return into the same queue.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(50);
 
@@ -246,7 +249,10 @@
             return Conclusion::Answer(answer);
         }
         let not_run = !self.offered && !self.attempts.may_have_run();
-        let wait = self.wait.unwrap_or(MIN_RETRY_AFTER);
+        let wait = match cause {
+            Cause::NoUpstream => MISSING_UPSTREAM_TIME,
+            _ => self.wait.unwrap_or(MIN_RETRY_AFTER),
+        };
         Conclusion::Refusal(FinalRefusal {
             cause,
             not_run,
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -119,6 +119,8 @@
     /// Time for which a stopping daemon stays at least, so that callers notice that it is not
     /// ready.
     pub notice: Duration,
+    /// Whether the whole system starts for the first time, so that no daemon has announced itself yet.
+    pub first_start: bool,
     /// Common retry budget.
     pub retries: ShareSettings,
 }
@@ -371,6 +373,7 @@
             vm: own.vm.clone(),
             addr: own.peer_addr,
         };
+        let first_start = self.settings.first_start;
         let control_store = Arc::clone(&self.parts.store);
         let registry_store = Arc::clone(&self.parts.store);
         let members = Arc::clone(&self.sockets.members);
@@ -381,7 +384,12 @@
                 run_control(context, Arc::clone(&control_store), PEER_TIMEOUTS)
             })
             .service(REGISTRY, options, move |context| {
-                run_registry(context, Arc::clone(&registry_store), record.clone())
+                run_registry(
+                    context,
+                    Arc::clone(&registry_store),
+                    record.clone(),
+                    first_start,
+                )
             })
             .service(MEMBERS, options, move |context| {
                 run_members(context, Arc::clone(&members), own.clone(), seed)
--- a/crates/relay/src/registry.rs
+++ b/crates/relay/src/registry.rs
@@ -27,6 +27,7 @@
     mut context: Context<RegistryMessage>,
     store: Arc<dyn ControlStore>,
     own: PeerRecord,
+    first_start: bool,
 ) -> ServiceResult {
     let members = context.registry.mailbox(MEMBERS)?;
     let mut joining = Joining {
@@ -38,6 +39,10 @@
     let mut pause = GATHER;
     let mut joined = false;
     joining.announce().await;
+    if !first_start {
+        // Others announced themselves long ago.
+        joining.find_peers().await;
+    }
     loop {
         tokio::select! {
             () = context.stop.requested() => return Ok(()),
