--- a/crates/policy/src/gate.rs
+++ b/crates/policy/src/gate.rs
@@ -17,8 +17,12 @@
 /// Estimate of a call's work before the first one of its kind has ended.
 const DEFAULT_WORK: Duration = Duration::from_millis(60);
 
-/// Weight of a new sample of a call's work.
-const WORK_WEIGHT: f64 = 0.1;
+/// Step by which the estimate of a call's work follows a sample, as a share of the estimate.
+const WORK_STEP: f64 = 0.06;
+
+/// Quantile of the samples that the estimate follows. It lies below the middle, because a call that
+/// waits for calls of its own holds its slot longer without more work.
+const WORK_QUANTILE: f64 = 0.4;
 
 /// Share of its usual work that a call which runs longer than usual is expected to need still.
 const RESIDUAL_SHARE: f64 = 0.25;
@@ -42,9 +46,13 @@
 /// its caller may come back while there is time.
 const LATE_WAIT_SHARE: f64 = 0.5;
 
-/// Difference below which another place counts as no better; a hand-back costs a round trip.
+/// Difference below which another place counts as no better.
 const BETTER_BY: Duration = Duration::from_millis(8);
 
+/// Ratio below which another place counts as no better: what the sender knows of it may be old, and
+/// a call that is handed back in vain has lost the way.
+const BETTER_RATIO: f64 = 1.2;
+
 /// Identifies a call at one gate.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct GateId(pub u64);
@@ -225,7 +233,7 @@
         let late = !wait.is_zero() && now + expected > call.objective;
         let crowded = late && self.pressure > MAX_LATE_PRESSURE;
         if let Some(elsewhere) = call.elsewhere
-            && expected > elsewhere + BETTER_BY
+            && is_better(elsewhere, expected)
         {
             let refusal = GateRefusal::Elsewhere { expected };
             actions.push(GateAction::Refuse(call.id, refusal));
@@ -320,7 +328,12 @@
         let sample = self.done_at(now) - running.begun;
         let usual = self.usual.entry(running.work);
         let usual = usual.or_insert(DEFAULT_WORK.as_secs_f64());
-        *usual += (sample - *usual) * WORK_WEIGHT;
+        let step = if sample > *usual {
+            WORK_QUANTILE
+        } else {
+            WORK_QUANTILE - 1.0
+        };
+        *usual *= 1.0 + WORK_STEP * step;
     }
 
     /// Returns the time that work of a kind takes at usual speed.
@@ -420,7 +433,7 @@
             let wait = self.expected_wait(&call, now);
             let expected = wait + self.work(call.work).mul_f64(self.slowdown);
             match call.elsewhere {
-                Some(elsewhere) if expected > elsewhere + BETTER_BY => {
+                Some(elsewhere) if is_better(elsewhere, expected) => {
                     let refusal = GateRefusal::Elsewhere { expected };
                     actions.push(GateAction::Refuse(call.id, refusal));
                 }
@@ -430,6 +443,11 @@
     }
 }
 
+/// Tells whether a call that would end here after `expected` should be handed back.
+fn is_better(elsewhere: Duration, expected: Duration) -> bool {
+    expected > elsewhere.mul_f64(BETTER_RATIO) + BETTER_BY
+}
+
 fn nanos(duration: Duration) -> u64 {
     u64::try_from(duration.as_nanos()).unwrap_or(u64::MAX)
 }
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -15,8 +15,12 @@
 /// Slowdown expected of an upstream of which nothing recent is known.
 const USUAL_SLOWDOWN: f64 = 1.6;
 
-/// Age at which a report about another VM has lost most of its worth.
-const REPORT_LIFE: Duration = Duration::from_millis(250);
+/// Age at which a report from another region has lost most of its worth.
+const REMOTE_REPORT_LIFE: Duration = Duration::from_millis(300);
+
+/// Age at which a report from the own region has lost most of its worth; daemons of a region tell
+/// each other when their load changes much.
+const REPORT_LIFE: Duration = Duration::from_millis(1000);
 
 /// Added time for each kilobyte that leaves the failure domain, in milliseconds.
 const DOMAIN_KILOBYTE_MS: f64 = 4.0;
@@ -177,7 +181,9 @@
     #[must_use]
     pub fn expected_ms(&self, work: &PlaceWork, now: Moment) -> f64 {
         let known = match self.reported {
-            Some(at) if self.distance == Distance::Local => fade(now.since(at), REPORT_LIFE * 4),
+            Some(at) if self.distance == Distance::Remote => {
+                fade(now.since(at), REMOTE_REPORT_LIFE)
+            }
             Some(at) => fade(now.since(at), REPORT_LIFE),
             None => 0.0,
         };
--- a/crates/policy/src/share.rs
+++ b/crates/policy/src/share.rs
@@ -2,16 +2,17 @@
 //!
 //! Answers callers that repeat at once and upstreams that fail a part of their requests: each
 //! daemon may repeat a share of its own recent requests, and an equal part of the burst that the
-//! whole system is allowed. The parts add up to no more than the common budget.
+//! whole system is allowed. The parts add up to no more than the common budget. A request that is
+//! run again makes its own calls again; these count where they begin, by the share of repeats among
+//! what runs there.
 
 use std::collections::VecDeque;
 use std::time::Duration;
 
 use cornelvalve_model::Moment;
 
-/// Share of the common budget that is used. The rest covers repeats that this daemon cannot see,
-/// such as the calls that a repeated request makes again.
-const USED_SHARE: f64 = 0.65;
+/// Share of the common budget that is used; the rest covers what daemons count differently.
+const USED_SHARE: f64 = 0.75;
 
 /// Parts into which the window is divided.
 const BUCKETS: u32 = 10;
@@ -31,7 +32,7 @@
 struct Bucket {
     number: u64,
     requests: u32,
-    retries: u32,
+    retries: f64,
 }
 
 /// Part of one daemon in the common retry budget of one service.
@@ -51,22 +52,24 @@
         }
     }
 
-    /// Counts a request.
-    pub fn request(&mut self, now: Moment) {
-        self.bucket(now).requests += 1;
+    /// Counts a request, of which `repeated` is the chance that a repeat made it.
+    pub fn request(&mut self, repeated: f64, now: Moment) {
+        let bucket = self.bucket(now);
+        bucket.requests += 1;
+        bucket.retries += repeated.clamp(0.0, 1.0);
     }
 
     /// Takes one retry if the budget allows it; `daemons` is the number that share it.
     pub fn try_retry(&mut self, daemons: usize, now: Moment) -> bool {
         self.bucket(now);
         let requests: u32 = self.buckets.iter().map(|b| b.requests).sum();
-        let retries: u32 = self.buckets.iter().map(|b| b.retries).sum();
+        let retries: f64 = self.buckets.iter().map(|b| b.retries).sum();
         let part = self.settings.burst / daemons.max(1) as f64;
         let allowed = (f64::from(requests) * self.settings.ratio + part) * USED_SHARE;
-        if f64::from(retries) + 1.0 > allowed {
+        if retries + 1.0 > allowed {
             return false;
         }
-        self.bucket(now).retries += 1;
+        self.bucket(now).retries += 1.0;
         true
     }
 
--- a/crates/relay/src/entry/forward.rs
+++ b/crates/relay/src/entry/forward.rs
@@ -48,6 +48,8 @@
     attempts: Attempts,
     /// Whether an attempt is under way.
     offered: bool,
+    /// Why the last place did not run it.
+    refused_for: Cause,
     /// Shortest wait for room that a place named.
     wait: Option<Duration>,
     /// Failure that an upstream answered, kept while another one is asked.
@@ -102,6 +104,7 @@
         started,
         deadline: started + time.saturating_sub(ANSWER_MARGIN),
         offered: false,
+        refused_for: Cause::NoUpstream,
         wait: None,
         fallback: None,
     };
@@ -172,6 +175,7 @@
             let least = self.wait.map_or(wait, |w| w.min(wait));
             self.wait = Some(least);
         }
+        self.refused_for = cause;
         let result = match cause {
             _ if arrived => AttemptResult::RefusedByUpstream,
             Cause::Elsewhere => AttemptResult::HandedBack,
@@ -192,6 +196,9 @@
         };
         let placed = self.ask_place(query.clone()).await;
         match placed {
+            Err(Cause::NoUpstream) if !query.tried.is_empty() && query.handed_back.is_empty() => {
+                Err(self.refused_for)
+            }
             // Every place handed it back, so the best of them has to keep it.
             Err(Cause::NoUpstream) if !query.handed_back.is_empty() && !query.settle => {
                 let query = PlaceQuery {
@@ -231,6 +238,7 @@
             route: route.name.clone(),
             version: *version,
             repeat: route.repeat,
+            again: self.attempts.arrivals() > 0,
             homes: route.homes.clone(),
             priority: route.priority,
             objective_left: route.objective.saturating_sub(elapsed),
--- a/crates/relay/src/guard/state.rs
+++ b/crates/relay/src/guard/state.rs
@@ -1,6 +1,6 @@
 //! State of the guard: the upstream, the gate before it and the calls at the gate.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -86,6 +86,8 @@
     /// Calls that wait for fresh load information, with the end of their wait.
     unjudged: Vec<(GateCall, Moment)>,
     running: usize,
+    /// Calls at the gate or running that were sent to an upstream before.
+    again: HashSet<u64>,
     view: Arc<ControlView>,
     drain: Option<Reply<()>>,
     draining: bool,
@@ -111,6 +113,7 @@
             waiting: HashMap::new(),
             unjudged: Vec::new(),
             running: 0,
+            again: HashSet::new(),
             view: Arc::default(),
             drain: None,
             draining: false,
@@ -382,7 +385,9 @@
         let Some(load) = self.load(now) else {
             return;
         };
-        if let Err(e) = self.outlets.router.try_send(RouterMessage::OwnLoad(load)) {
+        let repeats = self.again.len() as f64 / self.running.max(1) as f64;
+        let own = RouterMessage::OwnLoad { load, repeats };
+        if let Err(e) = self.outlets.router.try_send(own) {
             log::debug!("{e}; the next change tells the load");
         }
         let news = self.told.is_none_or(|told| {
@@ -415,6 +420,9 @@
         self.next_id += 1;
         let id = self.next_id;
         self.waiting.insert(id, reply);
+        if call.again {
+            self.again.insert(id);
+        }
         let call = GateCall {
             id: GateId(id),
             work: call.work,
@@ -448,6 +456,7 @@
             if self.takes_work() {
                 self.offer(call, now);
             } else if let Some(reply) = self.waiting.remove(&call.id.0) {
+                self.again.remove(&call.id.0);
                 let load = self.load(now);
                 let (cause, wait) = (Cause::Leaving, DEFAULT_WAIT);
                 reply.send(Admitted::Refused { cause, wait, load });
@@ -475,6 +484,7 @@
         let abandoned: SmallVec<[u64; 4]> = abandoned.map(|(id, _)| *id).collect();
         for id in abandoned {
             self.waiting.remove(&id);
+            self.again.remove(&id);
             self.unjudged.retain(|(call, _)| call.id.0 != id);
             let actions = self.gate.finish(GateId(id), false, now);
             self.carry_out(actions, now);
@@ -483,6 +493,7 @@
 
     pub(super) fn finish(&mut self, report: PermitReport, now: Moment) {
         self.running = self.running.saturating_sub(1);
+        self.again.remove(&report.id);
         if let Some(load) = report.load {
             self.observe(load, now);
         }
@@ -516,6 +527,7 @@
                 let reply = self.waiting.remove(&id).filter(|r| !r.is_abandoned());
                 let instance = self.process.as_ref().map(|p| Arc::clone(&p.instance));
                 let Some(reply) = reply else {
+                    self.again.remove(&id);
                     return self.gate.finish(GateId(id), false, now);
                 };
                 self.running += 1;
@@ -533,6 +545,7 @@
                 }));
             }
             GateAction::Refuse(GateId(id), refusal) => {
+                self.again.remove(&id);
                 if let Some(reply) = self.waiting.remove(&id) {
                     let (cause, wait) = match refusal {
                         GateRefusal::Elsewhere { expected } => (Cause::Elsewhere, expected),
@@ -548,6 +561,7 @@
 
     fn refuse_waiting(&mut self, cause: Cause) {
         for GateId(id) in self.gate.refuse_waiting() {
+            self.again.remove(&id);
             if let Some(reply) = self.waiting.remove(&id) {
                 reply.send(Admitted::Refused {
                     cause,
--- a/crates/relay/src/hop.rs
+++ b/crates/relay/src/hop.rs
@@ -95,6 +95,8 @@
     pub(crate) version: Version,
     /// Whether it may be repeated.
     pub(crate) repeat: Repeat,
+    /// Whether it was sent to an upstream before.
+    pub(crate) again: bool,
     /// Regions in which it may be served; any if empty.
     pub(crate) homes: SmallVec<[Region; 2]>,
     /// Priority; lower numbers go first.
--- a/crates/relay/src/messages.rs
+++ b/crates/relay/src/messages.rs
@@ -182,7 +182,12 @@
         load: LoadReport,
     },
     /// The load of the upstream beside this daemon.
-    OwnLoad(LoadReport),
+    OwnLoad {
+        /// The load.
+        load: LoadReport,
+        /// Share of repeats among what runs.
+        repeats: f64,
+    },
     /// What operators have decided.
     Control(Arc<ControlView>),
 }
@@ -196,6 +201,8 @@
     pub(crate) homes: SmallVec<[cornelvalve_model::Region; 2]>,
     /// Kind of work.
     pub(crate) work: WorkKey,
+    /// Whether the request was sent to an upstream before.
+    pub(crate) again: bool,
     /// Priority.
     pub(crate) priority: u8,
     /// Moment by which an answer meets the latency objective.
--- a/crates/relay/src/router.rs
+++ b/crates/relay/src/router.rs
@@ -65,7 +65,7 @@
         RouterMessage::Place { query, reply } => reply.send(state.place(&query, now)),
         RouterMessage::Members { members, removed } => state.set_members(members, &removed),
         RouterMessage::Report { addr, load } => state.report(addr, load, now),
-        RouterMessage::OwnLoad(load) => state.report_own(load, now),
+        RouterMessage::OwnLoad { load, repeats } => state.report_own(load, repeats, now),
         RouterMessage::Control(view) => state.set_control(view),
     }
 }
--- a/crates/relay/src/router/state.rs
+++ b/crates/relay/src/router/state.rs
@@ -73,6 +73,8 @@
     splitter: Splitter,
     shares: HashMap<ServiceName, RetryShare>,
     usual: HashMap<WorkKey, Usual>,
+    /// Share of repeats among what the upstream beside this daemon runs.
+    repeats: f64,
 }
 
 impl RouterState {
@@ -93,6 +95,7 @@
             splitter: Splitter::default(),
             shares: HashMap::new(),
             usual: HashMap::new(),
+            repeats: 0.0,
         }
     }
 
@@ -154,7 +157,8 @@
         }
     }
 
-    pub(super) fn report_own(&mut self, load: LoadReport, now: Moment) {
+    pub(super) fn report_own(&mut self, load: LoadReport, repeats: f64, now: Moment) {
+        self.repeats = repeats;
         self.report(self.site.addr, load, now);
     }
 
@@ -174,7 +178,8 @@
             service,
             version: desired.version,
         };
-        self.share_of(&plan.service).request(now);
+        let repeats = self.repeats;
+        self.share_of(&plan.service).request(repeats, now);
         Ok(Arc::new(plan))
     }
 
@@ -231,8 +236,6 @@
             load: None,
             served: None,
         };
-        // What the other place offers is compared with the end here, without the way to here.
-        let elsewhere = elsewhere.map(|e| e.saturating_sub(round_trip));
         Ok(Placed {
             vm,
             addr: (endpoint.place.distance != Distance::Local).then_some(endpoint.addr),
--- a/crates/relay/src/runner.rs
+++ b/crates/relay/src/runner.rs
@@ -77,6 +77,7 @@
             service: request.service.clone(),
             homes: request.homes.clone(),
             work: work_key(request),
+            again: request.again,
             priority: request.priority,
             objective: now + request.objective_left,
             deadline,
