--- a/crates/policy/tests/all/attempts.rs
+++ b/crates/policy/tests/all/attempts.rs
@@ -4,12 +4,14 @@
 use cornelvalve_policy::{AttemptResult, Attempts};
 
 fn vm(number: usize) -> VmName {
-    VmName::new(&format!("vm-{number}")).unwrap()
+    VmName::new(&format!("vm-{number}")).expect("name is valid")
 }
 
 /// Counts the attempts until no further one is allowed.
 fn count(mut attempts: Attempts, result: AttemptResult) -> usize {
-    (1..100).find(|n| !attempts.note(vm(*n), result)).unwrap()
+    (1..100)
+        .find(|n| !attempts.note(vm(*n), result))
+        .expect("attempts end")
 }
 
 // Guards against a request that runs on one upstream more than its route allows: the first score
--- a/crates/policy/tests/all/main.rs
+++ b/crates/policy/tests/all/main.rs
@@ -6,5 +6,8 @@
 mod balancer;
 mod balancer_fuzz;
 mod breaker;
+mod gate;
+mod placement;
 mod retry;
 mod script;
+mod share;
--- a/crates/relay/src/entry/offer.rs
+++ b/crates/relay/src/entry/offer.rs
@@ -52,7 +52,7 @@
             }
         };
         let attempt = request.attempt.clone();
-        let frame = match hop::encode(&HopCall::Run(request)) {
+        let frame = match hop::encode(&HopCall::Run(Box::new(request))) {
             Ok(frame) => frame,
             Err(e) => {
                 log::error!(event = "request-not-encoded", request = attempt.as_deref(); "{e}");
--- a/crates/relay/src/hop.rs
+++ b/crates/relay/src/hop.rs
@@ -204,7 +204,7 @@
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(crate) enum HopCall {
     /// Runs a request.
-    Run(HopRequest),
+    Run(Box<HopRequest>),
     /// Asks for what operators have decided, as the other daemon knows it.
     Control,
 }
--- a/crates/relay/src/members.rs
+++ b/crates/relay/src/members.rs
@@ -12,9 +12,9 @@
 
 use crate::desired::Version;
 use crate::messages::{
-    ControlMessage, LoadsMessage, MembersMessage, RegistryMessage, RouterMessage,
+    ControlMessage, LoadsMessage, MembersMessage, RegistryMessage, RouterMessage, StatsMessage,
 };
-use crate::names::{CONTROL, LOADS, MEMBERS, REGISTRY, ROUTER};
+use crate::names::{CONTROL, LOADS, MEMBERS, REGISTRY, ROUTER, STATS};
 
 /// Largest datagram that is read.
 const RECEIVE_BYTES: usize = 2048;
@@ -50,6 +50,7 @@
         control: context.registry.mailbox(CONTROL)?,
         registry: context.registry.mailbox(REGISTRY)?,
         loads: context.registry.mailbox(LOADS)?,
+        stats: context.registry.mailbox(STATS)?,
     };
     service.publish_all();
     let mut buffer = [0; RECEIVE_BYTES];
@@ -84,6 +85,7 @@
     control: Mailbox<ControlMessage>,
     registry: Mailbox<RegistryMessage>,
     loads: Mailbox<LoadsMessage>,
+    stats: Mailbox<StatsMessage>,
 }
 
 impl MembersService {
@@ -191,16 +193,19 @@
         let own = self.membership.own();
         let others = self.membership.members();
         let others = others.filter(|m| m.vm != self.own_vm && m.state.takes_work());
-        let (mut any, mut near) = (false, Vec::new());
+        let (mut count, mut near) = (0, Vec::new());
         for member in others {
-            any = true;
+            count += 1;
             if member.region == own.region {
                 near.push(member.peer_addr);
             }
         }
-        if any && !self.joined && self.registry.try_send(RegistryMessage::Joined).is_ok() {
+        if count > 0 && !self.joined && self.registry.try_send(RegistryMessage::Joined).is_ok() {
             self.joined = true;
         }
+        if let Err(e) = self.stats.try_send(StatsMessage::Members(count + 1)) {
+            log::debug!("{e}; the next change tells the number");
+        }
         if let Err(e) = self.loads.try_send(LoadsMessage::Neighbours(near)) {
             log::debug!("{e}; the next change tells all neighbours");
         }
--- a/crates/relay/src/messages.rs
+++ b/crates/relay/src/messages.rs
@@ -360,6 +360,8 @@
     },
     /// What operators have decided.
     Control(Arc<ControlView>),
+    /// Daemons that take work, this one included.
+    Members(u64),
     /// The daemon stops.
     Stopping,
     /// Asks for the number of requests that run.
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -53,7 +53,7 @@
 
     async fn serve_one(&self, connection: &mut FrameConnection) -> hop::Result<()> {
         match connection.receive().await? {
-            HopCall::Run(request) => self.run(connection, request).await,
+            HopCall::Run(request) => self.run(connection, &request).await,
             HopCall::Control => {
                 let view = self
                     .control
@@ -67,10 +67,10 @@
     }
 
     /// Runs a request unless its sender closes the connection meanwhile.
-    async fn run(&self, connection: &mut FrameConnection, request: HopRequest) -> hop::Result<()> {
+    async fn run(&self, connection: &mut FrameConnection, request: &HopRequest) -> hop::Result<()> {
         connection.send(&hop::encode(&HopReply::Taken)?).await?;
         let result = tokio::select! {
-            result = self.runner.run(&request) => result,
+            result = self.runner.run(request) => result,
             () = connection.closed() => {
                 log::debug!(event = "cancelled-here", request = request.attempt.as_deref(); "the other daemon cancelled the request");
                 return Err(HopError::Closed);
--- a/crates/relay/src/stats.rs
+++ b/crates/relay/src/stats.rs
@@ -36,6 +36,8 @@
     hand_backs: IntCounter,
     latency: Histogram,
     version: IntGauge,
+    domains_out: IntGauge,
+    members: IntGauge,
 }
 
 impl Instruments {
@@ -54,6 +56,14 @@
                     .buckets(LATENCY_BOUNDS_S.to_vec()),
             )?,
             version: IntGauge::with_opts(opts("version", "Version of the desired state"))?,
+            domains_out: IntGauge::with_opts(opts(
+                "domains_out",
+                "Failure domains out of service",
+            ))?,
+            members: IntGauge::with_opts(opts(
+                "members",
+                "Daemons that take work, this one included",
+            ))?,
         };
         let registry = &instruments.registry;
         registry.register(Box::new(instruments.requests.clone()))?;
@@ -61,6 +71,8 @@
         registry.register(Box::new(instruments.hand_backs.clone()))?;
         registry.register(Box::new(instruments.latency.clone()))?;
         registry.register(Box::new(instruments.version.clone()))?;
+        registry.register(Box::new(instruments.domains_out.clone()))?;
+        registry.register(Box::new(instruments.members.clone()))?;
         Ok(instruments)
     }
 
@@ -140,6 +152,7 @@
             }
             StatsMessage::Scrape { reply } => reply.send(self.instruments.text()),
             StatsMessage::Ready { reply } => reply.send(self.has_state && !self.stopping),
+            StatsMessage::Members(count) => self.instruments.members.set(gauge(count)),
             StatsMessage::Control(view) => self.set_control(&view, limits),
             StatsMessage::Stopping => self.stopping = true,
             StatsMessage::Activity { reply } => reply.send(Activity {
@@ -149,11 +162,16 @@
     }
 
     fn set_control(&mut self, view: &ControlView, limits: &watch::Sender<CallerLimits>) {
+        let out = view.domains_out.len() as u64;
+        self.instruments.domains_out.set(gauge(out));
         if let Some(desired) = &view.desired {
             self.has_state = true;
-            let version = i64::try_from(desired.version.0).unwrap_or(i64::MAX);
-            self.instruments.version.set(version);
+            self.instruments.version.set(gauge(desired.version.0));
             limits.send_replace(desired.limits);
         }
     }
 }
+
+fn gauge(value: u64) -> i64 {
+    i64::try_from(value).unwrap_or(i64::MAX)
+}
