Hedge idempotent requests that take long, contact all peers after a start

Cause: a request that begins just before an upstream turns slow takes several times as long, and a daemon that restarts with all others learned of its peers only as news spread, 0.6 to 2.4 s after its start.

--- a/crates/membership/src/membership.rs
+++ b/crates/membership/src/membership.rs
@@ -29,10 +29,6 @@
 /// of a mesh that know nothing of each other any more.
 const SEED_PERIOD: Duration = Duration::from_secs(60);
 
-/// Seeds contacted at once. With up to four seeds each one is contacted every time, so that a
-/// single seed that is back is found within one period.
-const MAX_JOINS: usize = 4;
-
 /// Time between two removals of outdated tombstones and findings.
 const SWEEP_PERIOD: Duration = Duration::from_secs(10);
 
@@ -216,7 +212,7 @@
             .filter(|seed| *seed != own_addr && !self.is_live_addr(*seed))
             .collect();
         strangers.shuffle(&mut self.rng);
-        for seed in strangers.into_iter().take(MAX_JOINS) {
+        for seed in strangers.into_iter().take(self.settings.join_fanout) {
             self.send(seed, TrafficClass::News, message.clone());
         }
     }
--- a/crates/membership/src/settings.rs
+++ b/crates/membership/src/settings.rs
@@ -26,6 +26,9 @@
     pub tombstone_period: Duration,
     /// Largest estimated size of a message in bytes.
     pub message_bytes: usize,
+    /// Seeds contacted at once by a member that joins. With up to as many seeds each one is
+    /// contacted every time, so that a single seed that is back is found within one period.
+    pub join_fanout: usize,
     /// Members that get a notice of a new configuration revision.
     pub notice_fanout: usize,
 }
@@ -42,6 +45,7 @@
             remote_timeout: Duration::from_secs(1),
             tombstone_period: Duration::from_secs(3600),
             message_bytes: 1200,
+            join_fanout: 4,
             notice_fanout: 4,
         }
     }
--- a/crates/policy/src/share.rs
+++ b/crates/policy/src/share.rs
@@ -14,6 +14,9 @@
 /// Share of the common budget that is used; the rest covers what daemons count differently.
 const USED_SHARE: f64 = 0.75;
 
+/// Part of the budget that hedges may use up.
+const HEDGE_PART: f64 = 0.5;
+
 /// Parts into which the window is divided.
 const BUCKETS: u32 = 10;
 
@@ -61,11 +64,21 @@
 
     /// Takes one retry if the budget allows it; `daemons` is the number that share it.
     pub fn try_retry(&mut self, daemons: usize, now: Moment) -> bool {
+        self.try_take(1.0, daemons, now)
+    }
+
+    /// Takes one hedge if that leaves the rest of the budget for retries.
+    pub fn try_hedge(&mut self, daemons: usize, now: Moment) -> bool {
+        self.try_take(HEDGE_PART, daemons, now)
+    }
+
+    fn try_take(&mut self, part_of_budget: f64, daemons: usize, now: Moment) -> bool {
         self.bucket(now);
         let requests: u32 = self.buckets.iter().map(|b| b.requests).sum();
         let retries: f64 = self.buckets.iter().map(|b| b.retries).sum();
         let part = self.settings.burst / daemons.max(1) as f64;
-        let allowed = (f64::from(requests) * self.settings.ratio + part) * USED_SHARE;
+        let allowed =
+            (f64::from(requests) * self.settings.ratio + part) * USED_SHARE * part_of_budget;
         if retries + 1.0 > allowed {
             return false;
         }
--- a/crates/relay/src/entry/forward.rs
+++ b/crates/relay/src/entry/forward.rs
@@ -8,7 +8,7 @@
 use cornelvalve_model::{Moment, VmName};
 use cornelvalve_policy::{AttemptResult, Attempts};
 use http::header::HOST;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, sleep, timeout_at};
 
 use super::{EntryHandler, refusal};
 use crate::desired::Repeat;
@@ -24,6 +24,15 @@
 /// Time before the end of the wait at which a request is answered, so that the answer is in time.
 const ANSWER_MARGIN: Duration = Duration::from_millis(20);
 
+/// Time kept for a hedge, in multiples of the usual work.
+const HEDGE_WORK: f64 = 1.5;
+
+/// Earliest time of a hedge, in multiples of the usual work.
+const MIN_HEDGE_WORK: f64 = 2.0;
+
+/// Time within which a hedge must be expected to end if the objective is already missed.
+const MIN_HEDGE_TIME: Duration = Duration::from_millis(150);
+
 /// Time after which a daemon that stops has been started again.
 const RESTART_TIME: Duration = Duration::from_millis(800);
 
@@ -125,6 +134,11 @@
         self.deadline.since(self.entry.clock.now())
     }
 
+    fn objective_left(&self) -> Duration {
+        let elapsed = self.entry.clock.now().since(self.started);
+        self.plan.route.objective.saturating_sub(elapsed)
+    }
+
     /// Tries places until one answers or no further attempt is allowed.
     async fn run(&mut self) -> Conclusion {
         loop {
@@ -132,12 +146,8 @@
                 Ok(placed) => placed,
                 Err(cause) => return self.give_up(cause),
             };
-            let vm = placed.vm.clone();
-            let request = self.hop_request(placed.elsewhere);
-            log::debug!(event = "placed", request = self.attempt.as_deref(), vm = vm.as_str(), expected_ms = placed.expected.as_millis() as u64, arrivals = self.attempts.arrivals(); "attempt");
             self.offered = true;
-            let plan = Arc::clone(&self.plan);
-            let outcome = self.entry.offer(placed, request, &plan).await;
+            let (vm, outcome) = self.attempt(placed).await;
             self.offered = false;
             let cause = match outcome {
                 HopOutcome::Answered(answer) if !answer.failed => {
@@ -169,6 +179,65 @@
         }
     }
 
+    /// Offers the request to a place and, if it takes long there and may be repeated, to a second
+    /// one as well. Returns the first success, or what became of the last one.
+    async fn attempt(&mut self, placed: Placed) -> (VmName, HopOutcome) {
+        let vm = placed.vm.clone();
+        log::debug!(event = "placed", request = self.attempt.as_deref(), vm = vm.as_str(), expected_ms = placed.expected.as_millis() as u64, arrivals = self.attempts.arrivals(); "attempt");
+        let request = self.hop_request(placed.elsewhere);
+        let (entry, plan) = (self.entry, Arc::clone(&self.plan));
+        let hedge_after = self.hedge_after(&placed);
+        let mut first = Box::pin(entry.offer(placed, request, &plan));
+        let Some(hedge_after) = hedge_after else {
+            return (vm, first.await);
+        };
+        tokio::select! {
+            outcome = &mut first => return (vm, outcome),
+            () = sleep(hedge_after) => {}
+        }
+        let Ok(second) = self.place_hedge(&vm).await else {
+            return (vm, first.await);
+        };
+        let second_vm = second.vm.clone();
+        log::debug!(event = "hedged", request = self.attempt.as_deref(), vm = second_vm.as_str(), after_ms = hedge_after.as_millis() as u64; "hedge");
+        let request = self.hop_request(None);
+        let mut second = Box::pin(entry.offer(second, request, &plan));
+        let (ended, outcome, other, rest) = tokio::select! {
+            outcome = &mut first => (vm, outcome, second_vm, second),
+            outcome = &mut second => (second_vm, outcome, vm, first),
+        };
+        if matches!(&outcome, HopOutcome::Answered(answer) if !answer.failed) {
+            return (ended, outcome);
+        }
+        if let HopOutcome::NotRun { arrived: false, .. } = outcome {
+            return (other, rest.await);
+        }
+        self.attempts.note(ended, AttemptResult::MayHaveRun);
+        (other, rest.await)
+    }
+
+    /// Returns the time after which a second place is worth trying: late enough that most requests
+    /// have ended, and early enough that the second attempt meets the objective.
+    fn hedge_after(&self, placed: &Placed) -> Option<Duration> {
+        let attempts = u32::from(self.plan.route.attempts);
+        let left = attempts.saturating_sub(u32::from(self.attempts.arrivals()));
+        if self.plan.route.repeat != Repeat::Idempotent || left < 2 {
+            return None;
+        }
+        let in_time = self
+            .objective_left()
+            .saturating_sub(placed.usual.mul_f64(HEDGE_WORK));
+        let delay = in_time.max(placed.usual.mul_f64(MIN_HEDGE_WORK));
+        (delay < self.time_left()).then_some(delay)
+    }
+
+    async fn place_hedge(&self, first: &VmName) -> Result<Placed, Cause> {
+        let mut query = self.place_query();
+        query.tried.push(first.clone());
+        query.hedge = Some(self.objective_left().max(MIN_HEDGE_TIME));
+        self.ask_place(query).await
+    }
+
     /// Notes that a place did not run the request; tells whether another one may be asked.
     fn not_run(&mut self, vm: VmName, cause: Cause, arrived: bool, wait: Duration) -> bool {
         if matches!(cause, Cause::Overloaded) || arrived {
@@ -184,16 +253,21 @@
         self.attempts.note(vm, result)
     }
 
-    async fn place(&self) -> Result<Placed, Cause> {
+    fn place_query(&self) -> PlaceQuery {
         let attempts = &self.attempts;
-        let query = PlaceQuery {
+        PlaceQuery {
             plan: Arc::clone(&self.plan),
             tried: attempts.tried().into(),
             handed_back: attempts.handed_back().into(),
             again: attempts.arrivals() > 0,
+            hedge: None,
             settle: attempts.should_settle(),
             body_bytes: self.request.body.len(),
-        };
+        }
+    }
+
+    async fn place(&self) -> Result<Placed, Cause> {
+        let query = self.place_query();
         let placed = self.ask_place(query.clone()).await;
         match placed {
             Err(Cause::NoUpstream) if !query.tried.is_empty() && query.handed_back.is_empty() => {
@@ -230,7 +304,6 @@
             version,
             ..
         } = &*self.plan;
-        let elapsed = self.entry.clock.now().since(self.started);
         HopRequest {
             attempt: self.attempt.clone(),
             service: service.clone(),
@@ -241,7 +314,7 @@
             again: self.attempts.arrivals() > 0,
             homes: route.homes.clone(),
             priority: route.priority,
-            objective_left: route.objective.saturating_sub(elapsed),
+            objective_left: self.objective_left(),
             time_left: self.time_left(),
             elsewhere,
             method: self.request.method.as_str().into(),
--- a/crates/relay/src/members.rs
+++ b/crates/relay/src/members.rs
@@ -19,12 +19,17 @@
 /// Largest datagram that is read.
 const RECEIVE_BYTES: usize = 2048;
 
+/// Peers contacted at once after a start. After the end of many processes each one knows only
+/// itself, and requests cannot wait for the news to spread.
+const JOIN_FANOUT: usize = 24;
+
 /// Settings for deployments that lose a failure domain for a few seconds.
 fn settings() -> MembershipSettings {
     MembershipSettings {
         remote_period: Duration::from_secs(2),
         sync_period: Duration::from_secs(10),
         suspicion_periods: 3,
+        join_fanout: JOIN_FANOUT,
         ..MembershipSettings::default()
     }
 }
@@ -100,6 +105,7 @@
             MembersMessage::Seeds(seeds) => {
                 self.on(Event::AddSeeds(seeds.into_iter().collect()), now)
                     .await;
+                self.on(Event::Tick, now).await;
             }
             MembersMessage::Leave => self.on(Event::Leave, now).await,
             MembersMessage::Republish => self.publish_all(),
--- a/crates/relay/src/messages.rs
+++ b/crates/relay/src/messages.rs
@@ -101,6 +101,8 @@
     pub(crate) handed_back: Tried,
     /// Whether it has reached an upstream before, so that the retry budget must allow it.
     pub(crate) again: bool,
+    /// Time within which a hedge must be expected to end; `None` for any other attempt.
+    pub(crate) hedge: Option<Duration>,
     /// Whether the place should keep it even if it must wait.
     pub(crate) settle: bool,
     /// Size of its body in bytes.
@@ -120,6 +122,8 @@
     pub(crate) elsewhere: Option<Duration>,
     /// Expected time until the request ends.
     pub(crate) expected: Duration,
+    /// Time that such work takes at usual speed.
+    pub(crate) usual: Duration,
     /// Reports the end of the attempt.
     pub(crate) report: Completion<PlaceReport>,
 }
--- a/crates/relay/src/router/state.rs
+++ b/crates/relay/src/router/state.rs
@@ -213,11 +213,19 @@
         let elsewhere = next.map(|n| milliseconds(n.expected_ms));
         let vm = vms[best.index].clone();
         let expected = milliseconds(best.expected_ms);
+        if query.hedge.is_some_and(|within| expected > within) {
+            return Err(Cause::Overloaded);
+        }
         let daemons = self.daemons.values().filter(|takes| **takes).count();
-        if query.again && !self.share_of(&query.plan.service).try_retry(daemons, now) {
+        let share = self.share_of(&query.plan.service);
+        let allowed = match query.hedge {
+            Some(_) => share.try_hedge(daemons, now),
+            None => !query.again || share.try_retry(daemons, now),
+        };
+        if !allowed {
             return Err(Cause::Overloaded);
         }
-        self.place_at(vm, elsewhere, expected)
+        self.place_at(vm, elsewhere, expected, milliseconds(usual.work_ms))
     }
 
     /// Returns the placement at one VM and counts the attempt there.
@@ -226,6 +234,7 @@
         vm: VmName,
         elsewhere: Option<Duration>,
         expected: Duration,
+        usual: Duration,
     ) -> Result<Placed, Cause> {
         let endpoint = self.endpoints.get_mut(&vm).ok_or(Cause::NoUpstream)?;
         endpoint.place.sent();
@@ -242,6 +251,7 @@
             taken_within: TAKEN_ALLOWANCE + round_trip,
             elsewhere,
             expected,
+            usual,
             report: Completion::new(self.reports.clone(), cancelled),
         })
     }
