Hold calls through the slow time of an upstream

Cause: work that begins in a slow time stays slow to its end, and work that began before does not turn slow. Waiting for the end of a slow time of some 250 ms therefore beats a start within it.

--- a/crates/policy/src/gate.rs
+++ b/crates/policy/src/gate.rs
@@ -1,8 +1,10 @@
 //! Admission to one upstream whose speed changes many times a second.
 //!
 //! Answers the load of an upstream that shares its VM: for parts of a second the same work takes
-//! several times as long, while callers arrive in bursts. The gate knows the exact number of
-//! running calls, so that the upstream never queues. It estimates when a call would end here and
+//! several times as long, while callers arrive in bursts. Work that begins in a slow time takes that
+//! much longer to its end, so a call that would miss its objective is held until the slow time is
+//! over, as long as its deadline allows. The gate knows the exact number of running calls, so that
+//! the upstream never queues. It estimates when a call would end here and
 //! hands back, as not run, every call that another place could end earlier; this makes the queue
 //! one of the whole system. What waits is started by priority, then by what can still meet its
 //! objective, and a call that cannot end before its deadline is refused at once. A cold upstream
@@ -46,6 +48,18 @@
 /// its caller may come back while there is time.
 const LATE_WAIT_SHARE: f64 = 0.5;
 
+/// Slowdown from which calls may be held.
+const HOLD_FROM: f64 = 2.0;
+
+/// Expected rest of a slow time.
+const SLOW_REST: Duration = Duration::from_millis(250);
+
+/// Shortest time for which holding a call is worth while; slow times rarely end sooner.
+const MIN_HOLD: Duration = Duration::from_millis(100);
+
+/// Part of its slow time that a held call is given more, so that it still ends before its deadline.
+const HOLD_MARGIN: f64 = 1.1;
+
 /// Difference below which another place counts as no better.
 const BETTER_BY: Duration = Duration::from_millis(8);
 
@@ -134,8 +148,9 @@
 #[derive(Clone, Copy, Debug)]
 struct Running {
     work: WorkKey,
-    /// Work that the upstream had done for any call since the gate began, when this one started.
-    begun: f64,
+    since: Moment,
+    /// How many times longer than usual it takes.
+    slowdown: f64,
 }
 
 /// Admission to one upstream.
@@ -144,10 +159,6 @@
     slots: usize,
     /// How many times longer than usual work takes now.
     slowdown: f64,
-    /// Work in seconds that a call would have been given since the gate began.
-    done: f64,
-    /// Moment up to which `done` is counted.
-    counted: Moment,
     cold: Option<ColdRate>,
     starts: VecDeque<Moment>,
     running: HashMap<GateId, Running>,
@@ -166,8 +177,6 @@
         Self {
             slots: slots.max(1),
             slowdown: 1.0,
-            done: 0.0,
-            counted: Moment::default(),
             cold: None,
             starts: VecDeque::new(),
             running: HashMap::new(),
@@ -209,15 +218,16 @@
 
     /// Sets how many times longer than usual work takes at this moment.
     ///
-    /// Waiting calls that another place would now end earlier are handed back.
+    /// Waiting calls that another place would now end earlier are handed back; held calls start when
+    /// the slow time is over.
     pub fn set_slowdown(&mut self, slowdown: f64, now: Moment) -> GateActions {
         let worse = slowdown > self.slowdown;
-        self.done = self.done_at(now);
-        self.counted = now;
         self.slowdown = slowdown.max(0.1);
         let mut actions = GateActions::new();
         if worse {
             self.hand_back(now, &mut actions);
+        } else {
+            self.start_waiting(now, &mut actions);
         }
         actions
     }
@@ -227,7 +237,7 @@
         let mut actions = GateActions::new();
         self.note_pressure(now);
         let wait = self.expected_wait(&call, now);
-        let expected = wait + self.work(call.work).mul_f64(self.slowdown);
+        let expected = wait + self.expected_work(call.work);
         let left = call.deadline.since(now);
         let limit = left.mul_f64(LONGEST_WAIT_SHARE);
         let late = !wait.is_zero() && now + expected > call.objective;
@@ -300,7 +310,11 @@
     /// Returns the moment at which [`Gate::advance`] is due, if calls wait.
     #[must_use]
     pub fn next_due(&self, now: Moment) -> Option<Moment> {
-        let last = self.queue.iter().map(|w| self.last_start(w));
+        let last = self.queue.iter().map(|w| {
+            let held = self.hold_until(w).filter(|until| now < *until);
+            let last = self.last_start(w);
+            held.map_or(last, |until| until.min(last))
+        });
         let first = last.min()? + Duration::from_millis(1);
         let rate_limited = self.is_cold(now) && self.running.len() < self.slots;
         let oldest = self.starts.front().filter(|_| rate_limited);
@@ -319,13 +333,39 @@
         before(call.deadline).min(patience.max(in_time))
     }
 
-    /// Returns the work that a call would have been given since the gate began, in seconds.
-    fn done_at(&self, now: Moment) -> f64 {
-        self.done + now.since(self.counted).as_secs_f64() / self.slowdown
+    /// Tells whether calls are held because the upstream is slow.
+    #[must_use]
+    pub fn is_holding(&self) -> bool {
+        self.slowdown >= HOLD_FROM && !self.queue.is_empty()
+    }
+
+    /// Returns the moment until which a waiting call is held while the upstream is slow.
+    fn hold_until(&self, waiting: &Waiting) -> Option<Moment> {
+        if self.slowdown < HOLD_FROM {
+            return None;
+        }
+        let call = &waiting.call;
+        let slow_work = self.work(call.work).mul_f64(self.slowdown);
+        if waiting.since + slow_work <= call.objective {
+            return None;
+        }
+        if waiting.since + slow_work > call.deadline {
+            return Some(self.last_start(waiting));
+        }
+        let slow_work = slow_work.mul_f64(HOLD_MARGIN);
+        let until = Moment(call.deadline.0.saturating_sub(nanos(slow_work)));
+        (waiting.since + MIN_HOLD <= until).then_some(until)
+    }
+
+    /// Returns the time from the start of a call to its end at the present speed, or after the
+    /// present slow time if that is sooner.
+    fn expected_work(&self, key: WorkKey) -> Duration {
+        let work = self.work(key);
+        work.mul_f64(self.slowdown).min(work + SLOW_REST)
     }
 
     fn learn(&mut self, running: Running, now: Moment) {
-        let sample = self.done_at(now) - running.begun;
+        let sample = now.since(running.since).as_secs_f64() / running.slowdown;
         let usual = self.usual.entry(running.work);
         let usual = usual.or_insert(DEFAULT_WORK.as_secs_f64());
         let step = if sample > *usual {
@@ -353,27 +393,29 @@
         let waiting = self.queue.iter().map(|w| &w.call);
         let ahead = waiting.filter(|c| self.order(c, now) <= order);
         let ahead: Duration = ahead.map(|c| self.work(c.work)).sum();
-        self.time_for(self.residual(now) + ahead)
+        self.time_for(self.residual(now), ahead)
     }
 
     /// Returns the time until everything that is here now has ended.
     fn drain_time(&self, now: Moment) -> Duration {
         let waiting = self.queue.iter().map(|w| self.work(w.call.work));
         let waiting: Duration = waiting.sum();
-        self.time_for(self.residual(now) + waiting)
+        self.time_for(self.residual(now), waiting)
     }
 
-    fn time_for(&self, work: Duration) -> Duration {
+    /// Returns the time in which all slots together end what runs and what waits.
+    fn time_for(&self, residual: Duration, waiting: Duration) -> Duration {
         let slots = self.slots as f64;
-        work.mul_f64(self.slowdown / slots)
+        (residual + waiting.mul_f64(self.slowdown)).div_f64(slots)
     }
 
-    /// Returns the work that the running calls still need, at usual speed.
+    /// Returns the time that the running calls still need, all together.
     fn residual(&self, now: Moment) -> Duration {
         let rest = self.running.values().map(|r| {
             let work = self.work(r.work);
-            let done = (self.done_at(now) - r.begun).max(0.0);
-            work.saturating_sub(Duration::from_secs_f64(done))
+            let whole = work.mul_f64(r.slowdown);
+            whole
+                .saturating_sub(now.since(r.since))
                 .max(work.mul_f64(RESIDUAL_SHARE))
         });
         rest.sum()
@@ -381,7 +423,7 @@
 
     /// Returns the place of a call in the queue; smaller ones go first.
     fn order(&self, call: &GateCall, now: Moment) -> (u8, bool, Moment) {
-        let end = now + self.work(call.work).mul_f64(self.slowdown);
+        let end = now + self.work(call.work);
         let late = end > call.objective;
         let due = if late { call.deadline } else { call.objective };
         (call.priority, late, due)
@@ -399,15 +441,21 @@
 
     fn start_waiting(&mut self, now: Moment, actions: &mut GateActions) {
         while self.running.len() < self.slots && self.may_start(now) {
-            let calls = self.queue.iter().map(|w| self.order(&w.call, now));
-            let best = calls.enumerate().min_by_key(|(_, order)| *order);
+            let ready = self
+                .queue
+                .iter()
+                .enumerate()
+                .filter(|(_, w)| !self.holds(w, now));
+            let best = ready.map(|(index, w)| (index, self.order(&w.call, now)));
+            let best = best.min_by_key(|(_, order)| *order);
             let Some((best, _)) = best else {
                 return;
             };
             let call = self.queue.swap_remove(best).call;
             let running = Running {
                 work: call.work,
-                begun: self.done_at(now),
+                since: now,
+                slowdown: self.slowdown,
             };
             self.running.insert(call.id, running);
             self.note_start(now);
@@ -415,6 +463,10 @@
         }
     }
 
+    fn holds(&self, waiting: &Waiting, now: Moment) -> bool {
+        self.hold_until(waiting).is_some_and(|until| now < until)
+    }
+
     fn note_start(&mut self, now: Moment) {
         while self
             .starts
@@ -431,7 +483,7 @@
         for entry in waiting {
             let call = entry.call;
             let wait = self.expected_wait(&call, now);
-            let expected = wait + self.work(call.work).mul_f64(self.slowdown);
+            let expected = wait + self.expected_work(call.work);
             match call.elsewhere {
                 Some(elsewhere) if is_better(elsewhere, expected) => {
                     let refusal = GateRefusal::Elsewhere { expected };
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -15,6 +15,9 @@
 /// Slowdown expected of an upstream of which nothing recent is known.
 const USUAL_SLOWDOWN: f64 = 1.6;
 
+/// Expected rest of a slow time in milliseconds, after which work takes its usual time again.
+const SLOW_REST_MS: f64 = 250.0;
+
 /// Age at which a report from another region has lost most of its worth.
 const REMOTE_REPORT_LIFE: Duration = Duration::from_millis(300);
 
@@ -196,7 +199,8 @@
         // when the call arrives.
         let crowding = 0.15 * (busy / slots).min(1.0);
         let cold = if self.report.cold { 2.0 } else { 1.0 };
-        work.work_ms * slowdown * cold * (1.0 + queue + crowding)
+        let work_ms = work.work_ms * cold * (1.0 + queue + crowding);
+        (work_ms * slowdown).min(work_ms + SLOW_REST_MS)
             + self.distance.round_trip_ms()
             + self.distance.bytes_ms(work.bytes)
             + self.failures_at(now) * FAILURE_MS
--- a/crates/relay/src/guard/state.rs
+++ b/crates/relay/src/guard/state.rs
@@ -38,11 +38,14 @@
 /// second, and a slow upstream gets few requests whose answers would tell.
 const SLOW_PROBE_PERIOD: Duration = Duration::from_millis(120);
 
+/// Age of the load information at which an upstream is asked for it while calls wait for the end of
+/// its slow time.
+const HOLD_PROBE_PERIOD: Duration = Duration::from_millis(25);
+
 /// Age of the load information at which any other upstream is asked for it.
 const IDLE_PROBE_PERIOD: Duration = Duration::from_millis(700);
 
-/// Age of the load information above which it is asked for before a call is admitted that another
-/// place could serve. Work that begins in a slow time takes several times as long, and the answer
+/// Age of the load information above which it is asked for before a call is admitted. Work that begins in a slow time takes several times as long, and the answer
 /// costs about a millisecond.
 const FRESH: Duration = Duration::from_millis(30);
 
@@ -160,6 +163,8 @@
         };
         let period = if lost {
             LOST_PROBE_PERIOD
+        } else if self.gate.is_holding() {
+            HOLD_PROBE_PERIOD
         } else if self.slowdown >= SLOW {
             SLOW_PROBE_PERIOD
         } else {
@@ -432,7 +437,7 @@
             elsewhere: call.elsewhere,
         };
         let stale = now.since(self.informed) > FRESH;
-        if stale && call.elsewhere.is_some() {
+        if stale {
             self.unjudged.push((call, now + FRESH_WAIT));
             if self.probing.is_none() {
                 self.probe(now);
