Hold until the slow time ends where a slow start would miss the deadline

Cause: at kri a purchase has 720 ms left and takes 600 ms when it starts slow, so it was started slow at once and ended late or not at all; another region was taken for faster than it is on average.

--- a/crates/policy/src/gate.rs
+++ b/crates/policy/src/gate.rs
@@ -57,6 +57,10 @@
 /// Shortest time for which holding a call is worth while; slow times rarely end sooner.
 const MIN_HOLD: Duration = Duration::from_millis(100);
 
+/// Time within which a slow time mostly ends. A call that has it left is held even if a slow start
+/// would then miss its deadline.
+const HOLD_REACH: Duration = Duration::from_millis(400);
+
 /// Part of its slow time that a held call is given more, so that it still ends before its deadline.
 const HOLD_MARGIN: f64 = 1.1;
 
@@ -327,6 +331,9 @@
         let call = &waiting.call;
         let work = self.work(call.work);
         let before = |end: Moment| Moment(end.0.saturating_sub(nanos(work)));
+        if self.slowdown >= HOLD_FROM {
+            return before(call.deadline);
+        }
         let time = call.deadline.since(waiting.since);
         let patience = waiting.since + time.mul_f64(LATE_WAIT_SHARE);
         let in_time = before(call.objective);
@@ -354,7 +361,12 @@
         }
         let slow_work = slow_work.mul_f64(HOLD_MARGIN);
         let until = Moment(call.deadline.0.saturating_sub(nanos(slow_work)));
-        (waiting.since + MIN_HOLD <= until).then_some(until)
+        let last = self.last_start(waiting);
+        if waiting.since + MIN_HOLD <= until {
+            Some(until)
+        } else {
+            (waiting.since + HOLD_REACH <= last).then_some(last)
+        }
     }
 
     /// Returns the time from the start of a call to its end at the present speed, or after the
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -13,7 +13,7 @@
 use smallvec::SmallVec;
 
 /// Slowdown expected of an upstream of which nothing recent is known.
-const USUAL_SLOWDOWN: f64 = 1.6;
+const USUAL_SLOWDOWN: f64 = 2.2;
 
 /// Expected rest of a slow time in milliseconds, after which work takes its usual time again.
 const SLOW_REST_MS: f64 = 250.0;
