--- a/crates/relay/src/entry/forward.rs
+++ b/crates/relay/src/entry/forward.rs
@@ -165,7 +165,7 @@
                     arrived,
                     wait,
                 } => {
-                    log::debug!(event = "not-run", request = self.attempt.as_deref(), vm = vm.as_str(), cause:% = cause, wait_ms = wait.as_millis() as u64; "not run there");
+                    log::info!(event = "not-run", request = self.attempt.as_deref(), vm = vm.as_str(), cause:% = cause, wait_ms = wait.as_millis() as u64; "not run there");
                     if !self.not_run(vm, cause, arrived, wait) {
                         return self.give_up(cause);
                     }
@@ -183,7 +183,7 @@
     /// one as well. Returns the first success, or what became of the last one.
     async fn attempt(&mut self, placed: Placed) -> (VmName, HopOutcome) {
         let vm = placed.vm.clone();
-        log::debug!(event = "placed", request = self.attempt.as_deref(), vm = vm.as_str(), expected_ms = placed.expected.as_millis() as u64, arrivals = self.attempts.arrivals(); "attempt");
+        log::info!(event = "placed", request = self.attempt.as_deref(), vm = vm.as_str(), expected_ms = placed.expected.as_millis() as u64, arrivals = self.attempts.arrivals(); "attempt");
         let request = self.hop_request(placed.elsewhere);
         let (entry, plan) = (self.entry, Arc::clone(&self.plan));
         let hedge_after = self.hedge_after(&placed);
@@ -199,7 +199,7 @@
             return (vm, first.await);
         };
         let second_vm = second.vm.clone();
-        log::debug!(event = "hedged", request = self.attempt.as_deref(), vm = second_vm.as_str(), after_ms = hedge_after.as_millis() as u64; "hedge");
+        log::info!(event = "hedged", request = self.attempt.as_deref(), vm = second_vm.as_str(), after_ms = hedge_after.as_millis() as u64; "hedge");
         let request = self.hop_request(None);
         let mut second = Box::pin(entry.offer(second, request, &plan));
         let (ended, outcome, other, rest) = tokio::select! {
@@ -355,7 +355,7 @@
                 } else {
                     RequestEnd::Answered
                 };
-                log::debug!(event = "request-answered", request = self.attempt.as_deref(), route = route, status = answer.status, took_ms = took.as_millis() as u64, arrivals = self.attempts.arrivals(), hand_backs = self.attempts.handed_back().len(); "answered");
+                log::info!(event = "request-answered", request = self.attempt.as_deref(), route = route, status = answer.status, took_ms = took.as_millis() as u64, arrivals = self.attempts.arrivals(), hand_backs = self.attempts.handed_back().len(); "answered");
                 record.end(end, Some(&self.attempts));
                 Reply {
                     status: answer.status(),
--- a/crates/relay/src/logging.rs
+++ b/crates/relay/src/logging.rs
@@ -1,6 +1,7 @@
 //! Log lines as JSON on standard output, written without ever blocking a task.
 //!
-//! A thread of its own writes the lines. What it cannot write in time, because nobody reads the
+//! Lines below warnings are limited to a number in each second, so that load does not make the log
+//! grow without bound. A thread of its own writes the lines. What it cannot write in time, because nobody reads the
 //! output or there are too many lines, is dropped and counted; the count follows as a line of its
 //! own.
 
@@ -29,6 +30,10 @@
 /// the writer for each one.
 const GATHER: Duration = Duration::from_millis(100);
 
+/// Lines below warnings that are written in one second: about twice what a daemon writes at the
+/// highest load of the users' present sites.
+const LINES_PER_SECOND: u64 = 500;
+
 /// Longest wait for the writer when the process ends.
 const END_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -103,6 +108,9 @@
         lines: lines.clone(),
         dropped,
         layout: JsonLayout::default(),
+        started: Instant::now(),
+        second: AtomicU64::new(0),
+        in_second: AtomicU64::new(0),
     };
     let logger = builder()
         .dispatch(|dispatch| dispatch.filter(filter(level)).append(append))
@@ -150,6 +158,24 @@
     lines: SyncSender<Line>,
     dropped: Arc<AtomicU64>,
     layout: JsonLayout,
+    started: Instant,
+    /// Second since the start, and the limited lines in it.
+    second: AtomicU64,
+    in_second: AtomicU64,
+}
+
+impl QueueAppend {
+    /// Tells whether a line may be written.
+    fn admits(&self, level: Level) -> bool {
+        if level >= Level::Warn {
+            return true;
+        }
+        let second = self.started.elapsed().as_secs();
+        if self.second.swap(second, Ordering::Relaxed) != second {
+            self.in_second.store(0, Ordering::Relaxed);
+        }
+        self.in_second.fetch_add(1, Ordering::Relaxed) < LINES_PER_SECOND
+    }
 }
 
 impl Append for QueueAppend {
@@ -158,6 +184,10 @@
         record: &Record<'_>,
         diagnostics: &[Box<dyn Diagnostic>],
     ) -> std::result::Result<(), LogforthError> {
+        if !self.admits(record.level()) {
+            self.dropped.fetch_add(1, Ordering::Relaxed);
+            return Ok(());
+        }
         let mut text = self.layout.format(record, diagnostics)?;
         text.push(b'\n');
         if self.lines.try_send(Line::Text(text)).is_err() {
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -72,7 +72,7 @@
         let result = tokio::select! {
             result = self.runner.run(request) => result,
             () = connection.closed() => {
-                log::debug!(event = "cancelled-here", request = request.attempt.as_deref(); "the other daemon cancelled the request");
+                log::info!(event = "cancelled-here", request = request.attempt.as_deref(); "the other daemon cancelled the request");
                 return Err(HopError::Closed);
             }
         };
--- a/crates/relay/src/router/state.rs
+++ b/crates/relay/src/router/state.rs
@@ -33,6 +33,10 @@
 /// Wait, beyond the round trip, for the sign that another daemon has taken a request.
 const TAKEN_ALLOWANCE: Duration = Duration::from_millis(250);
 
+/// Time for which a kilobyte of a body may be on its way before the other daemon has it; a VM's link
+/// may carry as little as 10 Mbit/s, for all its connections together.
+const KILOBYTE_ALLOWANCE: Duration = Duration::from_millis(3);
+
 /// What is known of the requests of one route.
 #[derive(Clone, Copy, Debug)]
 struct Usual {
@@ -225,7 +229,9 @@
         if !allowed {
             return Err(Cause::Overloaded);
         }
-        self.place_at(vm, elsewhere, expected, milliseconds(usual.work_ms))
+        let mut placed = self.place_at(vm, elsewhere, expected, milliseconds(usual.work_ms))?;
+        placed.taken_within += KILOBYTE_ALLOWANCE.mul_f64(query.body_bytes as f64 / 1000.0);
+        Ok(placed)
     }
 
     /// Returns the placement at one VM and counts the attempt there.
--- a/crates/relay/src/runner.rs
+++ b/crates/relay/src/runner.rs
@@ -90,7 +90,7 @@
         match asked.await {
             Ok(Admitted::Run(permit)) => self.run_permitted(request, permit, deadline).await,
             Ok(Admitted::Refused { cause, wait, load }) => {
-                log::debug!(event = "refused-here", request = request.attempt.as_deref(), cause:% = cause, wait_ms = wait.as_millis() as u64; "guard refused");
+                log::info!(event = "refused-here", request = request.attempt.as_deref(), cause:% = cause, wait_ms = wait.as_millis() as u64; "guard refused");
                 let outcome = HopOutcome::NotRun {
                     cause,
                     arrived: false,
@@ -124,7 +124,7 @@
         let held = self.clock.now().since(started);
         let mut outcome = exchanged.outcome;
         let slowdown = exchanged.load.and_then(|l| l.slowdown);
-        log::debug!(event = "upstream-ended", request = request.attempt.as_deref(), instance = permit.instance.as_deref(), end:? = exchanged.end, held_ms = held.as_millis() as u64, slowdown_before = permit.slowdown, slowdown = slowdown; "exchange with the upstream ended");
+        log::info!(event = "upstream-ended", request = request.attempt.as_deref(), instance = permit.instance.as_deref(), end:? = exchanged.end, held_ms = held.as_millis() as u64, slowdown_before = permit.slowdown, slowdown = slowdown; "exchange with the upstream ended");
         permit.report.finish(PermitReport {
             id: permit.id,
             end: exchanged.end,
