Wait for what may run once though the sign of life is late

An upload over a full link was given up after 473 ms without a sign of life, with a 502, while a target was about to run it. Now only idempotent requests are given up for a late sign; any other place learns that the VM is silent.

--- a/crates/relay/src/check_ins.rs
+++ b/crates/relay/src/check_ins.rs
@@ -1,33 +1,18 @@
 //! Check-ins service: the upstream tells its state here.
 
 use std::sync::Arc;
-use std::time::Duration;
 
-use cornelvalve_http1::{
-    BoxFuture, DecodeLimits, Handler, Reply, Request, ServerOptions, SocketTimeouts,
-    serve_connection,
-};
+use cornelvalve_http1::{BoxFuture, Handler, Reply, Request, SocketTimeouts};
 use cornelvalve_kernel::{Context, Mailbox, ServiceResult};
 use http::StatusCode;
 use http::header::{CONTENT_TYPE, HeaderValue};
 use tokio::net::TcpListener;
-use tokio::sync::watch;
 
-use crate::listener::run_listener;
+use crate::listener::run_control_listener;
 use crate::messages::{GuardMessage, ListenerMessage};
 use crate::names::GUARD;
 use crate::ports::CheckInForm;
 
-/// Limits of connections that carry control calls.
-pub(crate) const CONTROL_OPTIONS: ServerOptions = ServerOptions {
-    limits: DecodeLimits {
-        head_bytes: 8 * 1024,
-        body_bytes: 64 * 1024,
-    },
-    request_timeout: Duration::from_secs(3),
-    idle_timeout: Duration::from_secs(30),
-};
-
 /// Runs the check-ins service.
 pub(crate) async fn run_check_ins(
     context: Context<ListenerMessage>,
@@ -39,17 +24,7 @@
         guard: context.registry.mailbox(GUARD)?,
         form,
     });
-    run_listener(context, &listener, timeouts, move |stream, _| {
-        let handler = Arc::clone(&handler);
-        async move {
-            let (_stay, draining) = watch::channel(false);
-            let served = serve_connection(stream, &*handler, CONTROL_OPTIONS, draining).await;
-            if let Err(e) = served {
-                log::debug!("connection for check-ins ended: {e}");
-            }
-        }
-    })
-    .await
+    run_control_listener(context, &listener, timeouts, handler).await
 }
 
 struct CheckIns {
--- a/crates/relay/src/control.rs
+++ b/crates/relay/src/control.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use cornelvalve_http1::SocketTimeouts;
-use cornelvalve_kernel::{Context, Mailbox, ServiceResult};
+use cornelvalve_kernel::{Context, Mailbox, Registry, ServiceResult};
 use cornelvalve_model::Revision;
 use tokio::task::JoinHandle;
 use tokio::time::{sleep, timeout};
@@ -74,6 +74,12 @@
     Ok(())
 }
 
+/// Asks the control service to publish all it knows again, as after the start of a service.
+pub(crate) async fn request_republish(registry: &Registry) -> cornelvalve_kernel::Result<()> {
+    let control = registry.mailbox(CONTROL)?;
+    control.send(ControlMessage::Republish).await
+}
+
 /// Ends a task together with the service that it belongs to.
 struct AbortOnDrop(JoinHandle<()>);
 
--- a/crates/relay/src/entry/offer.rs
+++ b/crates/relay/src/entry/offer.rs
@@ -1,11 +1,18 @@
 //! One attempt: offers a request to a place and reports how it ended there.
 
+#[cfg(test)]
+mod tests;
+
+use std::net::SocketAddr;
+use std::pin::pin;
 use std::time::Duration;
 
+use cornelvalve_model::VmName;
 use cornelvalve_policy::{LoadReport, PlaceEnd};
 use tokio::time::timeout;
 
 use super::EntryHandler;
+use crate::desired::Repeat;
 use crate::hop::{self, FrameConnection, HopCall, HopError, HopOutcome, HopReply, HopRequest};
 use crate::messages::{PlaceReport, Placed, Plan, Served};
 use crate::ports::Cause;
@@ -15,13 +22,13 @@
     /// Offers a request to a place and returns what became of it.
     pub(super) async fn offer(
         &self,
-        placed: Placed,
+        mut placed: Placed,
         request: HopRequest,
         plan: &Plan,
     ) -> HopOutcome {
         let offered = match placed.addr {
             None => Offered::from(self.runner.run(&request).await),
-            Some(addr) => self.offer_peer(addr, placed.taken_within, request).await,
+            Some(addr) => self.offer_peer(addr, &mut placed, request).await,
         };
         let report = PlaceReport {
             vm: placed.vm,
@@ -35,8 +42,8 @@
 
     async fn offer_peer(
         &self,
-        addr: std::net::SocketAddr,
-        taken_within: Duration,
+        addr: SocketAddr,
+        placed: &mut Placed,
         request: HopRequest,
     ) -> Offered {
         let connection = self.links.peer(&self.pool, addr).await;
@@ -52,6 +59,7 @@
             }
         };
         let attempt = request.attempt.clone();
+        let repeat = request.repeat;
         let frame = match hop::encode(&HopCall::Run(Box::new(request))) {
             Ok(frame) => frame,
             Err(e) => {
@@ -59,7 +67,7 @@
                 return Offered::unsent();
             }
         };
-        match exchange(&mut connection, &frame, taken_within).await {
+        match exchange(&mut connection, &frame, repeat, placed).await {
             Ok(offered) => {
                 self.links.keep_peer(&self.pool, addr, connection);
                 offered
@@ -75,21 +83,23 @@
 }
 
 /// Exchanges a request and its outcome with another daemon.
+///
+/// Without a sign of life in time, an idempotent request is given up, so that another place gets
+/// it. Any other one goes on: it may be on its way over a full link, and could not be sent again.
 async fn exchange(
     connection: &mut FrameConnection,
     frame: &[u8],
-    taken_within: Duration,
+    repeat: Repeat,
+    placed: &mut Placed,
 ) -> hop::Result<Offered> {
-    let taken = async {
-        connection.send(frame).await?;
-        connection.receive().await
-    };
-    match timeout(taken_within, taken).await {
-        Ok(Ok(HopReply::Taken)) => {}
-        Ok(Ok(other)) => return Err(HopError::Malformed(format!("unexpected {other:?}"))),
-        Ok(Err(e)) => return Err(e),
-        Err(_) => return Err(HopError::Malformed("no sign of life".to_owned())),
+    let taken = wait_for_sign(connection, frame, repeat, placed).await;
+    match taken? {
+        HopReply::Taken => {}
+        other => return Err(HopError::Malformed(format!("unexpected {other:?}"))),
     }
+    placed
+        .report
+        .set_on_drop(report(placed.vm.clone(), PlaceEnd::Cancelled));
     match connection.receive().await? {
         HopReply::Done { outcome, load } => Ok(Offered {
             outcome,
@@ -100,6 +110,39 @@
     }
 }
 
+/// Sends a request and waits for the sign that the other daemon has it.
+async fn wait_for_sign(
+    connection: &mut FrameConnection,
+    frame: &[u8],
+    repeat: Repeat,
+    placed: &mut Placed,
+) -> hop::Result<HopReply> {
+    let mut sign = pin!(async {
+        connection.send(frame).await?;
+        connection.receive().await
+    });
+    match timeout(placed.taken_within, &mut sign).await {
+        Ok(taken) => taken,
+        Err(_) if repeat == Repeat::Idempotent => {
+            Err(HopError::Malformed("no sign of life".to_owned()))
+        }
+        Err(_) => {
+            let silent = report(placed.vm.clone(), PlaceEnd::Silent);
+            placed.report.set_on_drop(silent);
+            sign.await
+        }
+    }
+}
+
+fn report(vm: VmName, end: PlaceEnd) -> PlaceReport {
+    PlaceReport {
+        vm,
+        end,
+        load: None,
+        served: None,
+    }
+}
+
 /// What an attempt brought.
 struct Offered {
     outcome: HopOutcome,
--- a/crates/relay/src/guard.rs
+++ b/crates/relay/src/guard.rs
@@ -10,8 +10,9 @@
 use tokio::sync::mpsc;
 use tokio::time::sleep;
 
-use crate::messages::{ControlMessage, GuardMessage};
-use crate::names::{CONTROL, LOADS, MEMBERS, MONITOR, ROUTER};
+use crate::control::request_republish;
+use crate::messages::GuardMessage;
+use crate::names::{LOADS, MEMBERS, MONITOR, ROUTER};
 use state::GuardState;
 
 /// What the guard is told at its start.
@@ -32,11 +33,7 @@
     mut context: Context<GuardMessage>,
     settings: GuardSettings,
 ) -> ServiceResult {
-    context
-        .registry
-        .mailbox(CONTROL)?
-        .send(ControlMessage::Republish)
-        .await?;
+    request_republish(&context.registry).await?;
     let (reports, mut ended) = mpsc::unbounded_channel();
     let outlets = state::Outlets {
         reports,
--- a/crates/relay/src/listener.rs
+++ b/crates/relay/src/listener.rs
@@ -2,11 +2,15 @@
 
 use std::future::Future;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
-use cornelvalve_http1::{SocketTimeouts, accept};
+use cornelvalve_http1::{
+    DecodeLimits, Handler, ServerOptions, SocketTimeouts, accept, serve_connection,
+};
 use cornelvalve_kernel::{Context, ServiceResult};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
 use tokio::task::JoinSet;
 use tokio::time::sleep;
 
@@ -15,6 +19,36 @@
 /// Pause after a failed accept, such as one for want of descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
+/// Limits of connections that carry control calls.
+const CONTROL_OPTIONS: ServerOptions = ServerOptions {
+    limits: DecodeLimits {
+        head_bytes: 8 * 1024,
+        body_bytes: 64 * 1024,
+    },
+    request_timeout: Duration::from_secs(3),
+    idle_timeout: Duration::from_secs(30),
+};
+
+/// Accepts connections that carry control calls until the service should stop.
+pub(crate) async fn run_control_listener(
+    context: Context<ListenerMessage>,
+    listener: &TcpListener,
+    timeouts: SocketTimeouts,
+    handler: Arc<dyn Handler>,
+) -> ServiceResult {
+    run_listener(context, listener, timeouts, move |stream, from| {
+        let handler = Arc::clone(&handler);
+        async move {
+            let (_stay, draining) = watch::channel(false);
+            let served = serve_connection(stream, &*handler, CONTROL_OPTIONS, draining).await;
+            if let Err(e) = served {
+                log::debug!("control connection of {from} ended: {e}");
+            }
+        }
+    })
+    .await
+}
+
 /// Accepts connections until the service should stop, which ends the connections too.
 pub(crate) async fn run_listener<F, R>(
     mut context: Context<ListenerMessage>,
--- a/crates/relay/src/ready.rs
+++ b/crates/relay/src/ready.rs
@@ -3,14 +3,12 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use cornelvalve_http1::{BoxFuture, Handler, Reply, Request, SocketTimeouts, serve_connection};
+use cornelvalve_http1::{BoxFuture, Handler, Reply, Request, SocketTimeouts};
 use cornelvalve_kernel::{Context, Mailbox, ServiceResult};
 use http::StatusCode;
 use tokio::net::TcpListener;
-use tokio::sync::watch;
 
-use crate::check_ins::CONTROL_OPTIONS;
-use crate::listener::run_listener;
+use crate::listener::run_control_listener;
 use crate::messages::{ListenerMessage, StatsMessage};
 use crate::names::STATS;
 
@@ -24,17 +22,7 @@
     timeouts: SocketTimeouts,
 ) -> ServiceResult {
     let handler = Arc::new(Questions(context.registry.mailbox(STATS)?));
-    run_listener(context, &listener, timeouts, move |stream, _| {
-        let handler = Arc::clone(&handler);
-        async move {
-            let (_stay, draining) = watch::channel(false);
-            let served = serve_connection(stream, &*handler, CONTROL_OPTIONS, draining).await;
-            if let Err(e) = served {
-                log::debug!("connection for questions ended: {e}");
-            }
-        }
-    })
-    .await
+    run_control_listener(context, &listener, timeouts, handler).await
 }
 
 struct Questions(Mailbox<StatsMessage>);
--- a/crates/relay/src/router.rs
+++ b/crates/relay/src/router.rs
@@ -8,8 +8,9 @@
 use cornelvalve_policy::{ExpectedEnd, ShareSettings};
 use tokio::sync::mpsc;
 
-use crate::messages::{ControlMessage, MembersMessage, RouterMessage};
-use crate::names::{CONTROL, MEMBERS};
+use crate::control::request_republish;
+use crate::messages::{MembersMessage, RouterMessage};
+use crate::names::MEMBERS;
 use state::RouterState;
 
 /// Where this daemon stands.
@@ -30,11 +31,7 @@
     share: ShareSettings,
 ) -> ServiceResult {
     // After a restart of this service both publish all they know again.
-    context
-        .registry
-        .mailbox(CONTROL)?
-        .send(ControlMessage::Republish)
-        .await?;
+    request_republish(&context.registry).await?;
     context
         .registry
         .mailbox(MEMBERS)?
--- a/crates/relay/src/stats.rs
+++ b/crates/relay/src/stats.rs
@@ -7,9 +7,9 @@
 use prometheus::{Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry};
 use tokio::sync::watch;
 
+use crate::control::request_republish;
 use crate::desired::{CallerLimits, ControlView};
-use crate::messages::{Activity, ControlMessage, RequestEnd, RequestRecord, StatsMessage};
-use crate::names::CONTROL;
+use crate::messages::{Activity, RequestEnd, RequestRecord, StatsMessage};
 
 /// Result alias of this module.
 type Result<T> = std::result::Result<T, MetricsError>;
@@ -110,11 +110,7 @@
     mut context: Context<StatsMessage>,
     limits: Arc<watch::Sender<CallerLimits>>,
 ) -> ServiceResult {
-    context
-        .registry
-        .mailbox(CONTROL)?
-        .send(ControlMessage::Republish)
-        .await?;
+    request_republish(&context.registry).await?;
     let mut stats = Stats {
         instruments: Instruments::new()?,
         running: 0,
