--- a/crates/relay/src/logging.rs
+++ b/crates/relay/src/logging.rs
@@ -140,10 +140,9 @@
             }
         }
         let lost = dropped.swap(0, Ordering::Relaxed);
-        if lost > 0 {
-            let line =
-                format!("{{\"level\":\"WARN\",\"event\":\"lines-dropped\",\"count\":{lost}}}\n");
-            batch.extend_from_slice(line.as_bytes());
+        if lost > 0 && !ended {
+            // The queue has just been emptied, so that this line finds room.
+            log::warn!(event = "lines-dropped", count = lost; "lines were not written");
         }
         // Without a reader there is nowhere to report that lines cannot be written.
         let _ = output.write_all(&batch).and_then(|()| output.flush());
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -16,7 +16,7 @@
 use smallvec::SmallVec;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
 
 use crate::control::run_control;
 use crate::desired::CallerLimits;
@@ -48,6 +48,12 @@
 /// Period of the question whether a stopping daemon is idle.
 const IDLE_CHECK: Duration = Duration::from_millis(50);
 
+/// Part of the notice time in which a stopping daemon serves as before.
+const SERVING_SHARE: f64 = 0.75;
+
+/// Time that a stopping daemon keeps for the last requests of callers after its guard has drained.
+const CALLERS_TIME: Duration = Duration::from_millis(1200);
+
 /// Part of the grace time that is kept for the end itself.
 const STOP_MARGIN: Duration = Duration::from_millis(500);
 
@@ -186,21 +192,27 @@
     }
 
     /// Stops the daemon without interrupting requests, within its grace time.
+    ///
+    /// It serves on until its callers have had most of the time to notice, so that a restart takes
+    /// little capacity away; then it takes nothing more from other daemons, and at last nothing more
+    /// from callers.
     pub async fn stop(self) {
         let begun = Instant::now();
         let end = begun + self.grace.saturating_sub(STOP_MARGIN);
         log::info!(event = "stopping", grace_ms = self.grace.as_millis() as u64; "daemon stops");
         self.tell(STATS, StatsMessage::Stopping).await;
-        self.tell(MEMBERS, MembersMessage::Leave).await;
-        let drained = self.drain_guard();
         self.draining.send_replace(true);
-        let idle = self.wait_until_idle(begun + self.notice);
-        let both = async {
-            tokio::join!(drained, idle);
-        };
-        let in_time = tokio::time::timeout_at(end, both).await.is_ok();
+        sleep_until(begun + self.notice.mul_f64(SERVING_SHARE)).await;
         self.tell(MEMBERS, MembersMessage::Leave).await;
-        log::info!(event = "stopped", drained = in_time, took_ms = begun.elapsed().as_millis() as u64; "daemon stopped");
+        // What runs beside the daemon may still make calls of its own, so callers are refused only
+        // after it has ended.
+        let drained = timeout_at(end - CALLERS_TIME, self.drain_guard());
+        let drained = drained.await.is_ok();
+        sleep_until(begun + self.notice).await;
+        self.refusing.send_replace(true);
+        let idle = timeout_at(end, self.wait_until_idle()).await.is_ok();
+        self.tell(MEMBERS, MembersMessage::Leave).await;
+        log::info!(event = "stopped", drained = drained, idle = idle, took_ms = begun.elapsed().as_millis() as u64; "daemon stopped");
         self.kernel.stop(SERVICE_GRACE).await;
     }
 
@@ -222,12 +234,8 @@
         }
     }
 
-    /// Waits until callers have had time to notice, then refuses new requests until none runs.
-    ///
-    /// Callers keep coming if too few other daemons of the failure domain are ready.
-    async fn wait_until_idle(&self, earliest: Instant) {
-        tokio::time::sleep_until(earliest).await;
-        self.refusing.send_replace(true);
+    /// Waits until no request of a caller runs.
+    async fn wait_until_idle(&self) {
         let Ok(stats) = self.kernel.mailbox(STATS) else {
             return;
         };
