--- a/crates/standins/src/platform/target.rs
+++ b/crates/standins/src/platform/target.rs
@@ -9,7 +9,7 @@
 use http::header::{HeaderMap, HeaderName, HeaderValue};
 use http::{Method, StatusCode};
 use tokio::sync::{mpsc, oneshot};
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 use super::Server;
 
@@ -56,6 +56,10 @@
     pub time_left_ms: u64,
     /// Size of its body.
     pub body_bytes: usize,
+    /// Whether the target ran it.
+    pub ran: bool,
+    /// Time of its arrival.
+    pub at: Instant,
 }
 
 enum Message {
@@ -134,7 +138,8 @@
     let (mut mode, mut running, mut slowdown) = (TargetMode::Running, 0_u16, 100_u16);
     while let Some(message) = inbox.recv().await {
         match message {
-            Message::Arrived(arrival, reply) => {
+            Message::Arrived(mut arrival, reply) => {
+                arrival.ran = mode != TargetMode::Shedding;
                 arrivals.push(arrival);
                 running += 1;
                 // A caller that has left is counted as gone by its handler.
@@ -229,6 +234,8 @@
         expected,
         time_left_ms: header(headers, "x-deadline-ms").parse().unwrap_or_default(),
         body_bytes: request.body.len(),
+        ran: true,
+        at: Instant::now(),
     };
     let (reply, mode) = oneshot::channel();
     let _ = sender.send(Message::Arrived(arrival, reply));
