--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -48,7 +48,7 @@
         while !*self.stop.borrow() {
             number += 1;
             let attempt = format!("{}-{number}", self.name);
-            let repeatable = number % 2 == 0;
+            let repeatable = number.is_multiple_of(2);
             let sent = Instant::now();
             if connection.is_none() {
                 connection = ClientConnection::open(self.addr, TIMEOUTS, LIMITS)
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -177,7 +177,11 @@
     Spot {
         index,
         service: "one",
-        domain: if index % 2 == 0 { "east-a" } else { "east-b" },
+        domain: if index.is_multiple_of(2) {
+            "east-a"
+        } else {
+            "east-b"
+        },
     }
 }
 
