Name the cause of the last refusal, tell the drain time of the whole queue

Found in reading: a request that each upstream had refused was reported as without an upstream, with a Retry-After of a second, and the drain time named to refused waiters left out those that still waited.

--- a/crates/policy/src/gate.rs
+++ b/crates/policy/src/gate.rs
@@ -290,18 +290,15 @@
     pub fn advance(&mut self, now: Moment) -> GateActions {
         let mut actions = GateActions::new();
         self.note_pressure(now);
-        let mut kept = std::mem::take(&mut self.queue);
-        kept.retain(|waiting| {
-            let call = &waiting.call;
-            let hopeless = self.last_start(waiting) < now;
-            if hopeless {
-                let drain = self.drain_time(now);
-                let refusal = GateRefusal::Hopeless { drain };
-                actions.push(GateAction::Refuse(call.id, refusal));
-            }
-            !hopeless
-        });
+        let drain = self.drain_time(now);
+        let waiting = std::mem::take(&mut self.queue);
+        let (hopeless, kept): (Vec<_>, Vec<_>) =
+            waiting.into_iter().partition(|w| self.last_start(w) < now);
         self.queue = kept;
+        for Waiting { call, .. } in hopeless {
+            let refusal = GateRefusal::Hopeless { drain };
+            actions.push(GateAction::Refuse(call.id, refusal));
+        }
         self.start_waiting(now, &mut actions);
         actions
     }
--- a/crates/relay/src/entry/forward.rs
+++ b/crates/relay/src/entry/forward.rs
@@ -268,19 +268,19 @@
 
     async fn place(&self) -> Result<Placed, Cause> {
         let query = self.place_query();
-        let placed = self.ask_place(query.clone()).await;
-        match placed {
-            Err(Cause::NoUpstream) if !query.tried.is_empty() && query.handed_back.is_empty() => {
-                Err(self.refused_for)
-            }
+        let any_refused = !query.tried.is_empty();
+        let mut placed = self.ask_place(query.clone()).await;
+        if matches!(placed, Err(Cause::NoUpstream)) && !query.handed_back.is_empty() {
             // Every place handed it back, so the best of them has to keep it.
-            Err(Cause::NoUpstream) if !query.handed_back.is_empty() && !query.settle => {
-                let query = PlaceQuery {
-                    settle: true,
-                    ..query
-                };
-                self.ask_place(query).await
-            }
+            let query = PlaceQuery {
+                settle: true,
+                ..query
+            };
+            placed = self.ask_place(query).await;
+        }
+        match placed {
+            // There are upstreams, but each one has refused it.
+            Err(Cause::NoUpstream) if any_refused => Err(self.refused_for),
             placed => placed,
         }
     }
--- a/crates/relay/src/ports.rs
+++ b/crates/relay/src/ports.rs
@@ -139,9 +139,6 @@
     /// No route matches.
     #[display("no-route")]
     NoRoute,
-    /// The request is malformed.
-    #[display("bad-request")]
-    BadRequest,
     /// No upstream of the service may be used.
     #[display("no-upstream")]
     NoUpstream,
