Answer what still runs at the end of a stop, and never give an attempt up for a late sign

A late sign is now waited for; a second place is tried meanwhile if the request may be repeated. At the end of a stop all that runs is answered.

--- a/crates/relay/src/entry.rs
+++ b/crates/relay/src/entry.rs
@@ -18,7 +18,9 @@
 use crate::hop::FrameConnection;
 use crate::links::Links;
 use crate::listener::run_listener;
-use crate::messages::{LimitsReceiver, ListenerMessage, PoolMessage, RouterMessage, StatsMessage};
+use crate::messages::{
+    LimitsReceiver, ListenerMessage, PoolMessage, RouterMessage, StatsMessage, StopStage,
+};
 use crate::names::{PEER_POOL, ROUTER, STATS};
 use crate::ports::{Cause, Dialect, FinalRefusal};
 use crate::runner::Runner;
@@ -30,7 +32,7 @@
     pub(crate) timeouts: SocketTimeouts,
     pub(crate) limits: LimitsReceiver,
     pub(crate) draining: watch::Receiver<bool>,
-    pub(crate) refusing: watch::Receiver<bool>,
+    pub(crate) stage: watch::Receiver<StopStage>,
     pub(crate) links: Links,
     pub(crate) own_service: ServiceName,
     pub(crate) runner: Runner,
@@ -46,8 +48,7 @@
     links: Links,
     own_service: ServiceName,
     runner: Runner,
-    /// Set shortly before the end of the daemon: new requests are refused.
-    refusing: watch::Receiver<bool>,
+    stage: watch::Receiver<StopStage>,
 }
 
 /// Runs the entry service.
@@ -64,7 +65,7 @@
         links: parts.links,
         own_service: parts.own_service,
         runner: parts.runner,
-        refusing: parts.refusing,
+        stage: parts.stage,
     });
     let (limits, draining) = (parts.limits, parts.draining);
     run_listener(
--- a/crates/relay/src/entry/forward.rs
+++ b/crates/relay/src/entry/forward.rs
@@ -8,13 +8,14 @@
 use cornelvalve_model::{Moment, VmName};
 use cornelvalve_policy::{AttemptResult, Attempts};
 use http::header::HOST;
-use tokio::time::{Instant, sleep, timeout_at};
+use smallvec::SmallVec;
+use tokio::time::{Instant, sleep_until, timeout_at};
 
 use super::{EntryHandler, refusal};
 use crate::desired::Repeat;
 use crate::hop::{HopAnswer, HopHeaders, HopOutcome, HopRequest};
 use crate::messages::{
-    PlaceQuery, Placed, Plan, RequestEnd, RequestRecord, RouterMessage, StatsMessage,
+    PlaceQuery, Placed, Plan, RequestEnd, RequestRecord, RouterMessage, StatsMessage, StopStage,
 };
 use crate::ports::{Cause, FinalRefusal};
 
@@ -71,7 +72,7 @@
     let mut record = Recorded::begin(entry, started);
     let head = entry.dialect.caller_head(&request.headers);
     let host = request.headers.get(HOST).and_then(|h| h.to_str().ok());
-    if *entry.refusing.borrow() {
+    if *entry.stage.borrow() >= StopStage::Refusing {
         log::info!(event = "request-refused", request = head.attempt.as_deref(), cause:% = Cause::Leaving; "daemon stops");
         record.end(RequestEnd::Refused(Cause::Leaving), None);
         return entry.refuse(&FinalRefusal {
@@ -118,9 +119,23 @@
         fallback: None,
     };
     let end = Instant::now() + forwarding.time_left();
-    let outcome = timeout_at(end, forwarding.run()).await;
-    let outcome = outcome.unwrap_or_else(|_| forwarding.timed_out());
-    forwarding.conclude(outcome, &mut record)
+    let mut stage = entry.stage.clone();
+    let conclusion = tokio::select! {
+        outcome = timeout_at(end, forwarding.run()) => outcome.map_err(|_| Cause::Deadline),
+        // An error means that the daemon ends, too.
+        _ = stage.wait_for(|s| *s == StopStage::Ending) => Err(Cause::Leaving),
+    };
+    let conclusion = conclusion.unwrap_or_else(|cause| forwarding.give_up(cause));
+    forwarding.conclude(conclusion, &mut record)
+}
+
+/// Why a second place is tried while the first has not answered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Second {
+    /// The request takes long there.
+    Hedge,
+    /// Nothing was heard of the daemon there.
+    NoSign,
 }
 
 /// How a request ended.
@@ -179,29 +194,42 @@
         }
     }
 
-    /// Offers the request to a place and, if it takes long there and may be repeated, to a second
-    /// one as well. Returns the first success, or what became of the last one.
+    /// Offers the request to a place and, if it takes long there or nothing is heard and it may be
+    /// repeated, to a second one as well. Returns the first success, or what became of the last one.
     async fn attempt(&mut self, placed: Placed) -> (VmName, HopOutcome) {
         let vm = placed.vm.clone();
         log::info!(event = "placed", request = self.attempt.as_deref(), vm = vm.as_str(), expected_ms = placed.expected.as_millis() as u64, arrivals = self.attempts.arrivals(); "attempt");
+        let begun = Instant::now();
+        let signed = placed.sign.subscribe();
+        let triggers = self.triggers(&placed);
         let request = self.hop_request(placed.elsewhere);
         let (entry, plan) = (self.entry, Arc::clone(&self.plan));
-        let hedge_after = self.hedge_after(&placed);
         let mut first = Box::pin(entry.offer(placed, request, &plan));
-        let Some(hedge_after) = hedge_after else {
-            return (vm, first.await);
-        };
-        tokio::select! {
-            outcome = &mut first => return (vm, outcome),
-            () = sleep(hedge_after) => {}
+        for (after, why) in triggers {
+            tokio::select! {
+                outcome = &mut first => return (vm, outcome),
+                () = sleep_until(begun + after) => {}
+            }
+            if why == Second::NoSign && *signed.borrow() {
+                continue;
+            }
+            if let Ok(second) = self.place_second(&vm, why).await {
+                let second_vm = second.vm.clone();
+                log::info!(event = "hedged", request = self.attempt.as_deref(), vm = second_vm.as_str(), after_ms = after.as_millis() as u64, no_sign = why == Second::NoSign; "second place");
+                let request = self.hop_request(None);
+                let second = Box::pin(entry.offer(second, request, &plan));
+                return self.race((vm, first), (second_vm, second)).await;
+            }
         }
-        let Ok(second) = self.place_hedge(&vm).await else {
-            return (vm, first.await);
-        };
-        let second_vm = second.vm.clone();
-        log::info!(event = "hedged", request = self.attempt.as_deref(), vm = second_vm.as_str(), after_ms = hedge_after.as_millis() as u64; "hedge");
-        let request = self.hop_request(None);
-        let mut second = Box::pin(entry.offer(second, request, &plan));
+        (vm, first.await)
+    }
+
+    /// Returns the first success of two attempts, or what became of the last one.
+    async fn race<F>(&mut self, first: (VmName, F), second: (VmName, F)) -> (VmName, HopOutcome)
+    where
+        F: Future<Output = HopOutcome> + Unpin,
+    {
+        let ((vm, mut first), (second_vm, mut second)) = (first, second);
         let (ended, outcome, other, rest) = tokio::select! {
             outcome = &mut first => (vm, outcome, second_vm, second),
             outcome = &mut second => (second_vm, outcome, vm, first),
@@ -209,32 +237,43 @@
         if matches!(&outcome, HopOutcome::Answered(answer) if !answer.failed) {
             return (ended, outcome);
         }
-        if let HopOutcome::NotRun { arrived: false, .. } = outcome {
-            return (other, rest.await);
+        if !matches!(outcome, HopOutcome::NotRun { arrived: false, .. }) {
+            self.attempts.note(ended, AttemptResult::MayHaveRun);
         }
-        self.attempts.note(ended, AttemptResult::MayHaveRun);
         (other, rest.await)
     }
 
-    /// Returns the time after which a second place is worth trying: late enough that most requests
-    /// have ended, and early enough that the second attempt meets the objective.
-    fn hedge_after(&self, placed: &Placed) -> Option<Duration> {
+    /// Returns the times after which a second place is tried, in order.
+    fn triggers(&self, placed: &Placed) -> SmallVec<[(Duration, Second); 2]> {
         let attempts = u32::from(self.plan.route.attempts);
         let left = attempts.saturating_sub(u32::from(self.attempts.arrivals()));
+        let mut triggers = SmallVec::new();
         if self.plan.route.repeat != Repeat::Idempotent || left < 2 {
-            return None;
+            return triggers;
         }
-        let in_time = self
-            .objective_left()
-            .saturating_sub(placed.usual.mul_f64(HEDGE_WORK));
-        let delay = in_time.max(placed.usual.mul_f64(MIN_HEDGE_WORK));
-        (delay < self.time_left()).then_some(delay)
+        triggers.push((self.hedge_after(placed), Second::Hedge));
+        if placed.addr.is_some() {
+            triggers.push((placed.taken_within, Second::NoSign));
+        }
+        triggers.sort_by_key(|(after, _)| *after);
+        triggers
+    }
+
+    /// Returns the time after which a hedge is worth trying: late enough that most requests have
+    /// ended, and early enough that the hedge meets the objective.
+    fn hedge_after(&self, placed: &Placed) -> Duration {
+        let kept = placed.usual.mul_f64(HEDGE_WORK);
+        let in_time = self.objective_left().saturating_sub(kept);
+        in_time.max(placed.usual.mul_f64(MIN_HEDGE_WORK))
     }
 
-    async fn place_hedge(&self, first: &VmName) -> Result<Placed, Cause> {
+    async fn place_second(&self, first: &VmName, why: Second) -> Result<Placed, Cause> {
         let mut query = self.place_query();
         query.tried.push(first.clone());
-        query.hedge = Some(self.objective_left().max(MIN_HEDGE_TIME));
+        match why {
+            Second::Hedge => query.hedge = Some(self.objective_left().max(MIN_HEDGE_TIME)),
+            Second::NoSign => query.again = true,
+        }
         self.ask_place(query).await
     }
 
@@ -341,10 +380,6 @@
         })
     }
 
-    fn timed_out(&mut self) -> Conclusion {
-        self.give_up(Cause::Deadline)
-    }
-
     fn conclude(&self, conclusion: Conclusion, record: &mut Recorded<'_>) -> Reply {
         let took = self.entry.clock.now().since(self.started);
         let route = self.plan.route.name.as_ref();
--- a/crates/relay/src/entry/offer.rs
+++ b/crates/relay/src/entry/offer.rs
@@ -12,7 +12,6 @@
 use tokio::time::timeout;
 
 use super::EntryHandler;
-use crate::desired::Repeat;
 use crate::hop::{self, FrameConnection, HopCall, HopError, HopOutcome, HopReply, HopRequest};
 use crate::messages::{PlaceReport, Placed, Plan, Served};
 use crate::ports::Cause;
@@ -59,7 +58,6 @@
             }
         };
         let attempt = request.attempt.clone();
-        let repeat = request.repeat;
         let frame = match hop::encode(&HopCall::Run(Box::new(request))) {
             Ok(frame) => frame,
             Err(e) => {
@@ -67,7 +65,7 @@
                 return Offered::unsent();
             }
         };
-        match exchange(&mut connection, &frame, repeat, placed).await {
+        match exchange(&mut connection, &frame, placed).await {
             Ok(offered) => {
                 self.links.keep_peer(&self.pool, addr, connection);
                 offered
@@ -83,20 +81,16 @@
 }
 
 /// Exchanges a request and its outcome with another daemon.
-///
-/// Without a sign of life in time, an idempotent request is given up, so that another place gets
-/// it. Any other one goes on: it may be on its way over a full link, and could not be sent again.
 async fn exchange(
     connection: &mut FrameConnection,
     frame: &[u8],
-    repeat: Repeat,
     placed: &mut Placed,
 ) -> hop::Result<Offered> {
-    let taken = wait_for_sign(connection, frame, repeat, placed).await;
-    match taken? {
+    match wait_for_sign(connection, frame, placed).await? {
         HopReply::Taken => {}
         other => return Err(HopError::Malformed(format!("unexpected {other:?}"))),
     }
+    placed.sign.send_replace(true);
     placed
         .report
         .set_on_drop(report(placed.vm.clone(), PlaceEnd::Cancelled));
@@ -111,10 +105,12 @@
 }
 
 /// Sends a request and waits for the sign that the other daemon has it.
+///
+/// A late sign is waited for, because the request may be on its way over a full link; if the attempt
+/// is given up meanwhile, its place counts as silent.
 async fn wait_for_sign(
     connection: &mut FrameConnection,
     frame: &[u8],
-    repeat: Repeat,
     placed: &mut Placed,
 ) -> hop::Result<HopReply> {
     let mut sign = pin!(async {
@@ -123,9 +119,6 @@
     });
     match timeout(placed.taken_within, &mut sign).await {
         Ok(taken) => taken,
-        Err(_) if repeat == Repeat::Idempotent => {
-            Err(HopError::Malformed("no sign of life".to_owned()))
-        }
         Err(_) => {
             let silent = report(placed.vm.clone(), PlaceEnd::Silent);
             placed.report.set_on_drop(silent);
--- a/crates/relay/src/logging.rs
+++ b/crates/relay/src/logging.rs
@@ -32,7 +32,7 @@
 
 /// Lines below warnings that are written in one second: about twice what a daemon writes at the
 /// highest load of the users' present sites.
-const LINES_PER_SECOND: u64 = 500;
+const LINES_PER_SECOND: u64 = 1200;
 
 /// Longest wait for the writer when the process ends.
 const END_TIMEOUT: Duration = Duration::from_millis(300);
--- a/crates/relay/src/messages.rs
+++ b/crates/relay/src/messages.rs
@@ -8,6 +8,7 @@
 use cornelvalve_model::{Member, Moment, Revision, Upstream, VmName};
 use cornelvalve_policy::{LoadReport, PlaceEnd, WorkKey};
 use smallvec::SmallVec;
+use tokio::sync::watch;
 
 use crate::desired::{CallerLimits, ControlView, RouteSpec, Version};
 use crate::ports::{Addresses, Cause, CheckIn, HealthReport, UpstreamLoad};
@@ -124,6 +125,8 @@
     pub(crate) expected: Duration,
     /// Time that such work takes at usual speed.
     pub(crate) usual: Duration,
+    /// Set once its daemon has confirmed that it has the request.
+    pub(crate) sign: watch::Sender<bool>,
     /// Reports the end of the attempt.
     pub(crate) report: Completion<PlaceReport>,
 }
@@ -377,6 +380,18 @@
     Began,
 }
 
+/// How far the stop of a daemon has come, for its callers.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum StopStage {
+    /// Requests are served.
+    #[default]
+    Serving,
+    /// New requests are refused.
+    Refusing,
+    /// Requests that still run are answered at once.
+    Ending,
+}
+
 /// How busy the entry is.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Activity {
@@ -413,4 +428,4 @@
 }
 
 /// Limits on callers in force, shared with the connections.
-pub(crate) type LimitsReceiver = tokio::sync::watch::Receiver<CallerLimits>;
+pub(crate) type LimitsReceiver = watch::Receiver<CallerLimits>;
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -25,7 +25,7 @@
 use crate::links::Links;
 use crate::loads::{PORT_OFFSET, run_loads};
 use crate::members::run_members;
-use crate::messages::{Activity, GuardMessage, MembersMessage, StatsMessage};
+use crate::messages::{Activity, GuardMessage, MembersMessage, StatsMessage, StopStage};
 use crate::names::{
     CHECK_INS, CONTROL, ENTRY, GUARD, LOADS, MEMBERS, METRICS, MONITOR, PEER_POOL, PEERS, READY,
     REGISTRY, ROUTER, STATS, UPSTREAM_POOL,
@@ -54,6 +54,9 @@
 /// Time that a stopping daemon keeps for the last requests of callers after its guard has drained.
 const CALLERS_TIME: Duration = Duration::from_millis(1200);
 
+/// Time that a stopping daemon keeps for answers to requests that still run at its end.
+const ANSWER_TIME: Duration = Duration::from_millis(300);
+
 /// Part of the grace time that is kept for the end itself.
 const STOP_MARGIN: Duration = Duration::from_millis(500);
 
@@ -153,7 +156,7 @@
 pub struct Node {
     kernel: Kernel,
     draining: watch::Sender<bool>,
-    refusing: watch::Sender<bool>,
+    stage: watch::Sender<StopStage>,
     grace: Duration,
     notice: Duration,
 }
@@ -167,7 +170,7 @@
     pub fn start(settings: NodeSettings, parts: Parts) -> Result<Self> {
         let sockets = Sockets::bind(&settings.listen)?;
         let (draining, drain_receiver) = watch::channel(false);
-        let (refusing, refuse_receiver) = watch::channel(false);
+        let (stage, stage_receiver) = watch::channel(StopStage::default());
         let (grace, notice) = (settings.grace, settings.notice);
         log::info!(event = "started", vm = settings.vm.as_str(), service = settings.service.as_str(), domain = settings.domain.as_str(), peers:% = settings.listen.peers; "daemon started");
         let assembly = Assembly {
@@ -175,12 +178,12 @@
             parts,
             sockets,
             draining: drain_receiver,
-            refusing: refuse_receiver,
+            stage: stage_receiver,
         };
         Ok(Self {
             kernel: assembly.build().start(),
             draining,
-            refusing,
+            stage,
             grace,
             notice,
         })
@@ -209,8 +212,13 @@
         let drained = timeout_at(end - CALLERS_TIME, self.drain_guard());
         let drained = drained.await.is_ok();
         sleep_until(begun + self.notice).await;
-        self.refusing.send_replace(true);
-        let idle = timeout_at(end, self.wait_until_idle()).await.is_ok();
+        self.stage.send_replace(StopStage::Refusing);
+        let idle = timeout_at(end - ANSWER_TIME, self.wait_until_idle()).await;
+        let idle = idle.is_ok();
+        if !idle {
+            self.stage.send_replace(StopStage::Ending);
+            sleep_until(end).await;
+        }
         self.tell(MEMBERS, MembersMessage::Leave).await;
         log::info!(event = "stopped", drained = drained, idle = idle, took_ms = begun.elapsed().as_millis() as u64; "daemon stopped");
         self.kernel.stop(SERVICE_GRACE).await;
@@ -308,7 +316,7 @@
     parts: Parts,
     sockets: Sockets,
     draining: watch::Receiver<bool>,
-    refusing: watch::Receiver<bool>,
+    stage: watch::Receiver<StopStage>,
 }
 
 impl Assembly {
@@ -454,7 +462,7 @@
         let entry_runner = peer_runner.clone();
         let callers = Arc::clone(&sockets.callers);
         let (limits, draining) = (limits.subscribe(), self.draining.clone());
-        let refusing = self.refusing.clone();
+        let stage = self.stage.clone();
         let own_service = self.settings.service.clone();
         builder
             .service(READY, options, move |context| {
@@ -477,7 +485,7 @@
             .service(ENTRY, options, move |context| {
                 let (listener, runner) = (Arc::clone(&callers), entry_runner.clone());
                 let (limits, draining) = (limits.clone(), draining.clone());
-                let refusing = refusing.clone();
+                let stage = stage.clone();
                 let own_service = own_service.clone();
                 async move {
                     let parts = EntryParts {
@@ -485,7 +493,7 @@
                         timeouts: LOCAL_TIMEOUTS,
                         limits,
                         draining,
-                        refusing,
+                        stage,
                         links: Self::links(),
                         own_service,
                         runner: runner.runner(&context)?,
--- a/crates/relay/src/router/state.rs
+++ b/crates/relay/src/router/state.rs
@@ -12,7 +12,7 @@
 use cornelvalve_policy::{
     Distance, LoadReport, Place, PlaceEnd, PlaceWork, Placement, RetryShare, ShareSettings, WorkKey,
 };
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 
 use super::Site;
 use super::split::Splitter;
@@ -258,6 +258,7 @@
             elsewhere,
             expected,
             usual,
+            sign: watch::Sender::new(false),
             report: Completion::new(self.reports.clone(), cancelled),
         })
     }
