--- a/crates/relay/src/runner.rs
+++ b/crates/relay/src/runner.rs
@@ -90,7 +90,7 @@
         match asked.await {
             Ok(Admitted::Run(permit)) => self.run_permitted(request, permit, deadline).await,
             Ok(Admitted::Refused { cause, wait, load }) => {
-                log::info!(event = "refused-here", request = request.attempt.as_deref(), cause:% = cause, wait_ms = wait.as_millis() as u64; "guard refused");
+                log::info!(event = "refused-here", request = request.attempt.as_deref(), cause:% = cause, wait_ms = wait.as_millis() as u64, running = load.map(|l| l.running), waiting = load.map(|l| l.waiting), slowdown = load.map(|l| l.slowdown), cold = load.map(|l| l.cold); "guard refused");
                 let outcome = HopOutcome::NotRun {
                     cause,
                     arrived: false,
