--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -5,7 +5,8 @@
 
 use bytes::Bytes;
 use cornelvalve_http1::{ClientConnection, OutgoingRequest, Response};
-use http::{HeaderMap, HeaderName, HeaderValue, Method};
+use cornelvalve_standins::{caller_headers, is_signed};
+use http::Method;
 use tokio::sync::{mpsc, watch};
 use tokio::time::{Instant, sleep, timeout};
 
@@ -18,7 +19,7 @@
 const CALLER_TIMEOUT: Duration = Duration::from_secs(8);
 
 /// Deadline that a caller states.
-const DEADLINE_MS: &str = "3000";
+const DEADLINE: Duration = Duration::from_secs(3);
 
 /// What a caller saw of one request.
 #[derive(Clone, Debug)]
@@ -69,7 +70,7 @@
                 attempt,
                 repeatable,
                 answer: answer.map(|r| {
-                    let signed = r.headers.contains_key("x-server-signature");
+                    let signed = is_signed(&r);
                     (r.status.as_u16(), signed, r.body)
                 }),
                 sent,
@@ -88,15 +89,7 @@
     attempt: &str,
     repeatable: bool,
 ) -> Option<Response> {
-    let mut headers = HeaderMap::new();
-    let mut set = |name, value: &str| {
-        if let Ok(value) = HeaderValue::from_str(value) {
-            headers.insert(HeaderName::from_static(name), value);
-        }
-    };
-    set("host", "a.example");
-    set("x-attempt-id", attempt);
-    set("x-deadline-ms", DEADLINE_MS);
+    let headers = caller_headers(attempt, DEADLINE);
     let (method, path, body) = if repeatable {
         (Method::GET, "read", Bytes::new())
     } else {
--- a/crates/soak/src/daemon.rs
+++ b/crates/soak/src/daemon.rs
@@ -9,7 +9,7 @@
 use cornelvalve_http1::{
     ClientConnection, DecodeLimits, OutgoingRequest, Response, SocketTimeouts,
 };
-use cornelvalve_standins::{TargetHandle, TargetOptions};
+use cornelvalve_standins::{CheckInText, READY_PATH, SettingsText, TargetHandle, TargetOptions};
 use http::{HeaderMap, HeaderName, HeaderValue, Method};
 use rustix::process::{Pid, Signal, kill_process};
 use tokio::process::{Child, Command};
@@ -34,6 +34,15 @@
 /// Longest wait for an answer of a daemon to a control call.
 const CONTROL_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Ports of each daemon's address.
+pub(crate) const CALLER_PORT: u16 = 8101;
+const CHECK_IN_PORT: u16 = 8102;
+const READY_PORT: u16 = 8103;
+const TARGET_PORT: u16 = 8105;
+const STORE_PORT: u16 = 8106;
+const PEER_PORT: u16 = 8110;
+const METRICS_PORT: u16 = PEER_PORT + 3;
+
 /// Requests that a target runs at once.
 const SLOTS: u16 = 8;
 
@@ -74,8 +83,8 @@
         let ip = IpAddr::V4(Ipv4Addr::new(127, net.0, net.1, spot.index));
         let instance = format!("i-{}-1", spot.index);
         let target = start_target(ip, &instance).await?;
-        let target_link = Proxy::start(SocketAddr::new(ip, 8105), target.addr()).await?;
-        let store_link = Proxy::start(SocketAddr::new(ip, 8106), store).await?;
+        let target_link = Proxy::start(SocketAddr::new(ip, TARGET_PORT), target.addr()).await?;
+        let store_link = Proxy::start(SocketAddr::new(ip, STORE_PORT), store).await?;
         let settings = folder.join(format!("daemon-{}.conf", spot.index));
         std::fs::write(&settings, settings_text(&spot, ip))?;
         let mut daemon = Self {
@@ -158,19 +167,18 @@
     /// Sends a check-in; tells whether it was confirmed.
     pub(crate) async fn check_in(&mut self, state: &str) -> bool {
         self.sequence += 1;
-        let body = serde_json::json!({
-            "address": self.addr(8105).to_string(),
-            "info": {"service": self.spot.service, "version": "v1", "zone": self.spot.domain,
-                     "slots": SLOTS},
-            "status": {"state": state, "sequence": self.sequence, "coldRemainingS": 0},
-        });
-        let target = format!("/v1/instances/{}", self.instance);
-        let call = control(
-            self.addr(8102),
-            Method::PUT,
-            &target,
-            body.to_string().into(),
-        );
+        let check_in = CheckInText {
+            instance: &self.instance,
+            addr: self.addr(TARGET_PORT),
+            service: self.spot.service,
+            domain: self.spot.domain,
+            slots: SLOTS,
+            state,
+            sequence: self.sequence,
+        };
+        let addr = self.addr(CHECK_IN_PORT);
+        let path = check_in.path();
+        let call = control(addr, Method::PUT, &path, check_in.body());
         call.await.is_some_and(|r| r.status == 200)
     }
 
@@ -185,13 +193,18 @@
 
     /// Tells whether the daemon says that it is ready.
     pub(crate) async fn is_ready(&self) -> bool {
-        let call = control(self.addr(8103), Method::GET, "/v1/ready", Bytes::new());
+        let call = control(self.addr(READY_PORT), Method::GET, READY_PATH, Bytes::new());
         call.await.is_some_and(|r| r.status == 200)
     }
 
     /// Returns the metrics.
     pub(crate) async fn metrics(&self) -> String {
-        let call = control(self.addr(8113), Method::GET, "/metrics", Bytes::new());
+        let call = control(
+            self.addr(METRICS_PORT),
+            Method::GET,
+            "/metrics",
+            Bytes::new(),
+        );
         let response = call.await;
         response.map_or(String::new(), |r| {
             String::from_utf8_lossy(&r.body).into_owned()
@@ -213,17 +226,22 @@
 }
 
 fn settings_text(spot: &Spot, ip: IpAddr) -> String {
-    let Spot {
-        index,
-        service,
-        domain,
-    } = spot;
-    format!(
-        "node=vm-{index}\nip={ip}\nzone={domain}\nregion=east\nlisten.outbound={ip}:8101\n\
-         listen.control={ip}:8102\nlisten.ready={ip}:8103\ninternalPorts=8110,8115\n\
-         bootstrap=false\nappAddr={ip}:8105\nservice={service}\nplatform.address={ip}:8106\n\
-         bounds=graceS=6,retryBudgetRatio=0.5,budgetWindowS=10,retryBudgetBurst=100\n"
-    )
+    let settings = SettingsText {
+        vm: &format!("vm-{}", spot.index),
+        ip,
+        region: "east",
+        domain: spot.domain,
+        service: spot.service,
+        ports: [
+            CALLER_PORT,
+            CHECK_IN_PORT,
+            READY_PORT,
+            TARGET_PORT,
+            PEER_PORT,
+        ],
+        store: SocketAddr::new(ip, STORE_PORT),
+    };
+    settings.text()
 }
 
 async fn control(addr: SocketAddr, method: Method, target: &str, body: Bytes) -> Option<Response> {
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -4,17 +4,19 @@
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::Duration;
 
-use cornelvalve_standins::{PlatformStoreHandle, StoreMode, TargetArrival, TargetMode};
+use cornelvalve_standins::{
+    PlatformStoreHandle, RouteText, StoreMode, TargetArrival, TargetMode, desired_state,
+};
 use derive_more::{Display, Error, From};
 use rustix::process::Signal;
-use serde_json::{Value, json};
+use serde_json::Value;
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep, sleep_until};
 
 use crate::callers::{Caller, Seen};
 use crate::checks::{Left, Violation, check};
-use crate::daemon::{Daemon, Spot};
+use crate::daemon::{CALLER_PORT, Daemon, Spot};
 use crate::plan::{Fault, Step, TargetFault, plan};
 use crate::proxy::LinkState;
 
@@ -125,7 +127,7 @@
     let process = u8::try_from(std::process::id() % 200).unwrap_or_default();
     let net = (30 + process, number);
     let store = PlatformStoreHandle::start().await?;
-    store.put("config", desired(1).to_string());
+    store.put_desired(&desired(1));
     let mut daemons = Vec::new();
     for index in 1..=options.daemons {
         let spot = spot(index);
@@ -150,7 +152,7 @@
         for number in 0..2 {
             let caller = Caller {
                 name: format!("s{}-d{index}-c{number}", options.seed),
-                addr: daemon.addr(8101),
+                addr: daemon.addr(CALLER_PORT),
                 seen: sender.clone(),
                 stop: stopped.clone(),
             };
@@ -186,17 +188,13 @@
 }
 
 fn desired(version: u64) -> Value {
-    let route = |name: &str, kind: &str| {
-        json!({"name": name, "host": "a.example", "pathPrefix": format!("/{name}/"), "kind": kind,
-               "timeoutS": 2, "sloS": 0.5, "priority": 1, "attempts": 2, "service": "one",
-               "allowedRegions": []})
+    let route = |name, repeatable| RouteText {
+        name,
+        repeatable,
+        service: "one",
+        timeout_s: 2.0,
     };
-    json!({
-        "version": version,
-        "routes": [route("read", "safe"), route("file", "unsafe")],
-        "services": [{"name": "one", "healthPath": "/health"}],
-        "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 1_000_000, "headerTimeoutS": 3, "idleTimeoutS": 15}
-    })
+    desired_state(version, &[route("read", true), route("file", false)])
 }
 
 impl Soak {
@@ -303,11 +301,10 @@
             Fault::Replace => self.replace(step.daemon).await?,
             Fault::Desired => {
                 self.version += 1;
-                let desired = desired(self.version).to_string();
-                self.store.put("config", desired);
+                self.store.put_desired(&desired(self.version));
             }
             Fault::DomainOut(span) => {
-                self.store.put("evacuate/east-a", "{}");
+                self.store.set_domain_out("east-a", true);
                 undo(span, Undo::DomainOut);
             }
         }
@@ -354,7 +351,7 @@
                 Undo::Store => self.store.set_mode(StoreMode::Serving),
                 Undo::Target => daemon.target.set_mode(TargetMode::Running),
                 Undo::Slow => daemon.target.set_slowdown(100),
-                Undo::DomainOut => self.store.put("evacuate/east-a", ""),
+                Undo::DomainOut => self.store.set_domain_out("east-a", false),
                 Undo::Spawn if daemon.is_running() => {}
                 Undo::Spawn => daemon.spawn()?,
             }
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -6,7 +6,9 @@
 
 pub use log::{LogFaults, LogHandle, LogOptions, LogStandIn, LoseBy};
 pub use platform::{
-    PlatformStoreHandle, StoreMode, TargetArrival, TargetHandle, TargetMode, TargetOptions,
+    CheckInText, PlatformStoreHandle, READY_PATH, RouteText, SettingsText, StoreMode,
+    TargetArrival, TargetHandle, TargetMode, TargetOptions, caller_headers, desired_state,
+    is_signed,
 };
 pub use upstream::{
     ColdStart, UpstreamEnd, UpstreamFaults, UpstreamHandle, UpstreamOptions, UpstreamPeak,
--- a/crates/standins/src/platform.rs
+++ b/crates/standins/src/platform.rs
@@ -1,5 +1,6 @@
 //! Stand-ins that speak the protocol of the users' platform: its store and a target.
 
+mod messages;
 mod store;
 mod target;
 
@@ -12,6 +13,9 @@
 use tokio::sync::watch;
 use tokio::task::{JoinHandle, JoinSet};
 
+pub use messages::{
+    CheckInText, READY_PATH, RouteText, SettingsText, caller_headers, desired_state, is_signed,
+};
 pub use store::{PlatformStoreHandle, StoreMode};
 pub use target::{TargetArrival, TargetHandle, TargetMode, TargetOptions};
 
--- a/crates/standins/src/platform/store.rs
+++ b/crates/standins/src/platform/store.rs
@@ -73,6 +73,16 @@
         self.tell(Message::Put { key, value });
     }
 
+    /// Writes a desired state as the operator.
+    pub fn put_desired(&self, desired: &serde_json::Value) {
+        self.put("config", desired.to_string());
+    }
+
+    /// Takes a failure domain out of service, or returns it.
+    pub fn set_domain_out(&self, domain: &str, out: bool) {
+        self.put(&format!("evacuate/{domain}"), if out { "{}" } else { "" });
+    }
+
     /// Changes how the store behaves.
     pub fn set_mode(&self, mode: StoreMode) {
         self.tell(Message::SetMode(mode));
