Never be due at once while a cold upstream is slow as well

Cause, found in reading: with calls held through a slow time at a cold upstream, the gate named the end of a start's second as its next moment though that was long past, so the guard woke without pause. A test that plays a cold upstream which turns slow by turns failed at 1801 ms and passes now.

--- a/crates/policy/src/gate.rs
+++ b/crates/policy/src/gate.rs
@@ -318,8 +318,9 @@
         });
         let first = last.min()? + Duration::from_millis(1);
         let rate_limited = self.is_cold(now) && self.running.len() < self.slots;
-        let oldest = self.starts.front().filter(|_| rate_limited);
-        let free = oldest.map(|s| *s + COLD_WINDOW + Duration::from_millis(1));
+        let mut recent = self.starts.iter().filter(|s| now.since(**s) < COLD_WINDOW);
+        let oldest = recent.next().filter(|_| rate_limited);
+        let free = oldest.map(|s| *s + COLD_WINDOW);
         Some(free.map_or(first, |f| f.min(first)))
     }
 
--- a/crates/policy/tests/all/gate.rs
+++ b/crates/policy/tests/all/gate.rs
@@ -185,6 +185,34 @@
     assert!(started.len() >= 80, "only {} starts in 4 s", started.len());
 }
 
+// Guards against an owner that wakes without pause: a moment at which nothing changes must not be
+// due. Load: a cold upstream that turns slow by turns.
+#[test]
+fn nothing_is_due_at_once_after_the_gate_was_advanced() {
+    let mut player = Player::new(9);
+    for now in 0..20_000 {
+        if now % 4000 == 0 {
+            let cold = ColdRate {
+                until: ms(now + 2500),
+                per_second: 5.0,
+            };
+            let actions = player.gate.set_cold(Some(cold), ms(now));
+            player.act(now, actions);
+        }
+        if now % 700 == 0 {
+            let slowdown = if now % 1400 == 0 { 7.0 } else { 1.0 };
+            let actions = player.gate.set_slowdown(slowdown, ms(now));
+            player.act(now, actions);
+        }
+        player.step(now, (now % 40 == 0).then(|| call(now + 1, now, 300, 2000)));
+        let due = player.gate.next_due(ms(now));
+        assert!(
+            due.is_none_or(|due| due > ms(now)),
+            "due at once at {now} ms"
+        );
+    }
+}
+
 // Guards against urgent calls that wait behind others.
 #[test]
 fn urgent_calls_go_first() {
--- a/crates/relay/src/guard/state.rs
+++ b/crates/relay/src/guard/state.rs
@@ -45,8 +45,8 @@
 /// Age of the load information at which any other upstream is asked for it.
 const IDLE_PROBE_PERIOD: Duration = Duration::from_millis(700);
 
-/// Age of the load information above which it is asked for before a call is admitted. Work that begins in a slow time takes several times as long, and the answer
-/// costs about a millisecond.
+/// Age of the load information above which it is asked for before a call is admitted. Work that
+/// begins in a slow time takes several times as long, and the answer costs about a millisecond.
 const FRESH: Duration = Duration::from_millis(30);
 
 /// Longest wait of a call for that answer.
