Ask the health path once a second, so that a target that turns cold is noticed

Cause, found in reading: answers of requests kept the load fresh, so that a busy upstream was never asked for its health, and only the health path and check-ins tell that it has turned cold.

--- a/crates/relay/src/control.rs
+++ b/crates/relay/src/control.rs
@@ -10,7 +10,7 @@
 use cornelvalve_kernel::{Context, Mailbox, Registry, ServiceResult};
 use cornelvalve_model::Revision;
 use tokio::task::JoinHandle;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
 use crate::desired::{ControlView, DesiredState};
 use crate::hop::{self, FrameConnection, HopCall, HopReply};
@@ -27,6 +27,10 @@
 /// Longest pause after failed reads.
 const MAX_BACKOFF: Duration = Duration::from_millis(1600);
 
+/// Pause after a read that brought nothing although it ended at once, so that a store which does not
+/// wait is not asked without pause.
+const EMPTY_PAUSE: Duration = Duration::from_millis(100);
+
 /// Longest wait for the view of a peer.
 const PEER_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -94,6 +98,7 @@
     let mut position = None;
     let mut backoff = MIN_BACKOFF;
     loop {
+        let begun = Instant::now();
         let result = match position {
             None => store.view().await.map(ReadResult::View),
             Some(at) => store.changes(at, POLL_WAIT).await.map(ReadResult::Changes),
@@ -102,15 +107,22 @@
         let mut pause = Duration::ZERO;
         match &result {
             ReadResult::View(view) => position = Some(view.position),
-            ReadResult::Changes(changes) => position = Some(changes.position),
-            ReadResult::Failed(StoreError::HistoryLost) => position = None,
+            ReadResult::Changes(changes) => {
+                position = Some(changes.position);
+                if changes.changes.is_empty() && begun.elapsed() < EMPTY_PAUSE {
+                    pause = EMPTY_PAUSE;
+                }
+            }
+            ReadResult::Failed(StoreError::HistoryLost) => {
+                position = None;
+                pause = EMPTY_PAUSE;
+            }
             ReadResult::Failed(_) => pause = backoff,
         }
-        if pause.is_zero() {
-            backoff = MIN_BACKOFF;
-        } else {
-            backoff = (backoff * 2).min(MAX_BACKOFF);
-        }
+        backoff = match &result {
+            ReadResult::Failed(_) => (backoff * 2).min(MAX_BACKOFF),
+            _ => MIN_BACKOFF,
+        };
         if control
             .send(ControlMessage::Read(Box::new(result)))
             .await
--- a/crates/relay/src/guard/state.rs
+++ b/crates/relay/src/guard/state.rs
@@ -45,6 +45,9 @@
 /// Age of the load information at which any other upstream is asked for it.
 const IDLE_PROBE_PERIOD: Duration = Duration::from_millis(700);
 
+/// Longest time between questions: only the health path tells that an upstream has turned cold.
+const HEALTH_PERIOD: Duration = Duration::from_secs(1);
+
 /// Age of the load information above which it is asked for before a call is admitted. Work that
 /// begins in a slow time takes several times as long, and the answer costs about a millisecond.
 const FRESH: Duration = Duration::from_millis(30);
@@ -97,6 +100,8 @@
     next_id: u64,
     /// Time of the newest load information.
     informed: Moment,
+    /// Time of the last health question.
+    asked: Moment,
     /// Time of the health question that is not answered yet.
     probing: Option<Moment>,
     told: Option<LoadReport>,
@@ -122,6 +127,7 @@
             draining: false,
             next_id: 0,
             informed: now,
+            asked: now,
             probing: None,
             told: None,
         }
@@ -170,7 +176,7 @@
         } else {
             IDLE_PROBE_PERIOD
         };
-        Some(self.informed + period)
+        Some((self.informed + period).min(self.asked + HEALTH_PERIOD))
     }
 
     fn probe(&mut self, now: Moment) {
@@ -178,6 +184,7 @@
         let service = service.and_then(|d| d.service(&self.settings.service));
         let path = service.map_or(DEFAULT_HEALTH_PATH, |s| &s.health_path);
         self.probing = Some(now);
+        self.asked = now;
         let probe = MonitorMessage::Probe {
             addr: self.settings.addr,
             path: path.into(),
--- a/crates/standins/src/platform/target.rs
+++ b/crates/standins/src/platform/target.rs
@@ -67,6 +67,8 @@
     Left,
     SetMode(TargetMode),
     SetSlowdown(u16),
+    SetCold(Duration),
+    ColdLeft(oneshot::Sender<Duration>),
     Load(oneshot::Sender<(u16, u16)>),
     Arrivals(oneshot::Sender<Vec<TargetArrival>>),
 }
@@ -112,6 +114,11 @@
         self.tell(Message::SetSlowdown(percent));
     }
 
+    /// Lets the target be cold for a time, as its health path tells.
+    pub fn set_cold(&self, cold_for: Duration) {
+        self.tell(Message::SetCold(cold_for));
+    }
+
     /// Returns the requests that have reached it.
     pub async fn arrivals(&self) -> Vec<TargetArrival> {
         let (reply, answer) = oneshot::channel();
@@ -136,6 +143,7 @@
 async fn own(mut inbox: mpsc::UnboundedReceiver<Message>) {
     let mut arrivals = Vec::new();
     let (mut mode, mut running, mut slowdown) = (TargetMode::Running, 0_u16, 100_u16);
+    let mut cold_until = Instant::now();
     while let Some(message) = inbox.recv().await {
         match message {
             Message::Arrived(mut arrival, reply) => {
@@ -148,6 +156,10 @@
             Message::Left => running = running.saturating_sub(1),
             Message::SetMode(other) => mode = other,
             Message::SetSlowdown(percent) => slowdown = percent,
+            Message::SetCold(cold_for) => cold_until = Instant::now() + cold_for,
+            Message::ColdLeft(reply) => {
+                let _ = reply.send(cold_until.saturating_duration_since(Instant::now()));
+            }
             Message::Load(reply) => {
                 let _ = reply.send((running, slowdown));
             }
@@ -211,6 +223,16 @@
     let mut reply = Reply::empty(StatusCode::OK);
     set(&mut reply.headers, "x-instance-id", &options.instance);
     set_load(&mut reply.headers, options, sender).await;
+    let (asked, answer) = oneshot::channel();
+    let _ = sender.send(Message::ColdLeft(asked));
+    let cold = answer.await.unwrap_or_default();
+    if !cold.is_zero() {
+        set(
+            &mut reply.headers,
+            "x-cold-ms",
+            &cold.as_millis().to_string(),
+        );
+    }
     reply
 }
 
