--- a/crates/relay/src/guard.rs
+++ b/crates/relay/src/guard.rs
@@ -1,5 +1,6 @@
 //! Guard service: the only way on which work reaches the upstream beside the daemon.
 
+mod probing;
 mod state;
 mod upstream;
 
--- a/crates/relay/src/guard/state.rs
+++ b/crates/relay/src/guard/state.rs
@@ -13,6 +13,7 @@
 use tokio::sync::mpsc;
 
 use super::GuardSettings;
+use super::probing::{Probing, Sight};
 use super::upstream::{CheckInEffect, UpstreamProcess};
 use crate::desired::ControlView;
 use crate::messages::{
@@ -28,31 +29,7 @@
 /// Path that tells the health of an upstream of a service that is not described yet.
 const DEFAULT_HEALTH_PATH: &str = "/health";
 
-/// Wait for a health answer before the next question.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
-
-/// Pause between questions while the upstream cannot be reached or is not known.
-const LOST_PROBE_PERIOD: Duration = Duration::from_millis(250);
-
-/// Age of the load information at which a slow upstream is asked for it. Slow times last parts of a
-/// second, and a slow upstream gets few requests whose answers would tell.
-const SLOW_PROBE_PERIOD: Duration = Duration::from_millis(120);
-
-/// Age of the load information at which an upstream is asked for it while calls wait for the end of
-/// its slow time.
-const HOLD_PROBE_PERIOD: Duration = Duration::from_millis(25);
-
-/// Age of the load information at which any other upstream is asked for it.
-const IDLE_PROBE_PERIOD: Duration = Duration::from_millis(700);
-
-/// Longest time between questions: only the health path tells that an upstream has turned cold.
-const HEALTH_PERIOD: Duration = Duration::from_secs(1);
-
-/// Age of the load information above which it is asked for before a call is admitted. Work that
-/// begins in a slow time takes several times as long, and the answer costs about a millisecond.
-const FRESH: Duration = Duration::from_millis(30);
-
-/// Longest wait of a call for that answer.
+/// Longest wait of a call for fresh load information.
 const FRESH_WAIT: Duration = Duration::from_millis(10);
 
 /// Slowdown from which an upstream counts as slow.
@@ -98,12 +75,7 @@
     drain: Option<Reply<()>>,
     draining: bool,
     next_id: u64,
-    /// Time of the newest load information.
-    informed: Moment,
-    /// Time of the last health question.
-    asked: Moment,
-    /// Time of the health question that is not answered yet.
-    probing: Option<Moment>,
+    probing: Probing,
     told: Option<LoadReport>,
 }
 
@@ -126,9 +98,7 @@
             drain: None,
             draining: false,
             next_id: 0,
-            informed: now,
-            asked: now,
-            probing: None,
+            probing: Probing::new(now),
             told: None,
         }
     }
@@ -159,32 +129,25 @@
     }
 
     fn next_probe(&self) -> Option<Moment> {
-        if let Some(asked) = self.probing {
-            return Some(asked + PROBE_TIMEOUT);
+        self.probing.due(self.sight())
+    }
+
+    fn sight(&self) -> Sight {
+        match &self.process {
+            Some(process) if process.is_leaving() => Sight::Leaving,
+            None => Sight::Lost,
+            Some(_) if self.unreachable => Sight::Lost,
+            Some(_) if self.gate.is_holding() => Sight::Holding,
+            Some(_) if self.slowdown >= SLOW => Sight::Slow,
+            Some(_) => Sight::Usual,
         }
-        let lost = match &self.process {
-            Some(process) if process.is_leaving() => return None,
-            Some(_) => self.unreachable,
-            None => true,
-        };
-        let period = if lost {
-            LOST_PROBE_PERIOD
-        } else if self.gate.is_holding() {
-            HOLD_PROBE_PERIOD
-        } else if self.slowdown >= SLOW {
-            SLOW_PROBE_PERIOD
-        } else {
-            IDLE_PROBE_PERIOD
-        };
-        Some((self.informed + period).min(self.asked + HEALTH_PERIOD))
     }
 
     fn probe(&mut self, now: Moment) {
         let service = self.view.desired.as_ref();
         let service = service.and_then(|d| d.service(&self.settings.service));
         let path = service.map_or(DEFAULT_HEALTH_PATH, |s| &s.health_path);
-        self.probing = Some(now);
-        self.asked = now;
+        self.probing.ask(now);
         let probe = MonitorMessage::Probe {
             addr: self.settings.addr,
             path: path.into(),
@@ -290,8 +253,7 @@
     }
 
     pub(super) fn health(&mut self, report: Option<HealthReport>, now: Moment) {
-        self.probing = None;
-        self.informed = now;
+        self.probing.answered(now);
         let Some(report) = report else {
             self.set_unreachable(true, now);
             self.judge(now);
@@ -337,7 +299,7 @@
 
     /// Notes load that the upstream reported.
     fn observe(&mut self, load: UpstreamLoad, now: Moment) {
-        self.informed = now;
+        self.probing.informed(now);
         self.set_slots(usize::from(load.slots), now);
         if let Some(slowdown) = load.slowdown {
             self.slowdown = slowdown;
@@ -443,10 +405,9 @@
             deadline: call.deadline,
             elsewhere: call.elsewhere,
         };
-        let stale = now.since(self.informed) > FRESH;
-        if stale {
+        if !self.probing.is_fresh(now) {
             self.unjudged.push((call, now + FRESH_WAIT));
-            if self.probing.is_none() {
+            if !self.probing.is_pending() {
                 self.probe(now);
             }
             return;
@@ -512,7 +473,7 @@
         match report.end {
             PermitEnd::Unreachable => self.set_unreachable(true, now),
             PermitEnd::OtherInstance => self.probe(now),
-            PermitEnd::Lost if self.probing.is_none() => self.probe(now),
+            PermitEnd::Lost if !self.probing.is_pending() => self.probe(now),
             _ => {}
         }
         let answered = report.end == PermitEnd::Answered;
