Check a call again after its wait for fresh load

Cause: a call that arrives while the load information is older than 30 ms waits up to 10 ms for a health answer. It was checked for failure domain, leaving and home region before the wait only, and refuse_waiting passed over it. A domain taken out of service meanwhile still got the request.

Ruled out: the gate, whose waiting calls were refused on time.

Change: the check stands before the gate, after the wait, and refuses what waits for load as well. Calls with their replies move into guard/calls.rs. HopRequest loses two fields that nothing read; the work key, the default wait, the empty place report and the lookup of the own service stand once.

Before: the new test runs the request in the domain (run on the old code). After: it is refused as domain-out.

Conclusion: the evacuation bound holds for waiting calls, too.

--- a/crates/relay/src/entry/forward.rs
+++ b/crates/relay/src/entry/forward.rs
@@ -337,19 +337,12 @@
     }
 
     fn hop_request(&self, elsewhere: Option<Duration>) -> HopRequest {
-        let Plan {
-            route,
-            service,
-            version,
-            ..
-        } = &*self.plan;
+        let Plan { route, service, .. } = &*self.plan;
         HopRequest {
             attempt: self.attempt.clone(),
             service: service.clone(),
             caller: self.entry.own_service.clone(),
             route: route.name.clone(),
-            version: *version,
-            repeat: route.repeat,
             again: self.attempts.arrivals() > 0,
             homes: route.homes.clone(),
             priority: route.priority,
--- a/crates/relay/src/entry/offer.rs
+++ b/crates/relay/src/entry/offer.rs
@@ -7,7 +7,6 @@
 use std::pin::pin;
 use std::time::Duration;
 
-use cornelvalve_model::VmName;
 use cornelvalve_policy::{LoadReport, PlaceEnd};
 use tokio::time::timeout;
 
@@ -91,9 +90,10 @@
         other => return Err(HopError::Malformed(format!("unexpected {other:?}"))),
     }
     placed.sign.send_replace(true);
-    placed
-        .report
-        .set_on_drop(report(placed.vm.clone(), PlaceEnd::Cancelled));
+    placed.report.set_on_drop(PlaceReport::without_load(
+        placed.vm.clone(),
+        PlaceEnd::Cancelled,
+    ));
     match connection.receive().await? {
         HopReply::Done { outcome, load } => Ok(Offered {
             outcome,
@@ -120,22 +120,13 @@
     match timeout(placed.taken_within, &mut sign).await {
         Ok(taken) => taken,
         Err(_) => {
-            let silent = report(placed.vm.clone(), PlaceEnd::Silent);
+            let silent = PlaceReport::without_load(placed.vm.clone(), PlaceEnd::Silent);
             placed.report.set_on_drop(silent);
             sign.await
         }
     }
 }
 
-fn report(vm: VmName, end: PlaceEnd) -> PlaceReport {
-    PlaceReport {
-        vm,
-        end,
-        load: None,
-        served: None,
-    }
-}
-
 /// What an attempt brought.
 struct Offered {
     outcome: HopOutcome,
--- a/crates/relay/src/entry/offer/tests.rs
+++ b/crates/relay/src/entry/offer/tests.rs
@@ -10,7 +10,7 @@
 use tokio::sync::{mpsc, watch};
 use tokio::time::sleep;
 
-use super::{exchange, report};
+use super::exchange;
 use crate::hop::{self, FrameConnection, HopCall, HopOutcome, HopReply};
 use crate::messages::{PlaceReport, Placed};
 use crate::ports::Cause;
@@ -66,7 +66,7 @@
         expected: Duration::ZERO,
         usual: Duration::ZERO,
         sign: watch::Sender::new(false),
-        report: Completion::new(sender, report(vm, PlaceEnd::Cancelled)),
+        report: Completion::new(sender, PlaceReport::without_load(vm, PlaceEnd::Cancelled)),
     };
     (placed, reports)
 }
--- a/crates/relay/src/guard.rs
+++ b/crates/relay/src/guard.rs
@@ -1,7 +1,10 @@
 //! Guard service: the only way on which work reaches the upstream beside the daemon.
 
+mod calls;
 mod probing;
 mod state;
+#[cfg(test)]
+mod tests;
 mod upstream;
 
 use std::net::SocketAddr;
--- a/crates/relay/src/guard/state.rs
+++ b/crates/relay/src/guard/state.rs
@@ -1,6 +1,5 @@
 //! State of the guard: the upstream, the gate before it and the calls at the gate.
 
-use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -13,12 +12,13 @@
 use tokio::sync::mpsc;
 
 use super::GuardSettings;
+use super::calls::Calls;
 use super::probing::{Probing, Sight};
 use super::upstream::{CheckInEffect, UpstreamProcess};
-use crate::desired::ControlView;
+use crate::desired::{ControlView, ServiceSpec};
 use crate::messages::{
-    AdmitCall, Admitted, LoadsMessage, MembersMessage, MonitorMessage, Permit, PermitEnd,
-    PermitReport, RouterMessage,
+    AdmitCall, Admitted, DEFAULT_WAIT, LoadsMessage, MembersMessage, MonitorMessage, Permit,
+    PermitEnd, PermitReport, RouterMessage,
 };
 use crate::ports::{Cause, CheckIn, HealthReport, UpstreamLoad};
 use cornelvalve_kernel::Completion;
@@ -41,9 +41,6 @@
 /// Longest time without work for the guard.
 const MAX_SLEEP: Duration = Duration::from_secs(5);
 
-/// Retry-After given when it is not known when there will be room.
-const DEFAULT_WAIT: Duration = Duration::from_millis(300);
-
 /// Services that the guard tells of changes.
 pub(super) struct Outlets {
     pub(super) reports: mpsc::UnboundedSender<PermitReport>,
@@ -65,16 +62,11 @@
     retired: SmallVec<[Arc<str>; 4]>,
     /// Whether the upstream took no connection at the last try.
     unreachable: bool,
-    waiting: HashMap<u64, Reply<Admitted>>,
-    /// Calls that wait for fresh load information, with the end of their wait.
-    unjudged: Vec<(GateCall, Moment)>,
+    calls: Calls,
     running: usize,
-    /// Calls at the gate or running that were sent to an upstream before.
-    again: HashSet<u64>,
     view: Arc<ControlView>,
     drain: Option<Reply<()>>,
     draining: bool,
-    next_id: u64,
     probing: Probing,
     told: Option<LoadReport>,
 }
@@ -90,14 +82,11 @@
             process: None,
             retired: SmallVec::new(),
             unreachable: false,
-            waiting: HashMap::new(),
-            unjudged: Vec::new(),
+            calls: Calls::default(),
             running: 0,
-            again: HashSet::new(),
             view: Arc::default(),
             drain: None,
             draining: false,
-            next_id: 0,
             probing: Probing::new(now),
             told: None,
         }
@@ -112,13 +101,13 @@
     pub(super) fn next_due(&self, now: Moment) -> Moment {
         let gate = self.gate.next_due(now);
         let probe = self.next_probe();
-        let judge = self.unjudged.iter().map(|(_, end)| *end).min();
+        let judge = self.calls.judge_due();
         let due = gate.into_iter().chain(probe).chain(judge).min();
         due.unwrap_or(now + MAX_SLEEP).min(now + MAX_SLEEP)
     }
 
     pub(super) fn advance(&mut self, now: Moment) {
-        if self.unjudged.iter().any(|(_, end)| *end <= now) {
+        if self.calls.judge_due().is_some_and(|due| due <= now) {
             self.judge(now);
         }
         let actions = self.gate.advance(now);
@@ -143,15 +132,21 @@
         }
     }
 
+    /// Returns the description of the upstream's service.
+    fn service(&self) -> Option<&ServiceSpec> {
+        let desired = self.view.desired.as_ref()?;
+        desired.service(&self.settings.service)
+    }
+
     fn probe(&mut self, now: Moment) {
-        let service = self.view.desired.as_ref();
-        let service = service.and_then(|d| d.service(&self.settings.service));
-        let path = service.map_or(DEFAULT_HEALTH_PATH, |s| &s.health_path);
-        self.probing.ask(now);
+        let path = self
+            .service()
+            .map_or(DEFAULT_HEALTH_PATH, |s| &s.health_path);
         let probe = MonitorMessage::Probe {
             addr: self.settings.addr,
             path: path.into(),
         };
+        self.probing.ask(now);
         if let Err(e) = self.outlets.monitor.try_send(probe) {
             log::debug!("{e}; asking again later");
         }
@@ -163,7 +158,7 @@
         let is_out = view.domains_out.contains(domain);
         self.view = view;
         if is_out && !was_out {
-            self.refuse_waiting(Cause::DomainOut);
+            self.refuse_waiting(Cause::DomainOut, now);
         }
         if was_out && !is_out {
             self.expect_cold(now);
@@ -173,9 +168,7 @@
 
     /// Treats the upstream as cold until its health path says otherwise.
     fn expect_cold(&mut self, now: Moment) {
-        let spec = self.view.desired.as_ref();
-        let spec = spec.and_then(|d| d.service(&self.settings.service));
-        let cold_for = spec.map_or(Duration::ZERO, |s| s.cold_for);
+        let cold_for = self.service().map_or(Duration::ZERO, |s| s.cold_for);
         if let Some(process) = &mut self.process {
             process.cold_until = process.cold_until.max(now + cold_for);
         }
@@ -183,9 +176,8 @@
     }
 
     fn update_cold(&mut self, now: Moment) {
-        let spec = self.view.desired.as_ref();
-        let spec = spec.and_then(|d| d.service(&self.settings.service));
-        let cold = self.process.as_ref().zip(spec).map(|(p, s)| ColdRate {
+        let cold = self.process.as_ref().zip(self.service());
+        let cold = cold.map(|(p, s)| ColdRate {
             until: p.cold_until,
             per_second: s.cold_rate,
         });
@@ -291,7 +283,7 @@
         }
         self.unreachable = unreachable;
         if unreachable {
-            self.refuse_waiting(Cause::Unreachable);
+            self.refuse_waiting(Cause::Unreachable, now);
         }
         log::info!(event = "upstream-reachable", reachable = !unreachable; "upstream reachable or not");
         self.upstream_changed(now);
@@ -312,7 +304,7 @@
     /// Acts on a change of the process or its state.
     fn upstream_changed(&mut self, now: Moment) {
         if !self.takes_work() {
-            self.refuse_waiting(Cause::Leaving);
+            self.refuse_waiting(Cause::Leaving, now);
         }
         let upstreams = self.process.iter().map(|p| Upstream {
             service: self.settings.service.clone(),
@@ -359,7 +351,7 @@
         let Some(load) = self.load(now) else {
             return;
         };
-        let repeats = self.again.len() as f64 / self.running.max(1) as f64;
+        let repeats = self.calls.repeats() as f64 / self.running.max(1) as f64;
         let own = RouterMessage::OwnLoad { load, repeats };
         if let Err(e) = self.outlets.router.try_send(own) {
             log::debug!("{e}; the next change tells the load");
@@ -383,40 +375,31 @@
     }
 
     pub(super) fn admit(&mut self, call: AdmitCall, reply: Reply<Admitted>, now: Moment) {
-        if let Err(cause) = self.check(&call) {
-            reply.send(Admitted::Refused {
-                cause,
-                wait: DEFAULT_WAIT,
-                load: self.load(now),
-            });
+        let id = self.calls.add(&call, reply);
+        if self.probing.is_fresh(now) {
+            self.offer(id, &call, now);
             return;
         }
-        self.next_id += 1;
-        let id = self.next_id;
-        self.waiting.insert(id, reply);
-        if call.again {
-            self.again.insert(id);
+        self.calls.keep_unjudged(id, call, now + FRESH_WAIT);
+        if !self.probing.is_pending() {
+            self.probe(now);
+        }
+    }
+
+    /// Offers a call to the gate unless it may not run at all.
+    fn offer(&mut self, id: GateId, call: &AdmitCall, now: Moment) {
+        if let Err(cause) = self.check(call) {
+            self.refuse(id, cause, DEFAULT_WAIT, now);
+            return;
         }
         let call = GateCall {
-            id: GateId(id),
+            id,
             work: call.work,
             priority: call.priority,
             objective: call.objective,
             deadline: call.deadline,
             elsewhere: call.elsewhere,
         };
-        if !self.probing.is_fresh(now) {
-            self.unjudged.push((call, now + FRESH_WAIT));
-            if !self.probing.is_pending() {
-                self.probe(now);
-            }
-            return;
-        }
-        self.offer(call, now);
-    }
-
-    /// Offers a call to the gate.
-    fn offer(&mut self, call: GateCall, now: Moment) {
         let actions = self.gate.offer(call, now);
         self.carry_out(actions, now);
         self.drop_abandoned(now);
@@ -425,18 +408,17 @@
 
     /// Offers the calls to the gate that waited for fresh load information.
     fn judge(&mut self, now: Moment) {
-        for (call, _) in std::mem::take(&mut self.unjudged) {
-            if self.takes_work() {
-                self.offer(call, now);
-            } else if let Some(reply) = self.waiting.remove(&call.id.0) {
-                self.again.remove(&call.id.0);
-                let load = self.load(now);
-                let (cause, wait) = (Cause::Leaving, DEFAULT_WAIT);
-                reply.send(Admitted::Refused { cause, wait, load });
-            }
+        for waited in self.calls.take_unjudged() {
+            self.offer(waited.id, &waited.call, now);
         }
     }
 
+    fn refuse(&mut self, id: GateId, cause: Cause, wait: Duration, now: Moment) {
+        let load = self.load(now);
+        self.calls
+            .refuse(id, Admitted::Refused { cause, wait, load });
+    }
+
     /// Checks what no wait would change.
     fn check(&self, call: &AdmitCall) -> Result<(), Cause> {
         if self.view.domains_out.contains(&self.settings.domain) {
@@ -453,20 +435,15 @@
 
     /// Removes calls from the gate whose senders have gone.
     fn drop_abandoned(&mut self, now: Moment) {
-        let abandoned = self.waiting.iter().filter(|(_, r)| r.is_abandoned());
-        let abandoned: SmallVec<[u64; 4]> = abandoned.map(|(id, _)| *id).collect();
-        for id in abandoned {
-            self.waiting.remove(&id);
-            self.again.remove(&id);
-            self.unjudged.retain(|(call, _)| call.id.0 != id);
-            let actions = self.gate.finish(GateId(id), false, now);
+        for id in self.calls.take_abandoned() {
+            let actions = self.gate.finish(id, false, now);
             self.carry_out(actions, now);
         }
     }
 
     pub(super) fn finish(&mut self, report: PermitReport, now: Moment) {
         self.running = self.running.saturating_sub(1);
-        self.again.remove(&report.id);
+        self.calls.ended(report.id);
         if let Some(load) = report.load {
             self.observe(load, now);
         }
@@ -477,7 +454,7 @@
             _ => {}
         }
         let answered = report.end == PermitEnd::Answered;
-        let actions = self.gate.finish(GateId(report.id), answered, now);
+        let actions = self.gate.finish(report.id, answered, now);
         self.carry_out(actions, now);
         self.tell_load(now);
         self.report_drained();
@@ -496,12 +473,10 @@
 
     fn act(&mut self, action: GateAction, now: Moment) -> GateActions {
         match action {
-            GateAction::Start(GateId(id)) => {
-                let reply = self.waiting.remove(&id).filter(|r| !r.is_abandoned());
+            GateAction::Start(id) => {
                 let instance = self.process.as_ref().map(|p| Arc::clone(&p.instance));
-                let Some(reply) = reply else {
-                    self.again.remove(&id);
-                    return self.gate.finish(GateId(id), false, now);
+                let Some(reply) = self.calls.start(id) else {
+                    return self.gate.finish(id, false, now);
                 };
                 self.running += 1;
                 let cancelled = PermitReport {
@@ -517,38 +492,29 @@
                     id,
                 }));
             }
-            GateAction::Refuse(GateId(id), refusal) => {
-                self.again.remove(&id);
-                if let Some(reply) = self.waiting.remove(&id) {
-                    let (cause, wait) = match refusal {
-                        GateRefusal::Elsewhere { expected } => (Cause::Elsewhere, expected),
-                        GateRefusal::Hopeless { drain } => (Cause::Overloaded, drain),
-                    };
-                    let load = self.load(now);
-                    reply.send(Admitted::Refused { cause, wait, load });
-                }
+            GateAction::Refuse(id, GateRefusal::Elsewhere { expected }) => {
+                self.refuse(id, Cause::Elsewhere, expected, now);
+            }
+            GateAction::Refuse(id, GateRefusal::Hopeless { drain }) => {
+                self.refuse(id, Cause::Overloaded, drain, now);
             }
         }
         GateActions::new()
     }
 
-    fn refuse_waiting(&mut self, cause: Cause) {
-        for GateId(id) in self.gate.refuse_waiting() {
-            self.again.remove(&id);
-            if let Some(reply) = self.waiting.remove(&id) {
-                reply.send(Admitted::Refused {
-                    cause,
-                    wait: DEFAULT_WAIT,
-                    load: None,
-                });
-            }
+    /// Refuses all calls that have not started.
+    fn refuse_waiting(&mut self, cause: Cause, now: Moment) {
+        let unjudged = self.calls.take_unjudged();
+        let unjudged = unjudged.into_iter().map(|u| u.id);
+        for id in self.gate.refuse_waiting().into_iter().chain(unjudged) {
+            self.refuse(id, cause, DEFAULT_WAIT, now);
         }
     }
 
     pub(super) fn drain(&mut self, reply: Reply<()>, now: Moment) {
         self.draining = true;
         self.drain = Some(reply);
-        self.refuse_waiting(Cause::Leaving);
+        self.refuse_waiting(Cause::Leaving, now);
         self.tell_load(now);
         self.report_drained();
     }
--- a/crates/relay/src/hop.rs
+++ b/crates/relay/src/hop.rs
@@ -20,7 +20,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
-use crate::desired::{ControlView, Repeat, Version};
+use crate::desired::ControlView;
 use crate::ports::Cause;
 
 /// Result alias of this module.
@@ -91,10 +91,6 @@
     pub(crate) caller: ServiceName,
     /// Name of its route.
     pub(crate) route: Box<str>,
-    /// Version by which the entry routed it.
-    pub(crate) version: Version,
-    /// Whether it may be repeated.
-    pub(crate) repeat: Repeat,
     /// Whether it was sent to an upstream before.
     pub(crate) again: bool,
     /// Regions in which it may be served; any if empty.
--- a/crates/relay/src/messages.rs
+++ b/crates/relay/src/messages.rs
@@ -4,16 +4,17 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cornelvalve_kernel::{Reply, Tick};
-use cornelvalve_model::{Member, Moment, Revision, Upstream, VmName};
-use cornelvalve_policy::{LoadReport, PlaceEnd, WorkKey};
+use cornelvalve_kernel::{Completion, Reply, Tick};
+use cornelvalve_model::{Fingerprint, Member, Moment, Revision, ServiceName, Upstream, VmName};
+use cornelvalve_policy::{GateId, LoadReport, PlaceEnd, WorkKey};
 use smallvec::SmallVec;
 use tokio::sync::watch;
 
 use crate::desired::{CallerLimits, ControlView, RouteSpec, Version};
 use crate::ports::{Addresses, Cause, CheckIn, HealthReport, UpstreamLoad};
-use cornelvalve_kernel::Completion;
-use cornelvalve_model::ServiceName;
+
+/// Wait named with a refusal when it is not known when there will be room.
+pub(crate) const DEFAULT_WAIT: Duration = Duration::from_millis(300);
 
 /// Messages to a listener: none yet, its connections are its work.
 #[derive(Debug)]
@@ -88,6 +89,11 @@
     pub(crate) work: WorkKey,
 }
 
+/// Returns the kind of work that the requests of a route are.
+pub(crate) fn work_key(route: &str) -> WorkKey {
+    WorkKey(Fingerprint::of(&[route.as_bytes()]).0)
+}
+
 /// VMs that a request need not be offered to again.
 pub(crate) type Tried = SmallVec<[VmName; 4]>;
 
@@ -144,6 +150,18 @@
     pub(crate) served: Option<Served>,
 }
 
+impl PlaceReport {
+    /// Creates the report of an attempt that brought no news of the load.
+    pub(crate) fn without_load(vm: VmName, end: PlaceEnd) -> Self {
+        Self {
+            vm,
+            end,
+            load: None,
+            served: None,
+        }
+    }
+}
+
 /// What a served request took.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Served {
@@ -248,14 +266,14 @@
     /// Reports the end.
     pub(crate) report: Completion<PermitReport>,
     /// Identifies the permit.
-    pub(crate) id: u64,
+    pub(crate) id: GateId,
 }
 
 /// End of a permitted request.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct PermitReport {
     /// Identifies the permit.
-    pub(crate) id: u64,
+    pub(crate) id: GateId,
     /// How it ended.
     pub(crate) end: PermitEnd,
     /// Load that the upstream reported.
--- a/crates/relay/src/router/state.rs
+++ b/crates/relay/src/router/state.rs
@@ -6,8 +6,7 @@
 use std::time::Duration;
 
 use cornelvalve_model::{
-    FailureDomain, Fingerprint, Member, MemberState, Moment, Region, ServiceName, UpstreamState,
-    VmName,
+    FailureDomain, Member, MemberState, Moment, Region, ServiceName, UpstreamState, VmName,
 };
 use cornelvalve_policy::{
     Distance, LoadReport, Place, PlaceEnd, PlaceWork, Placement, RetryShare, ShareSettings, WorkKey,
@@ -16,8 +15,8 @@
 
 use super::Site;
 use super::split::Splitter;
-use crate::desired::{ControlView, RouteSpec};
-use crate::messages::{PlaceQuery, PlaceReport, Placed, Plan, Served};
+use crate::desired::ControlView;
+use crate::messages::{PlaceQuery, PlaceReport, Placed, Plan, Served, work_key};
 use crate::ports::Cause;
 use cornelvalve_kernel::Completion;
 
@@ -177,7 +176,7 @@
         let part = route.parts.get(self.splitter.next(route));
         let service = part.map(|p| p.service.clone()).ok_or(Cause::NoUpstream)?;
         let plan = Plan {
-            work: work_key(route),
+            work: work_key(&route.name),
             route: route.clone(),
             service,
             version: desired.version,
@@ -245,12 +244,7 @@
         let endpoint = self.endpoints.get_mut(&vm).ok_or(Cause::NoUpstream)?;
         endpoint.place.sent();
         let round_trip = milliseconds(endpoint.place.distance.round_trip_ms());
-        let cancelled = PlaceReport {
-            vm: vm.clone(),
-            end: PlaceEnd::Cancelled,
-            load: None,
-            served: None,
-        };
+        let cancelled = PlaceReport::without_load(vm.clone(), PlaceEnd::Cancelled);
         Ok(Placed {
             vm,
             addr: (endpoint.place.distance != Distance::Local).then_some(endpoint.addr),
@@ -296,7 +290,3 @@
 fn milliseconds(ms: f64) -> Duration {
     Duration::from_secs_f64(ms.max(0.0) / 1000.0)
 }
-
-fn work_key(route: &RouteSpec) -> WorkKey {
-    WorkKey(Fingerprint::of(&[route.name.as_bytes()]).0)
-}
--- a/crates/relay/src/runner.rs
+++ b/crates/relay/src/runner.rs
@@ -5,21 +5,19 @@
 
 use cornelvalve_http1::{ClientConnection, ExchangeError, OutgoingRequest, Response};
 use cornelvalve_kernel::{Clock, Mailbox};
-use cornelvalve_model::{Fingerprint, Moment};
-use cornelvalve_policy::{LoadReport, WorkKey};
+use cornelvalve_model::Moment;
+use cornelvalve_policy::LoadReport;
 use http::HeaderMap;
 use tokio::time::{Instant, timeout_at};
 
 use crate::hop::{HopAnswer, HopHeaders, HopOutcome, HopRequest};
 use crate::links::Links;
 use crate::messages::{
-    AdmitCall, Admitted, GuardMessage, Permit, PermitEnd, PermitReport, PoolMessage,
+    AdmitCall, Admitted, DEFAULT_WAIT, GuardMessage, Permit, PermitEnd, PermitReport, PoolMessage,
+    work_key,
 };
 use crate::ports::{Cause, Dialect, UpstreamHead, UpstreamLoad, Verdict};
 
-/// Retry-After given when it is not known when there will be room.
-const DEFAULT_WAIT: Duration = Duration::from_millis(300);
-
 /// Least time for which a request is still worth sending to the upstream.
 const LEAST_TIME_LEFT: Duration = Duration::from_millis(5);
 
@@ -76,7 +74,7 @@
         let call = AdmitCall {
             service: request.service.clone(),
             homes: request.homes.clone(),
-            work: work_key(request),
+            work: work_key(&request.route),
             again: request.again,
             priority: request.priority,
             objective: now + request.objective_left,
@@ -130,7 +128,7 @@
             end: exchanged.end,
             load: exchanged.load,
         });
-        let work = work_key(request);
+        let work = work_key(&request.route);
         let asked = self.guard.ask(|reply| GuardMessage::Load { work, reply });
         let (load, usual) = asked.await.unwrap_or_default();
         if let HopOutcome::Answered(answer) = &mut outcome {
@@ -234,10 +232,6 @@
     }
 }
 
-fn work_key(request: &HopRequest) -> WorkKey {
-    WorkKey(Fingerprint::of(&[request.route.as_bytes()]).0)
-}
-
 fn failure(error: &ExchangeError, request: &HopRequest) -> Exchanged {
     log::info!(event = "upstream-exchange-failed", request = request.attempt.as_deref(); "{error}");
     match error {
