Place requests differently in daemons that know the same

Cause: places of which nothing recent is known have the same expected end, and ties went to the first name. At the start, and for requests whose home is in the other region, all daemons of a region chose the same VM, which handed most of them back; they then all chose the next one.

Ruled out: the network; every offer was taken within its round trip.

Change: ExpectedEnd adds a random part, larger where less is known, with a seed of its own in each daemon. A player of entries, links and gates in virtual time joins the tests of the policies.

--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -5,11 +5,15 @@
 //! the call would end there: the network, the queue, the present slowdown of the upstream, and what
 //! is known of its failures. What was heard of another VM grows old within a fraction of a second
 //! and then counts as the usual state. Bytes between failure domains are metered, so a large body
-//! stays near by unless the other place is much better.
+//! stays near by unless the other place is much better. Daemons that have heard the same, or
+//! nothing, choose differently: each adds a random part to what it expects, larger where less is
+//! known, so that they do not all send to one upstream at once.
 
 use std::time::Duration;
 
 use cornelvalve_model::Moment;
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
 use smallvec::SmallVec;
 
 /// Slowdown expected of an upstream of which nothing recent is known.
@@ -46,6 +50,14 @@
 /// Largest number of doublings of [`SILENCE_PENALTY`].
 const MAX_SILENCE_DOUBLINGS: u32 = 3;
 
+/// Largest random part of the expected time of a place whose state is known, as a share of the
+/// work.
+const KNOWN_SPREAD: f64 = 0.05;
+
+/// Largest random part of the expected time of a place of which nothing recent is known, as a share
+/// of the work.
+const UNKNOWN_SPREAD: f64 = 0.3;
+
 /// Network between this daemon and an upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Distance {
@@ -180,16 +192,25 @@
         self.suspected || now < self.avoid_until
     }
 
+    /// Returns how much of the last report still holds: one when it is fresh, zero without one.
+    fn known(&self, now: Moment) -> f64 {
+        let life = match self.distance {
+            Distance::Remote => REMOTE_REPORT_LIFE,
+            _ => REPORT_LIFE,
+        };
+        self.reported.map_or(0.0, |at| fade(now.since(at), life))
+    }
+
+    /// Returns the largest random part of the expected time, in milliseconds.
+    fn spread_ms(&self, work: &PlaceWork, now: Moment) -> f64 {
+        let unknown = 1.0 - self.known(now);
+        work.work_ms * (KNOWN_SPREAD + (UNKNOWN_SPREAD - KNOWN_SPREAD) * unknown)
+    }
+
     /// Returns the time after which a call is expected to end here, in milliseconds.
     #[must_use]
     pub fn expected_ms(&self, work: &PlaceWork, now: Moment) -> f64 {
-        let known = match self.reported {
-            Some(at) if self.distance == Distance::Remote => {
-                fade(now.since(at), REMOTE_REPORT_LIFE)
-            }
-            Some(at) => fade(now.since(at), REPORT_LIFE),
-            None => 0.0,
-        };
+        let known = self.known(now);
         let slowdown = USUAL_SLOWDOWN + (self.report.slowdown - USUAL_SLOWDOWN) * known;
         let slots = f64::from(self.report.slots.max(1));
         let reported = f64::from(self.report.running + self.report.waiting) * known;
@@ -248,25 +269,34 @@
 }
 
 /// Orders places by the expected end of the call.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct ExpectedEnd;
+#[derive(Clone, Debug)]
+pub struct ExpectedEnd {
+    rng: SmallRng,
+}
+
+impl ExpectedEnd {
+    /// Creates the policy of one daemon; daemons with different seeds choose differently.
+    #[must_use]
+    pub fn new(seed: u64) -> Self {
+        Self {
+            rng: SmallRng::seed_from_u64(seed),
+        }
+    }
+}
 
 impl Placement for ExpectedEnd {
     fn order(&mut self, places: &[Place], work: &PlaceWork, now: Moment) -> PlaceOrder {
-        let mut order: PlaceOrder = places
-            .iter()
-            .enumerate()
-            .map(|(index, place)| Ranked {
-                index,
-                expected_ms: place.expected_ms(work, now),
-            })
-            .collect();
-        let key = |r: &Ranked| (places[r.index].is_avoided(now), r.expected_ms);
-        order.sort_by(|a, b| {
-            let ((a_avoided, a_ms), (b_avoided, b_ms)) = (key(a), key(b));
-            a_avoided.cmp(&b_avoided).then(a_ms.total_cmp(&b_ms))
+        let ranked = places.iter().enumerate().map(|(index, place)| {
+            let expected_ms = place.expected_ms(work, now);
+            let spread = place.spread_ms(work, now) * self.rng.random::<f64>();
+            let rank = (place.is_avoided(now), expected_ms + spread);
+            (rank, Ranked { index, expected_ms })
+        });
+        let mut ranked: SmallVec<[_; 8]> = ranked.collect();
+        ranked.sort_by(|((a_avoided, a_ms), _), ((b_avoided, b_ms), _)| {
+            a_avoided.cmp(b_avoided).then(a_ms.total_cmp(b_ms))
         });
-        order
+        ranked.into_iter().map(|(_, ranked)| ranked).collect()
     }
 }
 
--- a/crates/policy/tests/all/main.rs
+++ b/crates/policy/tests/all/main.rs
@@ -8,6 +8,7 @@
 mod breaker;
 mod gate;
 mod placement;
+mod play;
 mod retry;
 mod script;
 mod share;
--- a/crates/policy/tests/all/placement.rs
+++ b/crates/policy/tests/all/placement.rs
@@ -26,7 +26,7 @@
 }
 
 fn best(places: &[Place], work: &PlaceWork, now: Moment) -> usize {
-    ExpectedEnd.order(places, work, now)[0].index
+    ExpectedEnd::new(1).order(places, work, now)[0].index
 }
 
 #[test]
@@ -142,8 +142,8 @@
 // with a quarter's chance each, so nearly every read can be served in time.
 #[test]
 fn reads_avoid_slow_times_and_turns_do_not() {
-    let fresh = play(&mut ExpectedEnd, 0);
-    let stale = play(&mut ExpectedEnd, 50);
+    let fresh = play(&mut ExpectedEnd::new(1), 0);
+    let stale = play(&mut ExpectedEnd::new(1), 50);
     let turns = play(&mut InTurn::default(), 0);
     assert!(fresh > 0.99, "{fresh} in time with fresh reports");
     assert!(stale > 0.9, "{stale} in time with reports 50 ms old");
--- /dev/null
+++ b/crates/policy/tests/all/play.rs
@@ -0,0 +1,82 @@
+//! Plays a load against entries and guards in virtual time, without a network.
+//!
+//! Every entry places its requests by what it has heard; every upstream stands behind a gate, runs
+//! as many requests at once as it has slots, and is slowed for parts of the time. A message takes the
+//! time of its distance. The player models what the product decides, not the product's encoding.
+
+mod load;
+mod mesh;
+
+use std::time::Duration;
+
+use cornelvalve_policy::{Distance, ExpectedEnd, InTurn, Placement};
+
+use load::{Load, Noise};
+use mesh::{Mesh, Result};
+
+/// Objective of the requests that are played.
+const OBJECTIVE: Duration = Duration::from_millis(600);
+
+/// Time for which the callers wait.
+const DEADLINE: Duration = Duration::from_millis(2000);
+
+/// Filings that may be served in the region of their home only, with many entries in the other
+/// region: what these hear of the upstreams is old by the time of the link between the regions.
+fn remote_filings(per_second: f64) -> Load {
+    Load {
+        entries: vec![Distance::Remote; 90],
+        upstreams: 17,
+        slots: 6,
+        work: Duration::from_millis(140),
+        per_second,
+        objective: OBJECTIVE,
+        deadline: DEADLINE,
+        noise: Noise::NEIGHBOURS,
+        length: Duration::from_secs(20),
+    }
+}
+
+fn expected_end(seed: u64) -> Box<dyn Placement> {
+    Box::new(ExpectedEnd::new(seed))
+}
+
+fn in_turn(_: u64) -> Box<dyn Placement> {
+    Box::new(InTurn::default())
+}
+
+fn play(load: &Load, placement: fn(u64) -> Box<dyn Placement>) -> Result {
+    Mesh::new(load, placement).play()
+}
+
+// Load: callers of one region whose requests have their home in the other, just after the start.
+// Guards against entries that all choose the same upstream because they know nothing of any: the
+// others then stay idle while requests are handed back from one queue to the next.
+#[test]
+fn entries_that_know_nothing_spread_their_requests() {
+    let load = Load {
+        length: Duration::from_secs(3),
+        ..remote_filings(250.0)
+    };
+    let (chosen, turns) = (play(&load, expected_end), play(&load, in_turn));
+    assert!(chosen.busiest < 2.0, "more than twice the mean: {chosen:?}");
+    assert!(
+        chosen.in_time >= turns.in_time - 0.02,
+        "{chosen:?} against {turns:?}"
+    );
+    assert_eq!(chosen.refused, 0.0, "there are free slots: {chosen:?}");
+}
+
+// Load: as above, up to the bound of about 300 a second: seventeen upstreams with six slots, each
+// slow for a quarter of the time, do that much if no slot is ever idle. Guards against a choice by
+// what was heard too long ago.
+#[test]
+fn what_is_heard_late_harms_no_more_than_knowing_nothing() {
+    for per_second in [100.0, 200.0, 300.0] {
+        let load = remote_filings(per_second);
+        let (chosen, turns) = (play(&load, expected_end), play(&load, in_turn));
+        assert!(
+            chosen.in_time >= turns.in_time - 0.02,
+            "{per_second}/s: {chosen:?} against {turns:?}"
+        );
+    }
+}
--- /dev/null
+++ b/crates/policy/tests/all/play/mesh.rs
@@ -0,0 +1,308 @@
+//! Entries, links and guards of a play.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+use std::time::Duration;
+
+use cornelvalve_model::{Moment, VmName};
+use cornelvalve_policy::{
+    AttemptResult, Attempts, Gate, GateAction, GateActions, GateCall, GateId, GateRefusal,
+    LoadReport, Place, PlaceEnd, PlaceWork, Placement, WorkKey,
+};
+
+use super::load::{Load, fraction};
+
+/// Kind of work of all requests of a play.
+const WORK: WorkKey = WorkKey(1);
+
+/// Period in which guards look at their upstream's slowdown.
+const LOOK_PERIOD: Duration = Duration::from_millis(20);
+
+/// What the callers of a play got, as shares of their requests.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Result {
+    /// Answers within the objective.
+    pub(super) in_time: f64,
+    /// Later answers.
+    #[allow(dead_code, reason = "shown when an assertion fails")]
+    pub(super) late: f64,
+    /// Refusals.
+    pub(super) refused: f64,
+    /// Offers to guards for each request.
+    #[allow(dead_code, reason = "shown when an assertion fails")]
+    pub(super) offers: f64,
+    /// Offers to the busiest upstream against the mean.
+    pub(super) busiest: f64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    /// A caller sends the request with this number.
+    Call(u64),
+    /// A request reaches a guard.
+    Offered(u64, usize),
+    /// A guard looks at its upstream and its queue.
+    Look(usize),
+    /// A request ends at an upstream.
+    Done(u64, usize),
+    /// An entry hears that a request was answered.
+    Answered(u64, usize),
+    /// An entry hears that a guard handed a request back; the flag tells that it refused it.
+    Returned(u64, usize, bool),
+}
+
+struct Entry {
+    placement: Box<dyn Placement>,
+    places: Vec<Place>,
+}
+
+struct Request {
+    entry: usize,
+    sent: Moment,
+    attempts: Attempts,
+    elsewhere: Option<Duration>,
+}
+
+struct Guard {
+    gate: Gate,
+    slowdown: f64,
+    offers: u64,
+}
+
+/// State of a play.
+pub(super) struct Mesh<'a> {
+    load: &'a Load,
+    now: Moment,
+    events: BinaryHeap<Reverse<(Moment, u64, Event)>>,
+    last_event: u64,
+    entries: Vec<Entry>,
+    guards: Vec<Guard>,
+    requests: BTreeMap<u64, Request>,
+    in_time: u64,
+    late: u64,
+    refused: u64,
+}
+
+impl<'a> Mesh<'a> {
+    pub(super) fn new(load: &'a Load, placement: fn(u64) -> Box<dyn Placement>) -> Self {
+        let entry = |(index, distance)| Entry {
+            placement: placement(index as u64),
+            places: vec![Place::new(distance); load.upstreams],
+        };
+        let guard = |_| Guard {
+            gate: Gate::new(load.slots),
+            slowdown: 1.0,
+            offers: 0,
+        };
+        let entries = load.entries.iter().copied().enumerate();
+        Self {
+            load,
+            now: Moment::default(),
+            events: BinaryHeap::new(),
+            last_event: 0,
+            entries: entries.map(entry).collect(),
+            guards: (0..load.upstreams).map(guard).collect(),
+            requests: BTreeMap::new(),
+            in_time: 0,
+            late: 0,
+            refused: 0,
+        }
+    }
+
+    /// Plays the load and returns what the callers got.
+    pub(super) fn play(mut self) -> Result {
+        self.after(Duration::ZERO, Event::Call(0));
+        for guard in 0..self.guards.len() {
+            self.after(Duration::ZERO, Event::Look(guard));
+        }
+        let end = Moment::default() + self.load.length;
+        while let Some(Reverse((at, _, event))) = self.events.pop() {
+            if at > end {
+                break;
+            }
+            self.now = at;
+            self.on(event);
+        }
+        self.result()
+    }
+
+    fn result(&self) -> Result {
+        let all = (self.in_time + self.late + self.refused).max(1) as f64;
+        let offers: u64 = self.guards.iter().map(|g| g.offers).sum();
+        let most = self.guards.iter().map(|g| g.offers).max();
+        let mean = offers as f64 / self.guards.len() as f64;
+        Result {
+            in_time: self.in_time as f64 / all,
+            late: self.late as f64 / all,
+            refused: self.refused as f64 / all,
+            offers: offers as f64 / all,
+            busiest: most.unwrap_or_default() as f64 / mean,
+        }
+    }
+
+    fn after(&mut self, delay: Duration, event: Event) {
+        self.last_event += 1;
+        let at = self.now + delay;
+        self.events.push(Reverse((at, self.last_event, event)));
+    }
+
+    fn on(&mut self, event: Event) {
+        match event {
+            Event::Call(number) => {
+                let entry = fraction(number) * self.entries.len() as f64;
+                let request = Request {
+                    entry: entry as usize,
+                    sent: self.now,
+                    attempts: Attempts::new(2, false),
+                    elsewhere: None,
+                };
+                self.requests.insert(number, request);
+                self.after(self.load.gap(number), Event::Call(number + 1));
+                self.place(number);
+            }
+            Event::Offered(number, guard) => self.offered(number, guard),
+            Event::Look(guard) => {
+                let slowdown = self.load.noise.at(guard, self.now);
+                let state = &mut self.guards[guard];
+                let mut actions = GateActions::new();
+                if slowdown != state.slowdown {
+                    state.slowdown = slowdown;
+                    actions.extend(state.gate.set_slowdown(slowdown, self.now));
+                }
+                actions.extend(state.gate.advance(self.now));
+                self.carry_out(guard, actions);
+                self.after(LOOK_PERIOD, Event::Look(guard));
+            }
+            Event::Done(number, guard) => {
+                let actions = self.guards[guard]
+                    .gate
+                    .finish(GateId(number), true, self.now);
+                self.after(self.link(number), Event::Answered(number, guard));
+                self.carry_out(guard, actions);
+            }
+            Event::Answered(number, guard) => self.answered(number, guard),
+            Event::Returned(number, guard, refused) => self.returned(number, guard, refused),
+        }
+    }
+
+    /// Returns the time of a message between the entry of a request and the guards.
+    fn link(&self, number: u64) -> Duration {
+        let entry = self.requests[&number].entry;
+        let round_trip = self.load.entries[entry].round_trip_ms();
+        Duration::from_secs_f64(round_trip / 2000.0)
+    }
+
+    /// Sends a request to the best place, or refuses it if there is none.
+    fn place(&mut self, number: u64) {
+        let request = self.requests.get_mut(&number).expect("request is open");
+        let entry = &mut self.entries[request.entry];
+        let work = PlaceWork {
+            work_ms: self.load.work.as_secs_f64() * 1000.0,
+            bytes: 0,
+        };
+        let settle = request.attempts.should_settle();
+        let passed_over = |index: &usize| {
+            let vm = vm(*index);
+            let handed_back = request.attempts.handed_back().contains(&vm);
+            request.attempts.tried().contains(&vm) || (handed_back && !settle)
+        };
+        let open: Vec<usize> = (0..entry.places.len())
+            .filter(|i| !passed_over(i))
+            .collect();
+        let places: Vec<Place> = open.iter().map(|index| entry.places[*index]).collect();
+        let order = entry.placement.order(&places, &work, self.now);
+        let Some(best) = order.first() else {
+            self.refuse(number);
+            return;
+        };
+        let guard = open[best.index];
+        entry.places[guard].sent();
+        let next = order.get(1).filter(|_| !settle);
+        request.elsewhere = next.map(|n| Duration::from_secs_f64(n.expected_ms / 1000.0));
+        self.after(self.link(number), Event::Offered(number, guard));
+    }
+
+    fn offered(&mut self, number: u64, guard: usize) {
+        let request = &self.requests[&number];
+        let call = GateCall {
+            id: GateId(number),
+            work: WORK,
+            priority: 1,
+            objective: request.sent + self.load.objective,
+            deadline: request.sent + self.load.deadline,
+            elsewhere: request.elsewhere,
+        };
+        self.guards[guard].offers += 1;
+        let actions = self.guards[guard].gate.offer(call, self.now);
+        self.carry_out(guard, actions);
+    }
+
+    fn carry_out(&mut self, guard: usize, actions: GateActions) {
+        for action in actions {
+            match action {
+                GateAction::Start(GateId(number)) => {
+                    let work = self.load.work_of(number);
+                    let took = work.mul_f64(self.guards[guard].slowdown);
+                    self.after(took, Event::Done(number, guard));
+                }
+                GateAction::Refuse(GateId(number), refusal) => {
+                    let refused = matches!(refusal, GateRefusal::Hopeless { .. });
+                    let link = self.link(number);
+                    self.after(link, Event::Returned(number, guard, refused));
+                }
+            }
+        }
+    }
+
+    /// Tells the entry of a request what it hears with the end of an attempt.
+    fn hear(&mut self, number: u64, guard: usize, end: PlaceEnd) {
+        let load = self.guards[guard].gate.load();
+        let report = LoadReport {
+            running: load.running,
+            waiting: load.waiting,
+            slots: load.slots,
+            slowdown: self.guards[guard].slowdown,
+            cold: false,
+        };
+        let entry = &mut self.entries[self.requests[&number].entry];
+        entry.places[guard].ended(end, self.now);
+        entry.places[guard].reported(report, self.now);
+    }
+
+    fn answered(&mut self, number: u64, guard: usize) {
+        self.hear(number, guard, PlaceEnd::Answered);
+        let request = self.requests.remove(&number).expect("request is open");
+        let took = self.now.since(request.sent);
+        if took <= self.load.objective {
+            self.in_time += 1;
+        } else {
+            self.late += 1;
+        }
+    }
+
+    fn returned(&mut self, number: u64, guard: usize, refused: bool) {
+        self.hear(number, guard, PlaceEnd::Cancelled);
+        let result = if refused {
+            AttemptResult::RefusedByDaemon
+        } else {
+            AttemptResult::HandedBack
+        };
+        let request = self.requests.get_mut(&number).expect("request is open");
+        let goes_on = request.attempts.note(vm(guard), result);
+        let in_time = self.now < request.sent + self.load.deadline;
+        if goes_on && in_time {
+            self.place(number);
+        } else {
+            self.refuse(number);
+        }
+    }
+
+    fn refuse(&mut self, number: u64) {
+        self.requests.remove(&number);
+        self.refused += 1;
+    }
+}
+
+fn vm(index: usize) -> VmName {
+    VmName::new(&format!("vm-{index}")).expect("name is valid")
+}
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -9,7 +9,8 @@
     Clock, Kernel, KernelBuilder, Mailbox, OnFailure, ServiceOptions, StopReason,
 };
 use cornelvalve_model::{
-    FailureDomain, Incarnation, Member, MemberKey, MemberState, Region, ServiceName, VmName,
+    FailureDomain, Fingerprint, Incarnation, Member, MemberKey, MemberState, Region, ServiceName,
+    VmName,
 };
 use cornelvalve_policy::ShareSettings;
 use derive_more::{Debug, Display, Error};
@@ -173,7 +174,12 @@
         let (stage, stage_receiver) = watch::channel(StopStage::default());
         let (grace, notice) = (settings.grace, settings.notice);
         log::info!(event = "started", vm = settings.vm.as_str(), service = settings.service.as_str(), domain = settings.domain.as_str(), peers:% = settings.listen.peers; "daemon started");
+        let seed = Fingerprint::of(&[
+            settings.vm.as_str().as_bytes(),
+            &parts.clock.wall().0.to_le_bytes(),
+        ]);
         let assembly = Assembly {
+            seed: seed.0,
             settings,
             parts,
             sockets,
@@ -317,6 +323,8 @@
     sockets: Sockets,
     draining: watch::Receiver<bool>,
     stage: watch::Receiver<StopStage>,
+    /// Seed of random choices, another one in each daemon.
+    seed: u64,
 }
 
 impl Assembly {
@@ -384,7 +392,7 @@
     fn add_control(&self, builder: KernelBuilder) -> KernelBuilder {
         let options = ServiceOptions::default();
         let own = self.own_member();
-        let seed = own.key.incarnation.0 ^ u64::from(own.peer_addr.port());
+        let seed = self.seed;
         let record = PeerRecord {
             vm: own.vm.clone(),
             addr: own.peer_addr,
@@ -428,7 +436,7 @@
             domain: settings.domain.clone(),
             addr: settings.listen.peers,
         };
-        let retries = settings.retries;
+        let (retries, seed) = (settings.retries, self.seed);
         let dialect = Arc::clone(&self.parts.dialect);
         // A guard that restarts would forget what runs at the upstream and what it has confirmed.
         let guard_options = ServiceOptions {
@@ -443,7 +451,7 @@
                 monitor::run_monitor(context, Arc::clone(&dialect), Self::links())
             })
             .service(ROUTER, request_options(), move |context| {
-                run_router(context, site.clone(), retries)
+                run_router(context, site.clone(), retries, seed)
             })
     }
 
--- a/crates/relay/src/router.rs
+++ b/crates/relay/src/router.rs
@@ -29,6 +29,7 @@
     mut context: Context<RouterMessage>,
     site: Site,
     share: ShareSettings,
+    seed: u64,
 ) -> ServiceResult {
     // After a restart of this service both publish all they know again.
     request_republish(&context.registry).await?;
@@ -38,7 +39,7 @@
         .send(MembersMessage::Republish)
         .await?;
     let (reports, mut ended) = mpsc::unbounded_channel();
-    let mut state = RouterState::new(site, share, Box::new(ExpectedEnd), reports);
+    let mut state = RouterState::new(site, share, Box::new(ExpectedEnd::new(seed)), reports);
     loop {
         tokio::select! {
             biased;
