Judge a place by the failures that its guard and its service show

Cause: refusals by an upstream counted as failures of 1500 ms at the places that a daemon had tried, and as nothing at all others.

Ruled out: the retry budget alone (the calls that were answered at once took 26 ms at the upstream, but 97 ms in all), slow times (held_ms p50 26 before and in the trouble).

Change: guards report the share of failing calls with the load; a place without results of its own counts as its guard reports, else as the others of its service. The share is a type of its own (policy::failures) and the player knows upstreams that refuse.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -7,6 +7,7 @@
 mod attempts;
 mod balancer;
 mod breaker;
+mod failures;
 mod gate;
 mod picker;
 mod placement;
@@ -25,6 +26,7 @@
     Endpoint, EndpointIncarnation, EndpointView, Locality,
 };
 pub use breaker::{BreakerState, CircuitBreaker, ConsecutiveBreaker, NeverBreaks};
+pub use failures::{CallResult, FailureShare};
 pub use gate::{
     ColdRate, Gate, GateAction, GateActions, GateCall, GateId, GateLoad, GateRefusal, WorkKey,
 };
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -7,7 +7,9 @@
 //! and then counts as the usual state. Bytes between failure domains are metered, so a large body
 //! stays near by unless the other place is much better. Daemons that have heard the same, or
 //! nothing, choose differently: each adds a random part to what it expects, larger where less is
-//! known, so that they do not all send to one upstream at once.
+//! known, so that they do not all send to one upstream at once. A place without results of its own
+//! counts as failing as often as the others of its service, so that a fault of all of them does not
+//! send calls ever farther away.
 
 use std::time::Duration;
 
@@ -16,6 +18,8 @@
 use rand::{RngExt, SeedableRng};
 use smallvec::SmallVec;
 
+use crate::failures::{CallResult, FailureShare, fade};
+
 /// Slowdown expected of an upstream of which nothing recent is known.
 const USUAL_SLOWDOWN: f64 = 2.2;
 
@@ -38,11 +42,8 @@
 /// Added time at an upstream whose calls all fail, in milliseconds.
 const FAILURE_MS: f64 = 1500.0;
 
-/// Time in which a remembered failure loses most of its weight.
-const FAILURE_LIFE: Duration = Duration::from_secs(3);
-
-/// Weight of a new result in the share of failures.
-const FAILURE_WEIGHT: f64 = 0.25;
+/// Weight of the assumption that nothing fails, against one recent result.
+const NO_FAILURE_WEIGHT: f64 = 1.0;
 
 /// Time for which an upstream that gave no sign of life is avoided; doubles with each repeat.
 const SILENCE_PENALTY: Duration = Duration::from_millis(500);
@@ -58,6 +59,12 @@
 /// of the work.
 const UNKNOWN_SPREAD: f64 = 0.3;
 
+/// Ratio of two slowdowns that neighbours should hear of.
+const NEWS_RATIO: f64 = 1.4;
+
+/// Difference of two shares of failures that neighbours should hear of.
+const NEWS_FAILURES: f64 = 0.04;
+
 /// Network between this daemon and an upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Distance {
@@ -104,10 +111,25 @@
     pub slots: u16,
     /// How many times longer than usual work takes.
     pub slowdown: f64,
+    /// Share of its recent calls that failed.
+    pub failures: f64,
     /// Whether the upstream is cold.
     pub cold: bool,
 }
 
+impl LoadReport {
+    /// Tells whether daemons that were told `old` should hear of this load.
+    #[must_use]
+    pub fn is_news(&self, old: &Self) -> bool {
+        let ratio = self.slowdown / old.slowdown.max(0.01);
+        let crowded = |load: &Self| load.waiting > 0;
+        !(1.0 / NEWS_RATIO..=NEWS_RATIO).contains(&ratio)
+            || self.cold != old.cold
+            || (self.failures - old.failures).abs() > NEWS_FAILURES
+            || (crowded(self) != crowded(old) && self.waiting != 1)
+    }
+}
+
 /// What this daemon has seen of one upstream.
 #[derive(Clone, Copy, Debug)]
 pub struct Place {
@@ -121,8 +143,7 @@
     outstanding: u16,
     /// Of these, the ones sent since the last report.
     unreported: u16,
-    failures: f64,
-    failed: Moment,
+    failures: FailureShare,
     silences: u32,
     avoid_until: Moment,
 }
@@ -138,8 +159,7 @@
             reported: None,
             outstanding: 0,
             unreported: 0,
-            failures: 0.0,
-            failed: Moment::default(),
+            failures: FailureShare::default(),
             silences: 0,
             avoid_until: Moment::default(),
         }
@@ -163,8 +183,10 @@
         self.outstanding = self.outstanding.saturating_sub(1);
         self.unreported = self.unreported.saturating_sub(1);
         match end {
-            PlaceEnd::Answered => self.note_result(0.0, now),
-            PlaceEnd::Failed => self.note_result(1.0, now),
+            PlaceEnd::Ended(result) => {
+                self.failures.note(result, now);
+                self.silences = 0;
+            }
             PlaceEnd::Silent => {
                 let doublings = self.silences.min(MAX_SILENCE_DOUBLINGS);
                 self.avoid_until = now + SILENCE_PENALTY * (1 << doublings);
@@ -174,18 +196,6 @@
         }
     }
 
-    fn note_result(&mut self, failed: f64, now: Moment) {
-        self.failures = self.failures_at(now);
-        self.failures += (failed - self.failures) * FAILURE_WEIGHT;
-        self.failed = now;
-        self.silences = 0;
-    }
-
-    /// Returns the share of failures, forgotten with time.
-    fn failures_at(&self, now: Moment) -> f64 {
-        self.failures * fade(now.since(self.failed), FAILURE_LIFE)
-    }
-
     /// Tells whether the upstream gave no sign of life a short time ago.
     #[must_use]
     pub fn is_avoided(&self, now: Moment) -> bool {
@@ -201,6 +211,14 @@
         self.reported.map_or(0.0, |at| fade(now.since(at), life))
     }
 
+    /// Returns the share of calls that fail here: by own results, then by what the daemon there
+    /// reported, then by `usual`, the share at the other places.
+    fn failures(&self, usual: f64, now: Moment) -> f64 {
+        let known = self.known(now);
+        let reported = self.report.failures * known + usual * (1.0 - known);
+        self.failures.share(reported, now)
+    }
+
     /// Returns the largest random part of the expected time, in milliseconds.
     fn spread_ms(&self, work: &PlaceWork, now: Moment) -> f64 {
         let unknown = 1.0 - self.known(now);
@@ -208,8 +226,10 @@
     }
 
     /// Returns the time after which a call is expected to end here, in milliseconds.
+    ///
+    /// `usual_failures` is the share of calls that fail at the other places.
     #[must_use]
-    pub fn expected_ms(&self, work: &PlaceWork, now: Moment) -> f64 {
+    fn expected_ms(&self, work: &PlaceWork, usual_failures: f64, now: Moment) -> f64 {
         let known = self.known(now);
         let slowdown = USUAL_SLOWDOWN + (self.report.slowdown - USUAL_SLOWDOWN) * known;
         let slots = f64::from(self.report.slots.max(1));
@@ -224,7 +244,7 @@
         (work_ms * slowdown).min(work_ms + SLOW_REST_MS)
             + self.distance.round_trip_ms()
             + self.distance.bytes_ms(work.bytes)
-            + self.failures_at(now) * FAILURE_MS
+            + self.failures(usual_failures, now) * FAILURE_MS
     }
 }
 
@@ -240,10 +260,8 @@
 /// How a call at a place ended, as far as the place is concerned.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PlaceEnd {
-    /// The upstream answered.
-    Answered,
-    /// The upstream failed the call or spoiled its answer.
-    Failed,
+    /// The upstream answered, failed or refused the call.
+    Ended(CallResult),
     /// Nothing was heard of the VM.
     Silent,
     /// The end says nothing about the place.
@@ -286,8 +304,9 @@
 
 impl Placement for ExpectedEnd {
     fn order(&mut self, places: &[Place], work: &PlaceWork, now: Moment) -> PlaceOrder {
+        let failures = usual_failures(places, now);
         let ranked = places.iter().enumerate().map(|(index, place)| {
-            let expected_ms = place.expected_ms(work, now);
+            let expected_ms = place.expected_ms(work, failures, now);
             let spread = place.spread_ms(work, now) * self.rng.random::<f64>();
             let rank = (place.is_avoided(now), expected_ms + spread);
             (rank, Ranked { index, expected_ms })
@@ -311,16 +330,24 @@
         self.next = self.next.wrapping_add(1);
         let count = places.len();
         let indices = (0..count).map(|i| (i + self.next) % count.max(1));
+        let failures = usual_failures(places, now);
         indices
             .map(|index| Ranked {
                 index,
-                expected_ms: places[index].expected_ms(work, now),
+                expected_ms: places[index].expected_ms(work, failures, now),
             })
             .collect()
     }
 }
 
-/// Returns the weight of what is `age` old: one when fresh, falling exponentially.
-fn fade(age: Duration, life: Duration) -> f64 {
-    (-age.as_secs_f64() / life.as_secs_f64()).exp()
+/// Returns the share of calls that fail at places of one service, as far as recent results and
+/// reports tell.
+fn usual_failures(places: &[Place], now: Moment) -> f64 {
+    let (mut failures, mut known) = (0.0, NO_FAILURE_WEIGHT);
+    for place in places {
+        let weight = place.failures.known(now).max(place.known(now));
+        failures += place.failures(0.0, now);
+        known += weight;
+    }
+    failures / known
 }
--- a/crates/policy/tests/all/placement.rs
+++ b/crates/policy/tests/all/placement.rs
@@ -2,7 +2,7 @@
 
 use cornelvalve_model::Moment;
 use cornelvalve_policy::{
-    Distance, ExpectedEnd, InTurn, LoadReport, Place, PlaceEnd, PlaceWork, Placement,
+    CallResult, Distance, ExpectedEnd, InTurn, LoadReport, Place, PlaceEnd, PlaceWork, Placement,
 };
 
 const READ: PlaceWork = PlaceWork {
@@ -77,7 +77,7 @@
     ];
     for _ in 0..4 {
         places[0].sent();
-        places[0].ended(PlaceEnd::Failed, now);
+        places[0].ended(PlaceEnd::Ended(CallResult::Failed), now);
     }
     assert_eq!(best(&places, &READ, now), 1);
     let later = ms(30_000);
--- a/crates/policy/tests/all/play.rs
+++ b/crates/policy/tests/all/play.rs
@@ -9,9 +9,9 @@
 
 use std::time::Duration;
 
-use cornelvalve_policy::{Distance, ExpectedEnd, InTurn, Placement};
+use cornelvalve_policy::{ExpectedEnd, InTurn, Placement};
 
-use load::{Load, Noise};
+use load::{Load, Noise, Region, Shed};
 use mesh::{Mesh, Result};
 
 /// Objective of the requests that are played.
@@ -24,14 +24,15 @@
 /// region: what these hear of the upstreams is old by the time of the link between the regions.
 fn remote_filings(per_second: f64) -> Load {
     Load {
-        entries: vec![Distance::Remote; 90],
-        upstreams: 17,
+        entries: vec![Region::South; 90],
+        upstreams: vec![Region::North; 17],
         slots: 6,
         work: Duration::from_millis(140),
         per_second,
         objective: OBJECTIVE,
         deadline: DEADLINE,
         noise: Noise::NEIGHBOURS,
+        shed: Shed::NONE,
         length: Duration::from_secs(20),
     }
 }
@@ -80,3 +81,59 @@
         );
     }
 }
+
+/// Nested calls of half of the entries in each region, which must answer while their caller holds a
+/// slot.
+fn nested_calls(shed: Shed) -> Load {
+    let regions = [Region::North, Region::South];
+    let alternating = |count| regions.into_iter().cycle().take(count).collect();
+    Load {
+        entries: alternating(90),
+        upstreams: alternating(30),
+        slots: 6,
+        work: Duration::from_millis(26),
+        per_second: 900.0,
+        objective: Duration::from_millis(100),
+        deadline: Duration::from_millis(300),
+        noise: Noise::NEIGHBOURS,
+        shed,
+        length: Duration::from_secs(10),
+    }
+}
+
+// Load: all upstreams of a service refuse 45% of what they get. Guards against calls that go ever
+// farther away because the places that were not tried yet seem better: their callers hold their
+// slots meanwhile, and the service of the callers is overloaded as well.
+#[test]
+fn a_fault_of_all_upstreams_keeps_calls_near_by() {
+    let shed = Shed {
+        share: 0.45,
+        one_in: 1,
+    };
+    let usual = play(&nested_calls(Shed::NONE), expected_end);
+    let result = play(&nested_calls(shed), expected_end);
+    // Two attempts bring an answer to all but 0.45 * 0.45 of the calls.
+    let possible = 1.0 - shed.share * shed.share;
+    assert!(result.in_time > 0.9 * possible, "{result:?}");
+    // The link between the regions alone takes longer than that.
+    assert!(result.mean < 2 * usual.mean, "{result:?} against {usual:?}");
+}
+
+// Load: one in four upstreams refuses 45% of what it gets. Guards against a refusal that counts for
+// too little to be avoided: the retry budget would be used up.
+#[test]
+fn upstreams_that_refuse_get_little_while_others_do_not() {
+    let shed = Shed {
+        share: 0.45,
+        one_in: 4,
+    };
+    let (chosen, turns) = (
+        play(&nested_calls(shed), expected_end),
+        play(&nested_calls(shed), in_turn),
+    );
+    assert!(
+        chosen.refused < turns.refused / 4.0,
+        "{chosen:?} against {turns:?}"
+    );
+    assert!(chosen.in_time > 0.97, "{chosen:?}");
+}
--- a/crates/policy/tests/all/play/load.rs
+++ b/crates/policy/tests/all/play/load.rs
@@ -37,13 +37,37 @@
     }
 }
 
+/// Region of an entry or upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Region {
+    North,
+    South,
+}
+
+/// Upstreams that refuse to run requests though they have room.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Shed {
+    /// Share of the requests that such an upstream refuses.
+    pub(super) share: f64,
+    /// One in how many upstreams does so.
+    pub(super) one_in: usize,
+}
+
+impl Shed {
+    /// No upstream refuses.
+    pub(super) const NONE: Self = Self {
+        share: 0.0,
+        one_in: 1,
+    };
+}
+
 /// Requests of one kind for one service.
 #[derive(Clone, Debug)]
 pub(super) struct Load {
-    /// Distance of each entry from all upstreams.
-    pub(super) entries: Vec<Distance>,
-    /// Number of upstreams.
-    pub(super) upstreams: usize,
+    /// Region of each entry.
+    pub(super) entries: Vec<Region>,
+    /// Region of each upstream.
+    pub(super) upstreams: Vec<Region>,
     /// Requests that each upstream runs at once.
     pub(super) slots: usize,
     /// Work of a request at usual speed, on average.
@@ -56,6 +80,8 @@
     pub(super) deadline: Duration,
     /// Slow times.
     pub(super) noise: Noise,
+    /// Refusals of upstreams that have room.
+    pub(super) shed: Shed,
     /// Length of the play.
     pub(super) length: Duration,
 }
@@ -67,6 +93,21 @@
         Duration::from_secs_f64(seconds)
     }
 
+    /// Returns the distance between an entry and an upstream.
+    pub(super) fn distance(&self, entry: usize, upstream: usize) -> Distance {
+        if self.entries[entry] == self.upstreams[upstream] {
+            Distance::Region
+        } else {
+            Distance::Remote
+        }
+    }
+
+    /// Tells whether an upstream refuses to run a request in an attempt with this number.
+    pub(super) fn sheds(&self, upstream: usize, number: u64, attempt: u8) -> bool {
+        let chance = fraction(number.wrapping_mul(31) + u64::from(attempt) + 0x77);
+        upstream.is_multiple_of(self.shed.one_in) && chance < self.shed.share
+    }
+
     /// Returns the work of a request: between 0.6 and 1.4 of the average.
     pub(super) fn work_of(&self, number: u64) -> Duration {
         self.work
--- a/crates/policy/tests/all/play/mesh.rs
+++ b/crates/policy/tests/all/play/mesh.rs
@@ -6,8 +6,8 @@
 
 use cornelvalve_model::{Moment, VmName};
 use cornelvalve_policy::{
-    AttemptResult, Attempts, Gate, GateAction, GateActions, GateCall, GateId, GateRefusal,
-    LoadReport, Place, PlaceEnd, PlaceWork, Placement, WorkKey,
+    AttemptResult, Attempts, CallResult, FailureShare, Gate, GateAction, GateActions, GateCall,
+    GateId, GateRefusal, LoadReport, Place, PlaceEnd, PlaceWork, Placement, WorkKey,
 };
 
 use super::load::{Load, fraction};
@@ -28,6 +28,8 @@
     pub(super) late: f64,
     /// Refusals.
     pub(super) refused: f64,
+    /// Mean time until an answer or refusal.
+    pub(super) mean: Duration,
     /// Offers to guards for each request.
     #[allow(dead_code, reason = "shown when an assertion fails")]
     pub(super) offers: f64,
@@ -47,8 +49,19 @@
     Done(u64, usize),
     /// An entry hears that a request was answered.
     Answered(u64, usize),
-    /// An entry hears that a guard handed a request back; the flag tells that it refused it.
-    Returned(u64, usize, bool),
+    /// An entry hears that a request was not run.
+    Returned(u64, usize, Returned),
+}
+
+/// Why a request was not run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Returned {
+    /// Its guard handed it back because another place should end it sooner.
+    HandedBack,
+    /// Its guard refused it.
+    Refused,
+    /// The upstream refused to run it.
+    Shed,
 }
 
 struct Entry {
@@ -66,7 +79,24 @@
 struct Guard {
     gate: Gate,
     slowdown: f64,
+    failures: FailureShare,
     offers: u64,
+    /// What the entries of the region were told last.
+    told: LoadReport,
+}
+
+impl Guard {
+    fn report(&self, now: Moment) -> LoadReport {
+        let load = self.gate.load();
+        LoadReport {
+            running: load.running,
+            waiting: load.waiting,
+            slots: load.slots,
+            slowdown: self.slowdown,
+            failures: self.failures.share(0.0, now),
+            cold: false,
+        }
+    }
 }
 
 /// State of a play.
@@ -81,31 +111,38 @@
     in_time: u64,
     late: u64,
     refused: u64,
+    /// Time of all requests until their end.
+    held: Duration,
 }
 
 impl<'a> Mesh<'a> {
     pub(super) fn new(load: &'a Load, placement: fn(u64) -> Box<dyn Placement>) -> Self {
-        let entry = |(index, distance)| Entry {
+        let upstreams = load.upstreams.len();
+        let entry = |index| Entry {
             placement: placement(index as u64),
-            places: vec![Place::new(distance); load.upstreams],
+            places: (0..upstreams)
+                .map(|upstream| Place::new(load.distance(index, upstream)))
+                .collect(),
         };
         let guard = |_| Guard {
             gate: Gate::new(load.slots),
             slowdown: 1.0,
+            failures: FailureShare::default(),
             offers: 0,
+            told: LoadReport::default(),
         };
-        let entries = load.entries.iter().copied().enumerate();
         Self {
             load,
             now: Moment::default(),
             events: BinaryHeap::new(),
             last_event: 0,
-            entries: entries.map(entry).collect(),
-            guards: (0..load.upstreams).map(guard).collect(),
+            entries: (0..load.entries.len()).map(entry).collect(),
+            guards: (0..upstreams).map(guard).collect(),
             requests: BTreeMap::new(),
             in_time: 0,
             late: 0,
             refused: 0,
+            held: Duration::ZERO,
         }
     }
 
@@ -135,6 +172,7 @@
             in_time: self.in_time as f64 / all,
             late: self.late as f64 / all,
             refused: self.refused as f64 / all,
+            mean: self.held.div_f64(all),
             offers: offers as f64 / all,
             busiest: most.unwrap_or_default() as f64 / mean,
         }
@@ -171,24 +209,39 @@
                 }
                 actions.extend(state.gate.advance(self.now));
                 self.carry_out(guard, actions);
+                self.tell(guard);
                 self.after(LOOK_PERIOD, Event::Look(guard));
             }
             Event::Done(number, guard) => {
                 let actions = self.guards[guard]
                     .gate
                     .finish(GateId(number), true, self.now);
-                self.after(self.link(number), Event::Answered(number, guard));
+                self.after(self.link(number, guard), Event::Answered(number, guard));
                 self.carry_out(guard, actions);
             }
             Event::Answered(number, guard) => self.answered(number, guard),
-            Event::Returned(number, guard, refused) => self.returned(number, guard, refused),
+            Event::Returned(number, guard, returned) => self.returned(number, guard, returned),
         }
     }
 
-    /// Returns the time of a message between the entry of a request and the guards.
-    fn link(&self, number: u64) -> Duration {
+    /// Tells the entries of the region if the load has changed much.
+    fn tell(&mut self, guard: usize) {
+        let report = self.guards[guard].report(self.now);
+        if !report.is_news(&self.guards[guard].told) {
+            return;
+        }
+        self.guards[guard].told = report;
+        for (index, entry) in self.entries.iter_mut().enumerate() {
+            if self.load.entries[index] == self.load.upstreams[guard] {
+                entry.places[guard].reported(report, self.now);
+            }
+        }
+    }
+
+    /// Returns the time of a message between the entry of a request and a guard.
+    fn link(&self, number: u64, guard: usize) -> Duration {
         let entry = self.requests[&number].entry;
-        let round_trip = self.load.entries[entry].round_trip_ms();
+        let round_trip = self.load.distance(entry, guard).round_trip_ms();
         Duration::from_secs_f64(round_trip / 2000.0)
     }
 
@@ -219,7 +272,7 @@
         entry.places[guard].sent();
         let next = order.get(1).filter(|_| !settle);
         request.elsewhere = next.map(|n| Duration::from_secs_f64(n.expected_ms / 1000.0));
-        self.after(self.link(number), Event::Offered(number, guard));
+        self.after(self.link(number, guard), Event::Offered(number, guard));
     }
 
     fn offered(&mut self, number: u64, guard: usize) {
@@ -240,39 +293,57 @@
     fn carry_out(&mut self, guard: usize, actions: GateActions) {
         for action in actions {
             match action {
+                GateAction::Start(GateId(number)) if self.sheds(number, guard) => {
+                    let finished = self.guards[guard]
+                        .gate
+                        .finish(GateId(number), false, self.now);
+                    self.note(guard, CallResult::Refused);
+                    self.give_back(number, guard, Returned::Shed);
+                    self.carry_out(guard, finished);
+                }
                 GateAction::Start(GateId(number)) => {
                     let work = self.load.work_of(number);
                     let took = work.mul_f64(self.guards[guard].slowdown);
                     self.after(took, Event::Done(number, guard));
                 }
                 GateAction::Refuse(GateId(number), refusal) => {
-                    let refused = matches!(refusal, GateRefusal::Hopeless { .. });
-                    let link = self.link(number);
-                    self.after(link, Event::Returned(number, guard, refused));
+                    let returned = match refusal {
+                        GateRefusal::Hopeless { .. } => Returned::Refused,
+                        GateRefusal::Elsewhere { .. } => Returned::HandedBack,
+                    };
+                    self.give_back(number, guard, returned);
                 }
             }
         }
     }
 
+    fn sheds(&self, number: u64, guard: usize) -> bool {
+        let arrivals = self.requests[&number].attempts.arrivals();
+        self.load.sheds(guard, number, arrivals)
+    }
+
+    fn note(&mut self, guard: usize, result: CallResult) {
+        self.guards[guard].failures.note(result, self.now);
+    }
+
+    fn give_back(&mut self, number: u64, guard: usize, returned: Returned) {
+        let link = self.link(number, guard);
+        self.after(link, Event::Returned(number, guard, returned));
+    }
+
     /// Tells the entry of a request what it hears with the end of an attempt.
     fn hear(&mut self, number: u64, guard: usize, end: PlaceEnd) {
-        let load = self.guards[guard].gate.load();
-        let report = LoadReport {
-            running: load.running,
-            waiting: load.waiting,
-            slots: load.slots,
-            slowdown: self.guards[guard].slowdown,
-            cold: false,
-        };
+        let report = self.guards[guard].report(self.now);
         let entry = &mut self.entries[self.requests[&number].entry];
         entry.places[guard].ended(end, self.now);
         entry.places[guard].reported(report, self.now);
     }
 
     fn answered(&mut self, number: u64, guard: usize) {
-        self.hear(number, guard, PlaceEnd::Answered);
+        self.hear(number, guard, PlaceEnd::Ended(CallResult::Answered));
         let request = self.requests.remove(&number).expect("request is open");
         let took = self.now.since(request.sent);
+        self.held += took;
         if took <= self.load.objective {
             self.in_time += 1;
         } else {
@@ -280,13 +351,16 @@
         }
     }
 
-    fn returned(&mut self, number: u64, guard: usize, refused: bool) {
-        self.hear(number, guard, PlaceEnd::Cancelled);
-        let result = if refused {
-            AttemptResult::RefusedByDaemon
-        } else {
-            AttemptResult::HandedBack
+    fn returned(&mut self, number: u64, guard: usize, returned: Returned) {
+        let (result, end) = match returned {
+            Returned::HandedBack => (AttemptResult::HandedBack, PlaceEnd::Cancelled),
+            Returned::Refused => (AttemptResult::RefusedByDaemon, PlaceEnd::Cancelled),
+            Returned::Shed => (
+                AttemptResult::RefusedByUpstream,
+                PlaceEnd::Ended(CallResult::Refused),
+            ),
         };
+        self.hear(number, guard, end);
         let request = self.requests.get_mut(&number).expect("request is open");
         let goes_on = request.attempts.note(vm(guard), result);
         let in_time = self.now < request.sent + self.load.deadline;
@@ -298,7 +372,8 @@
     }
 
     fn refuse(&mut self, number: u64) {
-        self.requests.remove(&number);
+        let request = self.requests.remove(&number).expect("request is open");
+        self.held += self.now.since(request.sent);
         self.refused += 1;
     }
 }
--- a/crates/relay/src/entry/offer.rs
+++ b/crates/relay/src/entry/offer.rs
@@ -7,7 +7,7 @@
 use std::pin::pin;
 use std::time::Duration;
 
-use cornelvalve_policy::{LoadReport, PlaceEnd};
+use cornelvalve_policy::{CallResult, LoadReport, PlaceEnd};
 use tokio::time::timeout;
 
 use super::EntryHandler;
@@ -169,9 +169,9 @@
     fn place_end(&self) -> PlaceEnd {
         match &self.outcome {
             _ if self.silent => PlaceEnd::Silent,
-            HopOutcome::Answered(answer) if answer.failed => PlaceEnd::Failed,
-            HopOutcome::Answered(_) => PlaceEnd::Answered,
-            HopOutcome::NotRun { arrived: true, .. } => PlaceEnd::Failed,
+            HopOutcome::Answered(answer) if answer.failed => PlaceEnd::Ended(CallResult::Failed),
+            HopOutcome::Answered(_) => PlaceEnd::Ended(CallResult::Answered),
+            HopOutcome::NotRun { arrived: true, .. } => PlaceEnd::Ended(CallResult::Refused),
             HopOutcome::NotRun {
                 cause: Cause::Unreachable,
                 ..
@@ -180,7 +180,7 @@
             HopOutcome::Unknown {
                 cause: Cause::Deadline,
             } => PlaceEnd::Cancelled,
-            HopOutcome::Unknown { .. } => PlaceEnd::Failed,
+            HopOutcome::Unknown { .. } => PlaceEnd::Ended(CallResult::Failed),
         }
     }
 }
--- a/crates/relay/src/guard/state.rs
+++ b/crates/relay/src/guard/state.rs
@@ -6,7 +6,8 @@
 use cornelvalve_kernel::{Mailbox, Reply};
 use cornelvalve_model::{Incarnation, Moment, Upstream, UpstreamState};
 use cornelvalve_policy::{
-    ColdRate, Gate, GateAction, GateActions, GateCall, GateId, GateRefusal, LoadReport, WorkKey,
+    ColdRate, FailureShare, Gate, GateAction, GateActions, GateCall, GateId, GateRefusal,
+    LoadReport, WorkKey,
 };
 use smallvec::SmallVec;
 use tokio::sync::mpsc;
@@ -35,9 +36,6 @@
 /// Slowdown from which an upstream counts as slow.
 const SLOW: f64 = 1.5;
 
-/// Ratio of two slowdowns that neighbours should hear of.
-const TOLD_RATIO: f64 = 1.4;
-
 /// Longest time without work for the guard.
 const MAX_SLEEP: Duration = Duration::from_secs(5);
 
@@ -57,6 +55,7 @@
     gate: Gate,
     slots: usize,
     slowdown: f64,
+    failures: FailureShare,
     process: Option<UpstreamProcess>,
     /// Processes that were replaced; late check-ins of theirs are passed over.
     retired: SmallVec<[Arc<str>; 4]>,
@@ -79,6 +78,7 @@
             gate: Gate::new(DEFAULT_SLOTS),
             slots: DEFAULT_SLOTS,
             slowdown: 1.0,
+            failures: FailureShare::default(),
             process: None,
             retired: SmallVec::new(),
             unreachable: false,
@@ -337,6 +337,7 @@
             waiting: load.waiting,
             slots: load.slots,
             slowdown: self.slowdown,
+            failures: self.failures.share(0.0, now),
             cold: self.gate.is_cold(now),
         })
     }
@@ -356,13 +357,7 @@
         if let Err(e) = self.outlets.router.try_send(own) {
             log::debug!("{e}; the next change tells the load");
         }
-        let news = self.told.is_none_or(|told| {
-            let ratio = load.slowdown / told.slowdown.max(0.01);
-            let crowded = |l: &LoadReport| l.waiting > 0;
-            !(1.0 / TOLD_RATIO..=TOLD_RATIO).contains(&ratio)
-                || told.cold != load.cold
-                || (crowded(&told) != crowded(&load) && load.waiting != 1)
-        });
+        let news = self.told.is_none_or(|told| load.is_news(&told));
         if news
             && self
                 .outlets
@@ -447,6 +442,9 @@
         if let Some(load) = report.load {
             self.observe(load, now);
         }
+        if let Some(result) = report.end.call_result() {
+            self.failures.note(result, now);
+        }
         match report.end {
             PermitEnd::Unreachable => self.set_unreachable(true, now),
             PermitEnd::OtherInstance => self.probe(now),
--- a/crates/relay/src/hop.rs
+++ b/crates/relay/src/hop.rs
@@ -161,24 +161,26 @@
     },
 }
 
-/// Load as it crosses a hop; the slowdown in hundredths.
+/// Load as it crosses a hop; slowdown and failures in hundredths.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct HopLoad {
     running: u16,
     waiting: u16,
     slots: u16,
     slowdown_percent: u16,
+    failure_percent: u8,
     cold: bool,
 }
 
 impl From<LoadReport> for HopLoad {
     fn from(report: LoadReport) -> Self {
-        let percent = (report.slowdown * 100.0).round().clamp(0.0, 65_535.0);
+        let percent = |share: f64| (share * 100.0).round().clamp(0.0, 65_535.0) as u16;
         Self {
             running: report.running,
             waiting: report.waiting,
             slots: report.slots,
-            slowdown_percent: percent as u16,
+            slowdown_percent: percent(report.slowdown),
+            failure_percent: u8::try_from(percent(report.failures)).unwrap_or(u8::MAX),
             cold: report.cold,
         }
     }
@@ -191,6 +193,7 @@
             waiting: load.waiting,
             slots: load.slots,
             slowdown: f64::from(load.slowdown_percent) / 100.0,
+            failures: f64::from(load.failure_percent) / 100.0,
             cold: load.cold,
         }
     }
--- a/crates/relay/src/messages.rs
+++ b/crates/relay/src/messages.rs
@@ -6,7 +6,7 @@
 
 use cornelvalve_kernel::{Completion, Reply, Tick};
 use cornelvalve_model::{Fingerprint, Member, Moment, Revision, ServiceName, Upstream, VmName};
-use cornelvalve_policy::{GateId, LoadReport, PlaceEnd, WorkKey};
+use cornelvalve_policy::{CallResult, GateId, LoadReport, PlaceEnd, WorkKey};
 use smallvec::SmallVec;
 use tokio::sync::watch;
 
@@ -285,6 +285,8 @@
 pub(crate) enum PermitEnd {
     /// The upstream answered.
     Answered,
+    /// The upstream answered with a failure.
+    Failed,
     /// The upstream refused to run it.
     Refused,
     /// Another process has the upstream's address.
@@ -297,6 +299,18 @@
     Cancelled,
 }
 
+impl PermitEnd {
+    /// Returns what the end says about the upstream; `None` if nothing.
+    pub(crate) fn call_result(self) -> Option<CallResult> {
+        match self {
+            Self::Answered => Some(CallResult::Answered),
+            Self::Failed | Self::Lost => Some(CallResult::Failed),
+            Self::Refused => Some(CallResult::Refused),
+            Self::OtherInstance | Self::Unreachable | Self::Cancelled => None,
+        }
+    }
+}
+
 /// Messages to the guard.
 #[derive(Debug)]
 pub(crate) enum GuardMessage {
--- a/crates/relay/src/runner.rs
+++ b/crates/relay/src/runner.rs
@@ -207,7 +207,11 @@
         let exchanged = match self.dialect.verdict(&response, attempt) {
             Verdict::Answer { failed } => Exchanged {
                 outcome: HopOutcome::Answered(self.answer(response, failed)),
-                end: PermitEnd::Answered,
+                end: if failed {
+                    PermitEnd::Failed
+                } else {
+                    PermitEnd::Answered
+                },
                 load: None,
             },
             Verdict::NotRun => Exchanged::not_run(Cause::UpstreamRefused, PermitEnd::Refused, true),
