Count the start limit of a cold upstream into the expected wait

Cause: the gate expected calls at a cold upstream to wait for a slot only.

Change: the expected wait and the drain time count the starts that the window still allows, up to the moment at which the upstream is warm.

--- a/crates/policy/src/gate.rs
+++ b/crates/policy/src/gate.rs
@@ -402,15 +402,42 @@
         let order = self.order(call, now);
         let waiting = self.queue.iter().map(|w| &w.call);
         let ahead = waiting.filter(|c| self.order(c, now) <= order);
-        let ahead: Duration = ahead.map(|c| self.work(c.work)).sum();
-        self.time_for(self.residual(now), ahead)
+        let ahead: SmallVec<[Duration; 16]> = ahead.map(|c| self.work(c.work)).collect();
+        let for_slot = self.time_for(self.residual(now), ahead.iter().sum());
+        for_slot.max(self.cold_wait(ahead.len(), now))
+    }
+
+    /// Returns the time until a cold upstream tolerates one more start after `ahead` others.
+    fn cold_wait(&self, ahead: usize, now: Moment) -> Duration {
+        let Some(cold) = self.cold.filter(|c| now < c.until) else {
+            return Duration::ZERO;
+        };
+        let recent = self.recent_starts(now);
+        let limit = cold.per_second.max(1.0) as usize;
+        let over = (recent + ahead + 1).saturating_sub(limit);
+        let wait = match over {
+            0 => Duration::ZERO,
+            over if over <= recent => {
+                let leaves_window = self.starts[self.starts.len() - recent + over - 1];
+                (leaves_window + COLD_WINDOW).since(now)
+            }
+            over => COLD_WINDOW.mul_f64(over as f64 / limit as f64),
+        };
+        wait.min(cold.until.since(now))
+    }
+
+    /// Returns the number of starts in the span that counts for a cold upstream.
+    fn recent_starts(&self, now: Moment) -> usize {
+        let recent = self.starts.iter().rev();
+        recent.take_while(|s| now.since(**s) < COLD_WINDOW).count()
     }
 
     /// Returns the time until everything that is here now has ended.
     fn drain_time(&self, now: Moment) -> Duration {
         let waiting = self.queue.iter().map(|w| self.work(w.call.work));
         let waiting: Duration = waiting.sum();
-        self.time_for(self.residual(now), waiting)
+        let for_slots = self.time_for(self.residual(now), waiting);
+        for_slots.max(self.cold_wait(self.queue.len(), now))
     }
 
     /// Returns the time in which all slots together end what runs and what waits.
@@ -442,8 +469,7 @@
     fn may_start(&self, now: Moment) -> bool {
         match self.cold {
             Some(cold) if now < cold.until => {
-                let recent = self.starts.iter().filter(|s| now.since(**s) < COLD_WINDOW);
-                (recent.count() as f64) < cold.per_second.max(1.0)
+                (self.recent_starts(now) as f64) < cold.per_second.max(1.0)
             }
             _ => true,
         }
--- a/crates/policy/tests/all/gate.rs
+++ b/crates/policy/tests/all/gate.rs
@@ -36,6 +36,8 @@
     refused: u32,
     /// Refusals after more than half of the caller's time.
     refused_late: u32,
+    /// Milliseconds for which refused calls waited, all together.
+    waited_in_vain: u64,
     most_running: usize,
     /// Moments of the starts in milliseconds.
     starts: Vec<u64>,
@@ -72,6 +74,7 @@
                 GateAction::Refuse(GateId(id), _) => {
                     let (since, call) = self.waiting.remove(&id).expect("call waits");
                     self.tally.refused += 1;
+                    self.tally.waited_in_vain += now - since;
                     let half = since + call.deadline.since(ms(since)).as_millis() as u64 / 2;
                     if now > half + 5 {
                         self.tally.refused_late += 1;
@@ -185,6 +188,41 @@
     assert!(started.len() >= 80, "only {} starts in 4 s", started.len());
 }
 
+// Load: a cold upstream right after a restart of everything, with nested calls that wait for 300 ms
+// at most. Guards against calls that wait for starts which the upstream will not tolerate in time:
+// the callers' callers hold their slots meanwhile.
+#[test]
+fn what_a_cold_upstream_cannot_start_in_time_is_refused_at_once() {
+    let mut player = Player::new(9);
+    let cold = ColdRate {
+        until: ms(5000),
+        per_second: 11.0,
+    };
+    player.gate.set_cold(Some(cold), ms(0));
+    for now in 0..2000 {
+        let arrives = now % 5 == 0 && now < 1000;
+        player.step(now, arrives.then(|| call(now + 1, now, 100, 300)));
+    }
+    let tally = &player.tally;
+    let mean = tally.waited_in_vain / u64::from(tally.refused);
+    assert!(mean < 300 / 8, "{mean} ms, {tally:?}");
+}
+
+// Guards against calls that are refused though the upstream will be warm in time.
+#[test]
+fn calls_wait_for_an_upstream_that_is_warm_soon() {
+    let mut player = Player::new(9);
+    let cold = ColdRate {
+        until: ms(100),
+        per_second: 1.0,
+    };
+    player.gate.set_cold(Some(cold), ms(0));
+    for now in 0..1000 {
+        player.step(now, (now < 5).then(|| call(now + 1, now, 300, 2000)));
+    }
+    assert_eq!(player.tally.in_time, 5, "{:?}", player.tally);
+}
+
 // Guards against an owner that wakes without pause: a moment at which nothing changes must not be
 // due. Load: a cold upstream that turns slow by turns.
 #[test]
