Use what a cold upstream tolerates beyond its rate

Cause: starts at a cold upstream were limited to its rate in any 1.1 s, 11 on grown caaq, though the settings tell that it tolerates 24.5 (coldBurstFactor 1.5, coldSlack 8).

Ruled out: slots and the retry budget; remise took no more than its rate.

Change: the guard uses the rate and 0.6 of what is tolerated beyond it, read from the bounds of the settings.

Landed with 0.6, so that starts that arrive 100 ms late stay below the bound.

--- a/crates/policy/src/gate.rs
+++ b/crates/policy/src/gate.rs
@@ -123,6 +123,34 @@
 /// Actions in the order in which they should be carried out.
 pub type GateActions = SmallVec<[GateAction; 4]>;
 
+/// Share of what a cold upstream tolerates beyond its rate that is used; the rest covers starts that
+/// it counts in another second.
+const USED_TOLERANCE: f64 = 0.6;
+
+/// How far the starts at a cold upstream may exceed its rate, in any one second.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ColdTolerance {
+    /// Multiple of the rate.
+    pub factor: f64,
+    /// Starts besides.
+    pub slack: f64,
+}
+
+impl ColdTolerance {
+    /// Nothing beyond the rate.
+    pub const NONE: Self = Self {
+        factor: 1.0,
+        slack: 0.0,
+    };
+
+    /// Returns the starts in a second at an upstream with this rate.
+    #[must_use]
+    pub fn limit(&self, rate: f64) -> f64 {
+        let beyond = rate * (self.factor - 1.0) + self.slack;
+        rate + beyond.max(0.0) * USED_TOLERANCE
+    }
+}
+
 /// Rate limit of a cold upstream.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ColdRate {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -28,7 +28,8 @@
 pub use breaker::{BreakerState, CircuitBreaker, ConsecutiveBreaker, NeverBreaks};
 pub use failures::{CallResult, FailureShare};
 pub use gate::{
-    ColdRate, Gate, GateAction, GateActions, GateCall, GateId, GateLoad, GateRefusal, WorkKey,
+    ColdRate, ColdTolerance, Gate, GateAction, GateActions, GateCall, GateId, GateLoad,
+    GateRefusal, WorkKey,
 };
 pub use picker::{Candidate, LeastOutstanding, Picker, PowerOfTwo, RoundRobin};
 pub use placement::{
--- a/crates/policy/tests/all/gate.rs
+++ b/crates/policy/tests/all/gate.rs
@@ -5,7 +5,7 @@
 
 use cornelvalve_model::Moment;
 use cornelvalve_policy::{
-    ColdRate, Gate, GateAction, GateActions, GateCall, GateId, GateRefusal, WorkKey,
+    ColdRate, ColdTolerance, Gate, GateAction, GateActions, GateCall, GateId, GateRefusal, WorkKey,
 };
 
 fn ms(millis: u64) -> Moment {
@@ -188,6 +188,39 @@
     assert!(started.len() >= 80, "only {} starts in 4 s", started.len());
 }
 
+// Load: all upstreams are cold after a restart of everything, so that their starts bind. Guards against
+// starts beyond what a cold upstream tolerates, and against callers that wait though it would
+// tolerate more.
+#[test]
+fn a_cold_upstream_gets_most_of_what_it_tolerates() {
+    let (rate, tolerance) = (
+        11.0,
+        ColdTolerance {
+            factor: 1.5,
+            slack: 8.0,
+        },
+    );
+    let mut player = Player::new(50);
+    let cold = ColdRate {
+        until: ms(5000),
+        per_second: tolerance.limit(rate),
+    };
+    player.gate.set_cold(Some(cold), ms(0));
+    for now in 0..4000 {
+        player.step(now, (now % 5 == 0).then(|| call(now + 1, now, 300, 2000)));
+    }
+    let bound = rate * tolerance.factor + tolerance.slack;
+    let started = &player.tally.starts;
+    let in_second = |first: &u64| {
+        let from = started.iter().skip_while(|s| *s < first);
+        from.take_while(|s| **s < first + 1000).count() as f64
+    };
+    let most = started.iter().map(in_second).fold(0.0, f64::max);
+    assert!(most < 0.9 * bound, "{most} of {bound} in a second");
+    assert!(started.len() as f64 > 4.0 * 1.3 * rate, "{}", started.len());
+    assert_eq!(ColdTolerance::NONE.limit(rate), rate);
+}
+
 // Load: a cold upstream right after a restart of everything, with nested calls that wait for 300 ms
 // at most. Guards against calls that wait for starts which the upstream will not tolerate in time:
 // the callers' callers hold their slots meanwhile.
--- a/crates/relay/src/guard.rs
+++ b/crates/relay/src/guard.rs
@@ -11,6 +11,7 @@
 
 use cornelvalve_kernel::{Context, ServiceResult};
 use cornelvalve_model::{FailureDomain, Moment, Region, ServiceName};
+use cornelvalve_policy::ColdTolerance;
 use tokio::sync::mpsc;
 use tokio::time::sleep;
 
@@ -30,6 +31,8 @@
     pub(crate) service: ServiceName,
     /// Address of the upstream.
     pub(crate) addr: SocketAddr,
+    /// Starts that it tolerates beyond its rate while it is cold.
+    pub(crate) tolerance: ColdTolerance,
 }
 
 /// Runs the guard service.
--- a/crates/relay/src/guard/state.rs
+++ b/crates/relay/src/guard/state.rs
@@ -179,7 +179,7 @@
         let cold = self.process.as_ref().zip(self.service());
         let cold = cold.map(|(p, s)| ColdRate {
             until: p.cold_until,
-            per_second: s.cold_rate,
+            per_second: self.settings.tolerance.limit(s.cold_rate),
         });
         let cold = cold.filter(|c| now < c.until);
         let actions = self.gate.set_cold(cold, now);
--- a/crates/relay/src/guard/tests.rs
+++ b/crates/relay/src/guard/tests.rs
@@ -9,7 +9,7 @@
     Clock, Context, Kernel, Mailbox, Name, Reply, ServiceOptions, ServiceResult,
 };
 use cornelvalve_model::{FailureDomain, Moment, Region, ServiceName, WallTime};
-use cornelvalve_policy::WorkKey;
+use cornelvalve_policy::{ColdTolerance, WorkKey};
 use smallvec::SmallVec;
 use tokio::sync::mpsc;
 
@@ -79,6 +79,7 @@
             domain: domain(),
             service: service(),
             addr: SocketAddr::from((Ipv4Addr::LOCALHOST, 1)),
+            tolerance: ColdTolerance::NONE,
         };
         let kernel = Kernel::builder(Arc::clone(&clock) as Arc<dyn Clock>)
             .service(CONTROL, options, ignore)
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -12,7 +12,7 @@
     FailureDomain, Fingerprint, Incarnation, Member, MemberKey, MemberState, Region, ServiceName,
     VmName,
 };
-use cornelvalve_policy::ShareSettings;
+use cornelvalve_policy::{ColdTolerance, ShareSettings};
 use derive_more::{Debug, Display, Error};
 use smallvec::SmallVec;
 use tokio::net::TcpListener;
@@ -133,6 +133,8 @@
     pub first_start: bool,
     /// Common retry budget.
     pub retries: ShareSettings,
+    /// Starts that a cold upstream tolerates beyond its rate.
+    pub cold_tolerance: ColdTolerance,
 }
 
 /// What the platform supplies.
@@ -430,6 +432,7 @@
             domain: settings.domain.clone(),
             service: settings.service.clone(),
             addr: settings.upstream,
+            tolerance: settings.cold_tolerance,
         };
         let site = Site {
             region: settings.region.clone(),
