Share requests that crash upstreams between daemons

Cause: a request that crashes each target that runs it comes again at any VM. Every daemon sent it on as long as its route's attempts allowed, so it could crash one target after the other without end.

Ruled out: letting suspects run alone, as the product's own daemon does: each crash on a busy target would make several innocent requests wait for an idle target.

Change: the detection of deaths moves from the daemon crate to policy::crash and serves both daemons. The loads service is called notices, since it carries both.

Tests: two guards, one crash after the other (run; there was no such refusal before); what ran for a while is no suspect; the whole path over two daemons.

Conclusion: the rule no longer depends on luck.

--- a/crates/daemon/src/guard.rs
+++ b/crates/daemon/src/guard.rs
@@ -6,7 +6,6 @@
 mod admission;
 mod calls;
 mod confirm;
-mod crashes;
 mod events;
 mod held;
 mod rules;
--- a/crates/daemon/src/guard/admission.rs
+++ b/crates/daemon/src/guard/admission.rs
@@ -6,13 +6,13 @@
 use cornelvalve_kernel::Reply;
 use cornelvalve_model::{Moment, Reason, Refusal, ServiceName};
 use cornelvalve_policy::{
-    Admission, AdmissionAction, AdmissionActions, AdmissionEvent, FinishResult, RequestId, Start,
+    Admission, AdmissionAction, AdmissionActions, AdmissionEvent, FinishResult, LostRequests,
+    RequestId, Start,
 };
 
 use super::calls::{PendingCall, call_id, request_id};
-use super::crashes::Running;
 use super::held::Started;
-use super::state::GuardState;
+use super::state::{GuardState, log_crash};
 use super::{Admitted, Call, Permit, PermitEnd, PermitReport};
 use cornelvalve_kernel::Completion;
 
@@ -203,7 +203,7 @@
             }
             PermitEnd::Unused | PermitEnd::Cancelled => crashes.suspects.released(*fingerprint),
             PermitEnd::NotSent => {
-                crashes.refused(service, now);
+                log_crash(service, &crashes.refused(service, now));
                 crashes.suspects.released(*fingerprint);
             }
             PermitEnd::Lost | PermitEnd::Died => {
@@ -211,7 +211,7 @@
                 let crashes = &mut self.crashes;
                 crashes.lost(service, ended.incarnation, running, now);
                 if *end == PermitEnd::Died {
-                    crashes.refused(service, now);
+                    log_crash(service, &crashes.refused(service, now));
                 }
                 crashes.suspects.released(*fingerprint);
             }
@@ -219,7 +219,7 @@
     }
 
     /// Lists a request and those that run at the same incarnation of its upstream.
-    fn running_beside(&self, ended: &PendingCall) -> Running {
+    fn running_beside(&self, ended: &PendingCall) -> LostRequests {
         let same = |p: &&PendingCall| {
             p.call.service == ended.call.service && p.incarnation == ended.incarnation
         };
--- a/crates/daemon/src/guard/state.rs
+++ b/crates/daemon/src/guard/state.rs
@@ -8,16 +8,16 @@
 use cornelvalve_catalog::Catalog;
 use cornelvalve_kernel::{Mailbox, Reply, Tick};
 use cornelvalve_model::{
-    FailureDomain, Incarnation, Moment, Region, ServiceName, Upstream, UpstreamState, VmName,
+    FailureDomain, Fingerprint, Incarnation, Moment, Region, ServiceName, Upstream, UpstreamState,
+    VmName,
 };
 use cornelvalve_policy::{
-    Admission, AdmissionEvent, AdmissionSettings, RequestId, SuspectList, SuspectSettings,
+    Admission, AdmissionEvent, AdmissionSettings, Crashes, RequestId, SuspectList, SuspectSettings,
     TicketSettings, TicketTable,
 };
 use tokio::sync::mpsc;
 
 use super::calls::Calls;
-use super::crashes::Crashes;
 use super::rules::Rules;
 use super::{PermitReport, UpstreamLoad, Upstreams};
 use crate::catalog::CatalogMessage;
@@ -95,7 +95,8 @@
         }
         for upstream in upstreams {
             let service = upstream.service.clone();
-            self.crashes.announced(&service, upstream.incarnation, now);
+            let suspects = self.crashes.announced(&service, upstream.incarnation, now);
+            log_crash(&service, &suspects);
             let event = match upstream.state {
                 UpstreamState::Ready => AdmissionEvent::UpstreamStarted {
                     incarnation: upstream.incarnation,
@@ -197,3 +198,11 @@
         self.every_admission(AdmissionEvent::Tick, tick.now);
     }
 }
+
+/// Logs the death of an upstream, if there are requests that ran at it.
+pub(super) fn log_crash(service: &ServiceName, suspects: &[Fingerprint]) {
+    if !suspects.is_empty() {
+        log::warn!(service = service.as_str(), requests = suspects.len();
+            "upstream died; the requests that ran are suspects");
+    }
+}
--- a/crates/policy/src/attempts.rs
+++ b/crates/policy/src/attempts.rs
@@ -23,6 +23,8 @@
     RefusedByUpstream,
     /// A daemon refused it before it reached an upstream.
     RefusedByDaemon,
+    /// A daemon refused it, as every other one would.
+    Final,
     /// A daemon handed it back because another place should end it sooner.
     HandedBack,
 }
@@ -61,6 +63,7 @@
                 self.handed_back.push(vm);
                 return true;
             }
+            AttemptResult::Final => self.refusals = MAX_REFUSALS,
             AttemptResult::RefusedByDaemon => self.refusals += 1,
             AttemptResult::RefusedByUpstream => self.arrivals = self.arrivals.saturating_add(1),
             AttemptResult::MayHaveRun => {
--- a/crates/daemon/src/guard/crashes.rs
+++ b/crates/policy/src/crash.rs
@@ -7,34 +7,38 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use crate::suspect::{HomeRegions, SuspectList};
 use cornelvalve_model::{Fingerprint, Incarnation, Moment, ServiceName};
-use cornelvalve_policy::{HomeRegions, SuspectList};
 
 /// Time after a lost connection in which a sign of death is put down to the requests that ran;
 /// an upstream that is started again at once is back within it.
 const WATCH_TIME: Duration = Duration::from_secs(3);
 
-/// Requests that ran when a connection was lost.
-pub(super) type Running = BTreeMap<Fingerprint, HomeRegions>;
+/// Requests that ran when a connection was lost, with the regions that may know about them.
+pub type LostRequests = BTreeMap<Fingerprint, HomeRegions>;
 
 /// Loss that may turn out to be a death.
+#[derive(Debug)]
 struct Watch {
     incarnation: Incarnation,
-    running: Running,
+    running: LostRequests,
     until: Moment,
 }
 
 /// Suspects, and losses that are not yet known to be deaths.
-pub(super) struct Crashes {
-    pub(super) suspects: SuspectList,
+#[derive(Debug)]
+pub struct Crashes {
+    /// Requests that ran when an upstream died.
+    pub suspects: SuspectList,
     watches: BTreeMap<ServiceName, Watch>,
     /// Latest incarnation that died; its other losses are part of the same crash.
     died: BTreeMap<ServiceName, Incarnation>,
 }
 
 impl Crashes {
-    /// Creates a state without suspects.
-    pub(super) fn new(suspects: SuspectList) -> Self {
+    /// Creates a state without losses.
+    #[must_use]
+    pub fn new(suspects: SuspectList) -> Self {
         Self {
             suspects,
             watches: BTreeMap::new(),
@@ -43,11 +47,11 @@
     }
 
     /// Records that a connection was lost during a request.
-    pub(super) fn lost(
+    pub fn lost(
         &mut self,
         service: &ServiceName,
         incarnation: Incarnation,
-        running: Running,
+        running: LostRequests,
         now: Moment,
     ) {
         if self.is_dead(service, incarnation) {
@@ -70,33 +74,35 @@
         }
     }
 
-    /// Records that the upstream refused a connection.
-    pub(super) fn refused(&mut self, service: &ServiceName, now: Moment) {
-        self.confirm(service, now);
+    /// Records that the upstream refused a connection; returns the requests that are suspects now.
+    pub fn refused(&mut self, service: &ServiceName, now: Moment) -> Vec<Fingerprint> {
+        self.confirm(service, now)
     }
 
-    /// Records that an incarnation was announced.
-    pub(super) fn announced(
+    /// Records that an incarnation was announced; returns the requests that are suspects now.
+    pub fn announced(
         &mut self,
         service: &ServiceName,
         incarnation: Incarnation,
         now: Moment,
-    ) {
+    ) -> Vec<Fingerprint> {
         let watch = self.watches.get(service);
         if watch.is_some_and(|w| w.incarnation < incarnation) {
-            self.confirm(service, now);
+            self.confirm(service, now)
+        } else {
+            Vec::new()
         }
     }
 
     /// Records an answer; an incarnation that answers lives, whatever was seen before.
-    pub(super) fn answered(&mut self, service: &ServiceName, incarnation: Incarnation) {
+    pub fn answered(&mut self, service: &ServiceName, incarnation: Incarnation) {
         if self.is_dead(service, incarnation) {
             self.died.remove(service);
         }
     }
 
     /// Forgets what is out of date.
-    pub(super) fn tick(&mut self, now: Moment) {
+    pub fn tick(&mut self, now: Moment) {
         self.watches.retain(|_, watch| watch.until > now);
         self.suspects.tick(now);
     }
@@ -105,14 +111,13 @@
         self.died.get(service).is_some_and(|d| incarnation <= *d)
     }
 
-    fn confirm(&mut self, service: &ServiceName, now: Moment) {
+    fn confirm(&mut self, service: &ServiceName, now: Moment) -> Vec<Fingerprint> {
         let Some(watch) = self.watches.remove(service).filter(|w| w.until > now) else {
-            return;
+            return Vec::new();
         };
         self.died.insert(service.clone(), watch.incarnation);
         let running: Vec<_> = watch.running.into_iter().collect();
-        log::warn!(service = service.as_str(), requests = running.len();
-            "upstream died; the requests that ran are suspects");
         self.suspects.crashed(&running, now);
+        running.into_iter().map(|(request, _)| request).collect()
     }
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -7,6 +7,7 @@
 mod attempts;
 mod balancer;
 mod breaker;
+mod crash;
 mod failures;
 mod gate;
 mod picker;
@@ -26,6 +27,7 @@
     Endpoint, EndpointIncarnation, EndpointView, Locality,
 };
 pub use breaker::{BreakerState, CircuitBreaker, ConsecutiveBreaker, NeverBreaks};
+pub use crash::{Crashes, LostRequests};
 pub use failures::{CallResult, FailureShare};
 pub use gate::{
     ColdRate, ColdTolerance, Gate, GateAction, GateActions, GateCall, GateId, GateLoad,
--- a/crates/policy/src/suspect.rs
+++ b/crates/policy/src/suspect.rs
@@ -41,9 +41,6 @@
     }
 }
 
-/// Crashes after which a suspect is refused.
-const REFUSED_AT: u32 = 2;
-
 /// Bounds of a [`SuspectList`].
 #[derive(Clone, Copy, Debug)]
 pub struct SuspectSettings {
@@ -51,6 +48,8 @@
     pub ttl: Duration,
     /// Most suspects that the list holds.
     pub max_suspects: usize,
+    /// Crashes after which a suspect is refused.
+    pub refused_at: u32,
 }
 
 impl Default for SuspectSettings {
@@ -58,6 +57,7 @@
         Self {
             ttl: Duration::from_secs(600),
             max_suspects: 1024,
+            refused_at: 2,
         }
     }
 }
@@ -135,7 +135,7 @@
     /// [`Self::released`] or [`Self::crashed`].
     pub fn start(&mut self, fingerprint: Fingerprint, running: usize, now: Moment) -> Start {
         let level = self.level(fingerprint, now);
-        if level >= REFUSED_AT {
+        if level >= self.settings.refused_at {
             return Start::Refuse(Refusal::not_run(Reason::CrashSuspect));
         }
         if self.isolated.is_some() || (level > 0 && running > 0) {
@@ -147,6 +147,12 @@
         Start::Run
     }
 
+    /// Returns whether the request is refused, for callers that do not let suspects run alone.
+    #[must_use]
+    pub fn is_refused(&self, fingerprint: Fingerprint, now: Moment) -> bool {
+        self.level(fingerprint, now) >= self.settings.refused_at
+    }
+
     /// Returns whether the request is a suspect, which entries must not retry elsewhere.
     #[must_use]
     pub fn is_suspect(&self, fingerprint: Fingerprint, now: Moment) -> bool {
--- a/crates/relay/src/entry/forward.rs
+++ b/crates/relay/src/entry/forward.rs
@@ -285,6 +285,8 @@
         }
         self.refused_for = cause;
         let result = match cause {
+            // No other place may run it either.
+            Cause::CrashSuspect => AttemptResult::Final,
             _ if arrived => AttemptResult::RefusedByUpstream,
             Cause::Elsewhere => AttemptResult::HandedBack,
             _ => AttemptResult::RefusedByDaemon,
--- a/crates/relay/src/guard.rs
+++ b/crates/relay/src/guard.rs
@@ -1,6 +1,7 @@
 //! Guard service: the only way on which work reaches the upstream beside the daemon.
 
 mod calls;
+mod crashes;
 mod probing;
 mod state;
 #[cfg(test)]
@@ -17,7 +18,7 @@
 
 use crate::control::request_republish;
 use crate::messages::GuardMessage;
-use crate::names::{LOADS, MEMBERS, MONITOR, ROUTER};
+use crate::names::{MEMBERS, MONITOR, NOTICES, ROUTER};
 use state::GuardState;
 
 /// What the guard is told at its start.
@@ -46,7 +47,7 @@
         reports,
         members: context.registry.mailbox(MEMBERS)?,
         router: context.registry.mailbox(ROUTER)?,
-        loads: context.registry.mailbox(LOADS)?,
+        notices: context.registry.mailbox(NOTICES)?,
         monitor: context.registry.mailbox(MONITOR)?,
     };
     let mut state = GuardState::new(settings, outlets, context.clock.now());
@@ -76,6 +77,7 @@
         }
         GuardMessage::Health(report) => state.health(report, now),
         GuardMessage::Control(view) => state.set_control(view, now),
+        GuardMessage::Suspects(suspects) => state.learn_suspects(&suspects, now),
         GuardMessage::Drain { reply } => state.drain(reply, now),
         GuardMessage::Load { work, reply } => {
             reply.send((state.load(now), state.usual_work(work)));
--- a/crates/relay/src/guard/calls.rs
+++ b/crates/relay/src/guard/calls.rs
@@ -1,10 +1,10 @@
-//! Calls that have asked for admission and have not started.
+//! Calls that have asked for admission, until their end.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 
 use cornelvalve_kernel::Reply;
-use cornelvalve_model::Moment;
-use cornelvalve_policy::GateId;
+use cornelvalve_model::{Fingerprint, Moment};
+use cornelvalve_policy::{GateId, HomeRegions};
 use smallvec::SmallVec;
 
 use crate::messages::{AdmitCall, Admitted};
@@ -17,14 +17,31 @@
     until: Moment,
 }
 
-/// Calls with the replies that they wait for, and which calls are repeats.
+/// What is kept of a call until its end.
+struct Kept {
+    /// Whether it was sent to an upstream before.
+    again: bool,
+    fingerprint: Fingerprint,
+    homes: HomeRegions,
+    started: Option<Moment>,
+}
+
+/// Call that has ended.
+pub(super) struct Ended {
+    pub(super) fingerprint: Fingerprint,
+    pub(super) homes: HomeRegions,
+    /// Start of its run.
+    pub(super) started: Moment,
+}
+
+/// Calls with the replies that they wait for.
 #[derive(Default)]
 pub(super) struct Calls {
     last_id: u64,
     waiting: HashMap<GateId, Reply<Admitted>>,
     unjudged: Vec<Unjudged>,
-    /// Calls, waiting or running, that were sent to an upstream before.
-    repeats: HashSet<GateId>,
+    /// All calls, waiting or running.
+    kept: HashMap<GateId, Kept>,
 }
 
 impl Calls {
@@ -33,9 +50,18 @@
         self.last_id += 1;
         let id = GateId(self.last_id);
         self.waiting.insert(id, reply);
-        if call.again {
-            self.repeats.insert(id);
-        }
+        let homes = if call.homes.is_empty() {
+            HomeRegions::Any
+        } else {
+            HomeRegions::Only(call.homes.clone())
+        };
+        let kept = Kept {
+            again: call.again,
+            fingerprint: call.fingerprint,
+            homes,
+            started: None,
+        };
+        self.kept.insert(id, kept);
         id
     }
 
@@ -55,25 +81,38 @@
     }
 
     /// Returns the reply for a call that may start; `None` if its sender has gone.
-    pub(super) fn start(&mut self, id: GateId) -> Option<Reply<Admitted>> {
+    pub(super) fn start(&mut self, id: GateId, now: Moment) -> Option<Reply<Admitted>> {
         let reply = self.waiting.remove(&id).filter(|r| !r.is_abandoned());
-        if reply.is_none() {
-            self.repeats.remove(&id);
+        match self.kept.get_mut(&id) {
+            Some(kept) if reply.is_some() => kept.started = Some(now),
+            _ => {
+                self.kept.remove(&id);
+            }
         }
         reply
     }
 
     /// Ends a call that does not start.
     pub(super) fn refuse(&mut self, id: GateId, refusal: Admitted) {
-        self.repeats.remove(&id);
+        self.kept.remove(&id);
         if let Some(reply) = self.waiting.remove(&id) {
             reply.send(refusal);
         }
     }
 
     /// Notes the end of a call that had started.
-    pub(super) fn ended(&mut self, id: GateId) {
-        self.repeats.remove(&id);
+    pub(super) fn end(&mut self, id: GateId) -> Option<Ended> {
+        let kept = self.kept.remove(&id)?;
+        Some(Ended {
+            fingerprint: kept.fingerprint,
+            homes: kept.homes,
+            started: kept.started?,
+        })
+    }
+
+    /// Returns the number of calls that run.
+    pub(super) fn running(&self) -> usize {
+        self.kept.values().filter(|k| k.started.is_some()).count()
     }
 
     /// Takes out the calls whose senders have gone.
@@ -82,7 +121,7 @@
         let abandoned: SmallVec<[GateId; 4]> = abandoned.map(|(id, _)| *id).collect();
         for id in &abandoned {
             self.waiting.remove(id);
-            self.repeats.remove(id);
+            self.kept.remove(id);
             self.unjudged.retain(|u| u.id != *id);
         }
         abandoned
@@ -90,6 +129,6 @@
 
     /// Returns the number of repeats among the calls.
     pub(super) fn repeats(&self) -> usize {
-        self.repeats.len()
+        self.kept.values().filter(|k| k.again).count()
     }
 }
--- a/crates/relay/src/guard/state.rs
+++ b/crates/relay/src/guard/state.rs
@@ -7,18 +7,19 @@
 use cornelvalve_model::{Incarnation, Moment, Upstream, UpstreamState};
 use cornelvalve_policy::{
     ColdRate, FailureShare, Gate, GateAction, GateActions, GateCall, GateId, GateRefusal,
-    LoadReport, WorkKey,
+    LoadReport, SharedSuspect, WorkKey,
 };
 use smallvec::SmallVec;
 use tokio::sync::mpsc;
 
 use super::GuardSettings;
 use super::calls::Calls;
+use super::crashes::CrashWatch;
 use super::probing::{Probing, Sight};
 use super::upstream::{CheckInEffect, UpstreamProcess};
 use crate::desired::{ControlView, ServiceSpec};
 use crate::messages::{
-    AdmitCall, Admitted, DEFAULT_WAIT, LoadsMessage, MembersMessage, MonitorMessage, Permit,
+    AdmitCall, Admitted, DEFAULT_WAIT, MembersMessage, MonitorMessage, NoticesMessage, Permit,
     PermitEnd, PermitReport, RouterMessage,
 };
 use crate::ports::{Cause, CheckIn, HealthReport, UpstreamLoad};
@@ -44,7 +45,7 @@
     pub(super) reports: mpsc::UnboundedSender<PermitReport>,
     pub(super) members: Mailbox<MembersMessage>,
     pub(super) router: Mailbox<RouterMessage>,
-    pub(super) loads: Mailbox<LoadsMessage>,
+    pub(super) notices: Mailbox<NoticesMessage>,
     pub(super) monitor: Mailbox<MonitorMessage>,
 }
 
@@ -62,7 +63,7 @@
     /// Whether the upstream took no connection at the last try.
     unreachable: bool,
     calls: Calls,
-    running: usize,
+    crashes: CrashWatch,
     view: Arc<ControlView>,
     drain: Option<Reply<()>>,
     draining: bool,
@@ -72,6 +73,7 @@
 
 impl GuardState {
     pub(super) fn new(settings: GuardSettings, outlets: Outlets, now: Moment) -> Self {
+        let crashes = CrashWatch::new(&settings, outlets.notices.clone());
         Self {
             settings,
             outlets,
@@ -83,7 +85,7 @@
             retired: SmallVec::new(),
             unreachable: false,
             calls: Calls::default(),
-            running: 0,
+            crashes,
             view: Arc::default(),
             drain: None,
             draining: false,
@@ -214,7 +216,7 @@
             self.set_slots(usize::from(slots), now);
         }
         if effect == CheckInEffect::Changed {
-            self.retire(old);
+            self.retire(old, now);
             self.unreachable = false;
             log::info!(event = "upstream-changed", instance = instance, state:% = check_in.state, sequence = check_in.sequence, cold_ms = check_in.cold_for.as_millis() as u64; "upstream changed");
             self.upstream_changed(now);
@@ -222,13 +224,19 @@
         self.update_cold(now);
     }
 
+    /// Takes over what another daemon tells of requests that may have crashed its upstream.
+    pub(super) fn learn_suspects(&mut self, suspects: &[SharedSuspect], now: Moment) {
+        self.crashes.merge(suspects, now);
+    }
+
     /// Remembers a process that another one has replaced.
-    fn retire(&mut self, old: Option<UpstreamProcess>) {
+    fn retire(&mut self, old: Option<UpstreamProcess>, now: Moment) {
         let current = self.process.as_ref().map(|p| Arc::clone(&p.instance));
         let old = old
             .map(|p| p.instance)
             .filter(|i| Some(i) != current.as_ref());
         if let Some(instance) = old {
+            self.crashes.replaced(now);
             if self.retired.len() == self.retired.inline_size() {
                 self.retired.remove(0);
             }
@@ -270,7 +278,7 @@
             _ => {
                 let old = self.process.take();
                 self.process = Some(UpstreamProcess::probed(instance, report, now));
-                self.retire(old);
+                self.retire(old, now);
                 log::info!(event = "upstream-changed", instance = instance, healthy = report.healthy; "health path names another process");
                 self.upstream_changed(now);
             }
@@ -283,6 +291,7 @@
         }
         self.unreachable = unreachable;
         if unreachable {
+            self.crashes.died(now);
             self.refuse_waiting(Cause::Unreachable, now);
         }
         log::info!(event = "upstream-reachable", reachable = !unreachable; "upstream reachable or not");
@@ -352,7 +361,7 @@
         let Some(load) = self.load(now) else {
             return;
         };
-        let repeats = self.calls.repeats() as f64 / self.running.max(1) as f64;
+        let repeats = self.calls.repeats() as f64 / self.calls.running().max(1) as f64;
         let own = RouterMessage::OwnLoad { load, repeats };
         if let Err(e) = self.outlets.router.try_send(own) {
             log::debug!("{e}; the next change tells the load");
@@ -361,8 +370,8 @@
         if news
             && self
                 .outlets
-                .loads
-                .try_send(LoadsMessage::Changed(load))
+                .notices
+                .try_send(NoticesMessage::Load(load))
                 .is_ok()
         {
             self.told = Some(load);
@@ -383,7 +392,7 @@
 
     /// Offers a call to the gate unless it may not run at all.
     fn offer(&mut self, id: GateId, call: &AdmitCall, now: Moment) {
-        if let Err(cause) = self.check(call) {
+        if let Err(cause) = self.check(call, now) {
             self.refuse(id, cause, DEFAULT_WAIT, now);
             return;
         }
@@ -415,7 +424,7 @@
     }
 
     /// Checks what no wait would change.
-    fn check(&self, call: &AdmitCall) -> Result<(), Cause> {
+    fn check(&self, call: &AdmitCall, now: Moment) -> Result<(), Cause> {
         if self.view.domains_out.contains(&self.settings.domain) {
             return Err(Cause::DomainOut);
         }
@@ -425,6 +434,9 @@
         if call.service != self.settings.service || !self.takes_work() {
             return Err(Cause::Leaving);
         }
+        if self.crashes.refuses(call.fingerprint, now) {
+            return Err(Cause::CrashSuspect);
+        }
         Ok(())
     }
 
@@ -437,8 +449,9 @@
     }
 
     pub(super) fn finish(&mut self, report: PermitReport, now: Moment) {
-        self.running = self.running.saturating_sub(1);
-        self.calls.ended(report.id);
+        if let Some(ended) = self.calls.end(report.id) {
+            self.crashes.ended(ended, report.end, now);
+        }
         if let Some(load) = report.load {
             self.observe(load, now);
         }
@@ -473,10 +486,9 @@
         match action {
             GateAction::Start(id) => {
                 let instance = self.process.as_ref().map(|p| Arc::clone(&p.instance));
-                let Some(reply) = self.calls.start(id) else {
+                let Some(reply) = self.calls.start(id, now) else {
                     return self.gate.finish(id, false, now);
                 };
-                self.running += 1;
                 let cancelled = PermitReport {
                     id,
                     end: PermitEnd::Cancelled,
@@ -518,7 +530,7 @@
     }
 
     fn report_drained(&mut self) {
-        if self.running == 0
+        if self.calls.running() == 0
             && let Some(reply) = self.drain.take()
         {
             reply.send(());
--- a/crates/relay/src/guard/tests.rs
+++ b/crates/relay/src/guard/tests.rs
@@ -8,15 +8,17 @@
 use cornelvalve_kernel::{
     Clock, Context, Kernel, Mailbox, Name, Reply, ServiceOptions, ServiceResult,
 };
-use cornelvalve_model::{FailureDomain, Moment, Region, ServiceName, WallTime};
-use cornelvalve_policy::{ColdTolerance, WorkKey};
+use cornelvalve_model::{FailureDomain, Fingerprint, Moment, Region, ServiceName, WallTime};
+use cornelvalve_policy::{ColdTolerance, SharedSuspect, WorkKey};
 use smallvec::SmallVec;
 use tokio::sync::mpsc;
 
 use super::{GuardSettings, run_guard};
 use crate::desired::ControlView;
-use crate::messages::{AdmitCall, Admitted, GuardMessage, MonitorMessage};
-use crate::names::{CONTROL, GUARD, LOADS, MEMBERS, MONITOR, ROUTER};
+use crate::messages::{
+    AdmitCall, Admitted, GuardMessage, MonitorMessage, NoticesMessage, PermitEnd, PermitReport,
+};
+use crate::names::{CONTROL, GUARD, MEMBERS, MONITOR, NOTICES, ROUTER};
 use crate::ports::{Cause, HealthReport, UpstreamLoad};
 
 /// Age at which load information is asked for again before a call is admitted.
@@ -52,11 +54,24 @@
     Ok(())
 }
 
+/// Passes messages on to the test.
+async fn pass_on<M: Send + 'static>(
+    mut context: Context<M>,
+    to: mpsc::UnboundedSender<M>,
+) -> ServiceResult {
+    while let Some(message) = context.inbox.recv().await {
+        // The test may have ended.
+        let _ = to.send(message);
+    }
+    Ok(())
+}
+
 /// Guard with an upstream whose health path answers when the test says so.
 struct Fixture {
     clock: Arc<TestClock>,
     guard: Mailbox<GuardMessage>,
     questions: mpsc::UnboundedReceiver<MonitorMessage>,
+    notices: mpsc::UnboundedReceiver<NoticesMessage>,
     _kernel: Kernel,
 }
 
@@ -65,15 +80,7 @@
         let clock = Arc::new(TestClock::default());
         let options = ServiceOptions::default();
         let (asked, questions) = mpsc::unbounded_channel();
-        let monitor = move |mut context: Context<MonitorMessage>| {
-            let asked = asked.clone();
-            async move {
-                while let Some(message) = context.inbox.recv().await {
-                    asked.send(message)?;
-                }
-                Ok(())
-            }
-        };
+        let (noticed, notices) = mpsc::unbounded_channel();
         let settings = GuardSettings {
             region: region(),
             domain: domain(),
@@ -85,8 +92,12 @@
             .service(CONTROL, options, ignore)
             .service(MEMBERS, options, ignore)
             .service(ROUTER, options, ignore)
-            .service(LOADS, options, ignore)
-            .service(MONITOR, options, monitor)
+            .service(NOTICES, options, move |context| {
+                pass_on(context, noticed.clone())
+            })
+            .service(MONITOR, options, move |context| {
+                pass_on(context, asked.clone())
+            })
             .service(GUARD, options, move |context| {
                 run_guard(context, settings.clone())
             })
@@ -95,6 +106,7 @@
             clock,
             guard: mailbox(&kernel, GUARD),
             questions,
+            notices,
             _kernel: kernel,
         }
     }
@@ -110,13 +122,61 @@
 
     /// Answers for the upstream's health path and waits until the guard has taken note.
     async fn healthy(&self) {
-        self.send(GuardMessage::Health(Some(healthy()))).await;
+        self.healthy_as("i-1").await;
+    }
+
+    /// Answers for the health path of a process.
+    async fn healthy_as(&self, process: &str) {
+        self.send(GuardMessage::Health(Some(healthy(process))))
+            .await;
         let work = WorkKey(1);
         let asked = self.guard.ask(|reply| GuardMessage::Load { work, reply });
         asked.await.expect("the guard runs");
     }
 }
 
+impl Fixture {
+    /// Starts a guard whose upstream is healthy.
+    async fn ready() -> Self {
+        let mut fixture = Self::start();
+        fixture.asked().await;
+        fixture.healthy().await;
+        fixture
+    }
+
+    async fn admit(&self, request: Fingerprint) -> Admitted {
+        let now = self.clock.now();
+        let asked = self.guard.ask(|reply| call(now, request, reply));
+        asked.await.expect("the guard answers")
+    }
+
+    /// Lets the upstream die while it runs a request, and come back as another process.
+    async fn crash(&mut self, request: Fingerprint, process: &str) {
+        let Admitted::Run(permit) = self.admit(request).await else {
+            panic!("not admitted before the crash");
+        };
+        let id = permit.id;
+        permit.report.finish(PermitReport {
+            id,
+            end: PermitEnd::Lost,
+            load: None,
+        });
+        self.asked().await;
+        self.send(GuardMessage::Health(None)).await;
+        self.healthy_as(process).await;
+    }
+
+    /// Returns the suspects that the guard tells other daemons next.
+    async fn told(&mut self) -> Vec<SharedSuspect> {
+        loop {
+            let notice = self.notices.recv().await.expect("the guard tells");
+            if let NoticesMessage::Suspects(suspects) = notice {
+                return suspects;
+            }
+        }
+    }
+}
+
 fn mailbox<M: Send + 'static>(kernel: &Kernel, name: Name<M>) -> Mailbox<M> {
     kernel.mailbox(name).expect("service exists")
 }
@@ -133,10 +193,10 @@
     ServiceName::new("one").expect("name is valid")
 }
 
-fn healthy() -> HealthReport {
+fn healthy(process: &str) -> HealthReport {
     HealthReport {
         healthy: true,
-        instance: Some("i-1".into()),
+        instance: Some(process.into()),
         cold_for: None,
         load: Some(UpstreamLoad {
             running: 0,
@@ -147,7 +207,7 @@
     }
 }
 
-fn call(now: Moment, reply: Reply<Admitted>) -> GuardMessage {
+fn call(now: Moment, request: Fingerprint, reply: Reply<Admitted>) -> GuardMessage {
     let call = AdmitCall {
         service: service(),
         homes: SmallVec::new(),
@@ -157,6 +217,7 @@
         objective: now + CALL_TIME,
         deadline: now + CALL_TIME,
         elsewhere: None,
+        fingerprint: request,
     };
     GuardMessage::Admit {
         call: Box::new(call),
@@ -180,7 +241,8 @@
     fixture.clock.advance(STALE);
     let now = fixture.clock.now();
     let guard = fixture.guard.clone();
-    let admitted = tokio::spawn(async move { guard.ask(|reply| call(now, reply)).await });
+    let admitted =
+        tokio::spawn(async move { guard.ask(|reply| call(now, Fingerprint(1), reply)).await });
     fixture.asked().await;
     fixture.send(domain_out()).await;
     fixture.healthy().await;
@@ -189,3 +251,51 @@
         other => panic!("not refused: {other:?}"),
     }
 }
+
+/// Tells whether a call was refused because it crashes upstreams.
+fn is_suspect(admitted: &Admitted) -> bool {
+    let cause = Cause::CrashSuspect;
+    matches!(admitted, Admitted::Refused { cause: c, .. } if *c == cause)
+}
+
+// Guards against a request that crashes one upstream after the other, wherever it arrives.
+#[tokio::test]
+async fn a_request_that_crashes_upstreams_is_refused_by_every_daemon() {
+    let crashing = Fingerprint(7);
+    let mut first = Fixture::ready().await;
+    let second = Fixture::ready().await;
+    for process in ["i-2", "i-3", "i-4"] {
+        assert!(!is_suspect(&second.admit(crashing).await));
+        first.crash(crashing, process).await;
+        let told = first.told().await;
+        second.send(GuardMessage::Suspects(told)).await;
+    }
+    for guard in [&first, &second] {
+        assert!(is_suspect(&guard.admit(crashing).await));
+        assert!(!is_suspect(&guard.admit(Fingerprint(8)).await));
+    }
+}
+
+// Guards against innocent requests that are refused because they ran beside one that crashes
+// upstreams: a request that runs for a while has not crashed it.
+#[tokio::test]
+async fn what_ran_for_a_while_before_a_crash_is_no_suspect() {
+    let innocent = Fingerprint(9);
+    let fixture = Fixture::ready().await;
+    for process in ["i-2", "i-3", "i-4"] {
+        let Admitted::Run(permit) = fixture.admit(innocent).await else {
+            panic!("not admitted");
+        };
+        fixture.clock.advance(STALE);
+        fixture.healthy_as(process).await;
+        let id = permit.id;
+        permit.report.finish(PermitReport {
+            id,
+            end: PermitEnd::Lost,
+            load: None,
+        });
+        fixture.send(GuardMessage::Health(None)).await;
+        fixture.healthy_as(process).await;
+    }
+    assert!(!is_suspect(&fixture.admit(innocent).await));
+}
--- a/crates/relay/src/hop.rs
+++ b/crates/relay/src/hop.rs
@@ -9,7 +9,7 @@
 
 use bytes::{Bytes, BytesMut};
 use cornelvalve_http1::{SocketTimeouts, connect};
-use cornelvalve_model::{Region, ServiceName};
+use cornelvalve_model::{Fingerprint, Region, ServiceName};
 use cornelvalve_policy::LoadReport;
 use derive_more::{Display, Error};
 use http::header::{HeaderMap, HeaderName, HeaderValue};
@@ -114,6 +114,16 @@
 }
 
 impl HopRequest {
+    /// Returns what a request has in common with later ones that are the same.
+    pub(crate) fn fingerprint(&self) -> Fingerprint {
+        Fingerprint::of(&[
+            self.caller.as_str().as_bytes(),
+            self.method.as_bytes(),
+            self.target.as_bytes(),
+            &self.body,
+        ])
+    }
+
     pub(crate) fn method(&self) -> Method {
         Method::from_bytes(self.method.as_bytes()).unwrap_or_default()
     }
--- a/crates/relay/src/members.rs
+++ b/crates/relay/src/members.rs
@@ -12,9 +12,10 @@
 
 use crate::desired::Version;
 use crate::messages::{
-    ControlMessage, LoadsMessage, MembersMessage, RegistryMessage, RouterMessage, StatsMessage,
+    ControlMessage, MembersMessage, NoticesMessage, Recipient, RegistryMessage, RouterMessage,
+    StatsMessage,
 };
-use crate::names::{CONTROL, LOADS, MEMBERS, REGISTRY, ROUTER, STATS};
+use crate::names::{CONTROL, MEMBERS, NOTICES, REGISTRY, ROUTER, STATS};
 
 /// Largest datagram that is read.
 const RECEIVE_BYTES: usize = 2048;
@@ -54,7 +55,7 @@
         router: context.registry.mailbox(ROUTER)?,
         control: context.registry.mailbox(CONTROL)?,
         registry: context.registry.mailbox(REGISTRY)?,
-        loads: context.registry.mailbox(LOADS)?,
+        notices: context.registry.mailbox(NOTICES)?,
         stats: context.registry.mailbox(STATS)?,
     };
     service.publish_all();
@@ -89,7 +90,7 @@
     router: Mailbox<RouterMessage>,
     control: Mailbox<ControlMessage>,
     registry: Mailbox<RegistryMessage>,
-    loads: Mailbox<LoadsMessage>,
+    notices: Mailbox<NoticesMessage>,
     stats: Mailbox<StatsMessage>,
 }
 
@@ -194,26 +195,28 @@
         self.tell_others();
     }
 
-    /// Tells the registry that others are known, and whom to tell the load.
+    /// Tells the registry that others are known, and whom to send notices.
     fn tell_others(&mut self) {
-        let own = self.membership.own();
         let others = self.membership.members();
         let others = others.filter(|m| m.vm != self.own_vm && m.state.takes_work());
-        let (mut count, mut near) = (0, Vec::new());
-        for member in others {
-            count += 1;
-            if member.region == own.region {
-                near.push(member.peer_addr);
-            }
-        }
+        let recipients: Vec<Recipient> = others
+            .map(|m| Recipient {
+                addr: m.peer_addr,
+                region: m.region.clone(),
+            })
+            .collect();
+        let count = recipients.len() as u64;
         if count > 0 && !self.joined && self.registry.try_send(RegistryMessage::Joined).is_ok() {
             self.joined = true;
         }
         if let Err(e) = self.stats.try_send(StatsMessage::Members(count + 1)) {
             log::debug!("{e}; the next change tells the number");
         }
-        if let Err(e) = self.loads.try_send(LoadsMessage::Neighbours(near)) {
-            log::debug!("{e}; the next change tells all neighbours");
+        if let Err(e) = self
+            .notices
+            .try_send(NoticesMessage::Recipients(recipients))
+        {
+            log::debug!("{e}; the next change names all recipients");
         }
     }
 }
--- a/crates/relay/src/messages.rs
+++ b/crates/relay/src/messages.rs
@@ -5,8 +5,10 @@
 use std::time::Duration;
 
 use cornelvalve_kernel::{Completion, Reply, Tick};
-use cornelvalve_model::{Fingerprint, Member, Moment, Revision, ServiceName, Upstream, VmName};
-use cornelvalve_policy::{CallResult, GateId, LoadReport, PlaceEnd, WorkKey};
+use cornelvalve_model::{
+    Fingerprint, Member, Moment, Region, Revision, ServiceName, Upstream, VmName,
+};
+use cornelvalve_policy::{CallResult, GateId, LoadReport, PlaceEnd, SharedSuspect, WorkKey};
 use smallvec::SmallVec;
 use tokio::sync::watch;
 
@@ -67,13 +69,24 @@
     Tick,
 }
 
-/// Messages to the service that tells neighbours the load.
+/// Messages to the service that sends notices to other daemons.
 #[derive(Debug)]
-pub(crate) enum LoadsMessage {
-    /// The load of the upstream changed so much that neighbours should know.
-    Changed(LoadReport),
-    /// Addresses of the daemons to be told.
-    Neighbours(Vec<SocketAddr>),
+pub(crate) enum NoticesMessage {
+    /// The load of the upstream changed so much that the daemons of the region should know.
+    Load(LoadReport),
+    /// Requests that may have crashed the upstream.
+    Suspects(Vec<SharedSuspect>),
+    /// The other daemons that take work.
+    Recipients(Vec<Recipient>),
+}
+
+/// Daemon that notices are sent to.
+#[derive(Clone, Debug)]
+pub(crate) struct Recipient {
+    /// Its address for other daemons.
+    pub(crate) addr: SocketAddr,
+    /// Its region.
+    pub(crate) region: Region,
 }
 
 /// Route that a request takes, as decided once for all its attempts.
@@ -223,7 +236,7 @@
     /// Service that should run it.
     pub(crate) service: ServiceName,
     /// Regions in which it may be served.
-    pub(crate) homes: SmallVec<[cornelvalve_model::Region; 2]>,
+    pub(crate) homes: SmallVec<[Region; 2]>,
     /// Kind of work.
     pub(crate) work: WorkKey,
     /// Whether the request was sent to an upstream before.
@@ -236,6 +249,8 @@
     pub(crate) deadline: Moment,
     /// Time after which it would end at the next best place.
     pub(crate) elsewhere: Option<Duration>,
+    /// What makes another request the same, in case it crashes its upstream.
+    pub(crate) fingerprint: Fingerprint,
 }
 
 /// Answer to a call for admission.
@@ -337,6 +352,8 @@
         /// Receives the end of the drain.
         reply: Reply<()>,
     },
+    /// Another daemon tells of requests that may have crashed its upstream.
+    Suspects(Vec<SharedSuspect>),
     /// Asks for the present load.
     Load {
         /// Kind of work.
--- a/crates/relay/src/names.rs
+++ b/crates/relay/src/names.rs
@@ -8,7 +8,7 @@
 
 use crate::hop::FrameConnection;
 use crate::messages::{
-    ControlMessage, GuardMessage, ListenerMessage, LoadsMessage, MembersMessage, MonitorMessage,
+    ControlMessage, GuardMessage, ListenerMessage, MembersMessage, MonitorMessage, NoticesMessage,
     PoolMessage, RegistryMessage, RouterMessage, StatsMessage,
 };
 
@@ -18,8 +18,8 @@
 pub(crate) const REGISTRY: Name<RegistryMessage> = Name::new("registry");
 /// Knows the other daemons.
 pub(crate) const MEMBERS: Name<MembersMessage> = Name::new("members");
-/// Tells neighbours the load of the upstream.
-pub(crate) const LOADS: Name<LoadsMessage> = Name::new("loads");
+/// Tells other daemons the load of the upstream and what may have crashed it.
+pub(crate) const NOTICES: Name<NoticesMessage> = Name::new("notices");
 /// Decides where requests go.
 pub(crate) const ROUTER: Name<RouterMessage> = Name::new("router");
 /// Decides what the upstream beside the daemon runs.
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -24,13 +24,13 @@
 use crate::entry::{EntryParts, run_entry};
 use crate::guard::{GuardSettings, run_guard};
 use crate::links::Links;
-use crate::loads::{PORT_OFFSET, run_loads};
 use crate::members::run_members;
 use crate::messages::{Activity, GuardMessage, MembersMessage, StatsMessage, StopStage};
 use crate::names::{
-    CHECK_INS, CONTROL, ENTRY, GUARD, LOADS, MEMBERS, METRICS, MONITOR, PEER_POOL, PEERS, READY,
+    CHECK_INS, CONTROL, ENTRY, GUARD, MEMBERS, METRICS, MONITOR, NOTICES, PEER_POOL, PEERS, READY,
     REGISTRY, ROUTER, STATS, UPSTREAM_POOL,
 };
+use crate::notices::{PORT_OFFSET, run_notices};
 use crate::ports::{CheckInForm, ControlStore, Dialect, PeerRecord};
 use crate::registry::run_registry;
 use crate::router::{Site, run_router};
@@ -103,7 +103,7 @@
     pub check_ins: SocketAddr,
     /// Questions whether the daemon is ready.
     pub ready: SocketAddr,
-    /// Other daemons; load datagrams use the next port.
+    /// Other daemons; notices use the next port.
     pub peers: SocketAddr,
     /// Metrics.
     pub metrics: SocketAddr,
@@ -278,12 +278,12 @@
     metrics: Arc<TcpListener>,
     peers: Arc<TcpListener>,
     members: Arc<UdpSocket>,
-    loads: Arc<UdpSocket>,
+    notices: Arc<UdpSocket>,
 }
 
 impl Sockets {
     fn bind(listen: &Listen) -> Result<Self> {
-        let loads = SocketAddr::new(
+        let notices = SocketAddr::new(
             listen.peers.ip(),
             listen.peers.port().saturating_add(PORT_OFFSET),
         );
@@ -294,7 +294,7 @@
             metrics: bind_tcp("metrics", listen.metrics)?,
             peers: bind_tcp("peers", listen.peers)?,
             members: bind_udp("members", listen.peers)?,
-            loads: bind_udp("loads", loads)?,
+            notices: bind_udp("notices", notices)?,
         })
     }
 }
@@ -403,8 +403,8 @@
         let control_store = Arc::clone(&self.parts.store);
         let registry_store = Arc::clone(&self.parts.store);
         let members = Arc::clone(&self.sockets.members);
-        let loads = Arc::clone(&self.sockets.loads);
-        let port = own.peer_addr.port();
+        let notices = Arc::clone(&self.sockets.notices);
+        let (region, port) = (own.region.clone(), own.peer_addr.port());
         builder
             .service(CONTROL, options, move |context| {
                 run_control(context, Arc::clone(&control_store), PEER_TIMEOUTS)
@@ -420,8 +420,8 @@
             .service(MEMBERS, options, move |context| {
                 run_members(context, Arc::clone(&members), own.clone(), seed)
             })
-            .service(LOADS, options, move |context| {
-                run_loads(context, Arc::clone(&loads), port)
+            .service(NOTICES, options, move |context| {
+                run_notices(context, Arc::clone(&notices), region.clone(), port)
             })
     }
 
--- a/crates/relay/src/ports.rs
+++ b/crates/relay/src/ports.rs
@@ -169,6 +169,9 @@
     /// The deadline passed.
     #[display("deadline")]
     Deadline,
+    /// The request has crashed upstreams.
+    #[display("crash-suspect")]
+    CrashSuspect,
     /// A service of the daemon does not answer.
     #[display("internal")]
     Internal,
--- a/crates/relay/src/runner.rs
+++ b/crates/relay/src/runner.rs
@@ -80,6 +80,7 @@
             objective: now + request.objective_left,
             deadline,
             elsewhere: request.elsewhere,
+            fingerprint: request.fingerprint(),
         };
         let asked = self.guard.ask(|reply| GuardMessage::Admit {
             call: Box::new(call),
