Give a place less time than the caller has

Cause: a place was given all the time that its caller had left, so that its word that a request has not run came too late: the entry had given up, did not know, and answered 504, after which a filing cannot be tried again.

Ruled out: silent VMs (the places had taken the requests).

Change: a place is given the time left less the round trip and 10 ms, for its gate and its target alike; a request for which a place has less time than its work takes is refused at once instead of being offered.

Conclusion: callers hear not run where that is true.

--- a/crates/relay/src/entry/forward.rs
+++ b/crates/relay/src/entry/forward.rs
@@ -25,6 +25,10 @@
 /// Time before the end of the wait at which a request is answered, so that the answer is in time.
 const ANSWER_MARGIN: Duration = Duration::from_millis(20);
 
+/// Time, beyond the round trip, that is kept for the answer of a place. A place that has not run the
+/// request must be able to say so before the caller is answered.
+const RETURN_ALLOWANCE: Duration = Duration::from_millis(10);
+
 /// Time kept for a hedge, in multiples of the usual work.
 const HEDGE_WORK: f64 = 1.5;
 
@@ -149,6 +153,12 @@
         self.deadline.since(self.entry.clock.now())
     }
 
+    /// Returns the time within which a place must answer, so that the answer is back in time.
+    fn time_at(&self, placed: &Placed) -> Duration {
+        let left = self.time_left();
+        left.saturating_sub(placed.round_trip + RETURN_ALLOWANCE)
+    }
+
     fn objective_left(&self) -> Duration {
         let elapsed = self.entry.clock.now().since(self.started);
         self.plan.route.objective.saturating_sub(elapsed)
@@ -161,6 +171,9 @@
                 Ok(placed) => placed,
                 Err(cause) => return self.give_up(cause),
             };
+            if self.time_at(&placed) < placed.usual {
+                return self.give_up(Cause::Overloaded);
+            }
             self.offered = true;
             let (vm, outcome) = self.attempt(placed).await;
             self.offered = false;
@@ -202,7 +215,7 @@
         let begun = Instant::now();
         let signed = placed.sign.subscribe();
         let triggers = self.triggers(&placed);
-        let request = self.hop_request(placed.elsewhere);
+        let request = self.hop_request(&placed, placed.elsewhere);
         let (entry, plan) = (self.entry, Arc::clone(&self.plan));
         let mut first = Box::pin(entry.offer(placed, request, &plan));
         for (after, why) in triggers {
@@ -216,7 +229,7 @@
             if let Ok(second) = self.place_second(&vm, why).await {
                 let second_vm = second.vm.clone();
                 log::info!(event = "hedged", request = self.attempt.as_deref(), vm = second_vm.as_str(), after_ms = after.as_millis() as u64, no_sign = why == Second::NoSign; "second place");
-                let request = self.hop_request(None);
+                let request = self.hop_request(&second, None);
                 let second = Box::pin(entry.offer(second, request, &plan));
                 return self.race((vm, first), (second_vm, second)).await;
             }
@@ -338,7 +351,7 @@
         })
     }
 
-    fn hop_request(&self, elsewhere: Option<Duration>) -> HopRequest {
+    fn hop_request(&self, placed: &Placed, elsewhere: Option<Duration>) -> HopRequest {
         let Plan { route, service, .. } = &*self.plan;
         HopRequest {
             attempt: self.attempt.clone(),
@@ -349,7 +362,7 @@
             homes: route.homes.clone(),
             priority: route.priority,
             objective_left: self.objective_left(),
-            time_left: self.time_left(),
+            time_left: self.time_at(placed),
             elsewhere,
             method: self.request.method.as_str().into(),
             target: self.request.target.clone(),
--- a/crates/relay/src/entry/offer/tests.rs
+++ b/crates/relay/src/entry/offer/tests.rs
@@ -63,6 +63,7 @@
         addr: None,
         taken_within: EXPECTED,
         elsewhere: None,
+        round_trip: Duration::ZERO,
         expected: Duration::ZERO,
         usual: Duration::ZERO,
         sign: watch::Sender::new(false),
--- a/crates/relay/src/messages.rs
+++ b/crates/relay/src/messages.rs
@@ -140,6 +140,8 @@
     pub(crate) taken_within: Duration,
     /// Time after which the request would end at the next best place.
     pub(crate) elsewhere: Option<Duration>,
+    /// Time for the request and its answer to cross the network.
+    pub(crate) round_trip: Duration,
     /// Expected time until the request ends.
     pub(crate) expected: Duration,
     /// Time that such work takes at usual speed.
--- a/crates/relay/src/router/state.rs
+++ b/crates/relay/src/router/state.rs
@@ -249,6 +249,7 @@
             vm,
             addr: (endpoint.place.distance != Distance::Local).then_some(endpoint.addr),
             taken_within: TAKEN_ALLOWANCE + round_trip,
+            round_trip,
             elsewhere,
             expected,
             usual,
