Drive the membership of both daemons with one crate

Cause: the services members (relay) and membership (daemon) each wrapped the same state machine with a socket, a receive loop, decoding, encoding and sending of their own.

Change: cornelvalve-gossip owns socket and state machine; what may be sent is decided behind the trait SendGate, which the daemon implements with its budget of control traffic and the platform leaves open. The services keep their messages and what they pass on.

Conclusion: one place for the transport of membership.

--- a/crates/daemon/src/membership.rs
+++ b/crates/daemon/src/membership.rs
@@ -1,4 +1,4 @@
-//! Membership service: owns the UDP socket and wraps the membership state machine.
+//! Membership service: passes on what the membership finds out, within the traffic budget.
 
 use std::collections::HashMap;
 use std::net::{SocketAddr, UdpSocket as StdSocket};
@@ -6,11 +6,11 @@
 
 use cornelvalve_api::Event as TimelineEvent;
 use cornelvalve_budget::Verdict;
+use cornelvalve_gossip::{Gossip, Outgoing, SendGate};
 use cornelvalve_kernel::{Context, Mailbox, Reply, ServiceResult};
-use cornelvalve_membership::{Action, Event, Membership, MembershipSettings, Message};
+use cornelvalve_membership::{Action, Event, Membership, MembershipSettings};
 use cornelvalve_model::{FailureDomain, Member, MemberState, Moment, Region, Revision, VmName};
-use cornelvalve_wire::datagram;
-use tokio::net::UdpSocket;
+use futures_util::future::BoxFuture;
 
 use crate::budget::BudgetMessage;
 use crate::catalog::CatalogMessage;
@@ -19,11 +19,23 @@
 use crate::router::RouterMessage;
 use crate::timeline::{self, TIMELINE, TimelineMessage};
 
-/// Headers of IP and UDP, which count toward the budget.
-const DATAGRAM_OVERHEAD_BYTES: usize = 28;
+/// Charges each datagram to the budget of control traffic.
+struct BudgetGate(Mailbox<BudgetMessage>);
 
-/// Largest datagram that is read.
-const RECEIVE_BYTES: usize = 2048;
+impl SendGate for BudgetGate {
+    fn admits(&self, outgoing: Outgoing) -> BoxFuture<'_, bool> {
+        Box::pin(async move {
+            let charged = self.0.ask(|reply| BudgetMessage::Charge {
+                class: outgoing.class,
+                bytes: outgoing.bytes,
+                crosses_region: outgoing.crosses_region,
+                reply,
+            });
+            // Without an account nothing is sent, so that the budget holds while it restarts.
+            matches!(charged.await, Ok(Verdict::Send))
+        })
+    }
+}
 
 /// Members as operators see them.
 #[derive(Clone, Debug)]
@@ -107,15 +119,16 @@
             MembershipMessage::Tick
         })
         .await?;
+    let gate = BudgetGate(context.registry.mailbox(BUDGET)?);
+    let (own_vm, own_domain) = (own.vm.clone(), own.domain.clone());
+    let membership = Membership::new(settings, own, seed);
     let mut service = MembershipService {
-        socket: UdpSocket::from_std(socket.try_clone()?)?,
-        own_vm: own.vm.clone(),
-        own_domain: own.domain.clone(),
-        membership: Membership::new(settings, own, seed),
+        gossip: Gossip::new(&socket, membership, Box::new(gate))?,
+        own_vm,
+        own_domain,
         recorded: HashMap::new(),
         role: None,
         router_behind: false,
-        budget: context.registry.mailbox(BUDGET)?,
         router: context.registry.mailbox(ROUTER)?,
         catalog: context.registry.mailbox(CATALOG)?,
         timeline: context.registry.mailbox(TIMELINE)?,
@@ -123,7 +136,6 @@
     let seeds = Event::AddSeeds(seeds.into_iter().collect());
     service.on(seeds, context.clock.now()).await;
     service.publish_all();
-    let mut buffer = [0; RECEIVE_BYTES];
     loop {
         tokio::select! {
             () = context.stop.requested() => return Ok(()),
@@ -131,29 +143,20 @@
                 Some(message) => service.handle(message, context.clock.now()).await,
                 None => return Ok(()),
             },
-            received = service.socket.recv_from(&mut buffer) => match received {
-                Ok((length, from)) => {
-                    let datagram = buffer.get(..length).unwrap_or_default();
-                    service.receive(datagram, from, context.clock.now()).await;
-                }
-                // An earlier datagram met a closed port; the probes notice what it means.
-                Err(e) => log::debug!("receive failed: {e}"),
-            },
+            event = service.gossip.receive() => service.on(event, context.clock.now()).await,
         }
     }
 }
 
 struct MembershipService {
-    socket: UdpSocket,
+    gossip: Gossip,
     own_vm: VmName,
     own_domain: FailureDomain,
-    membership: Membership,
     recorded: HashMap<VmName, MemberState>,
     /// Reader role as last passed on: whether it is one and whether it is ranked first.
     role: Option<(bool, bool)>,
     /// Whether the router missed a message and needs all records again.
     router_behind: bool,
-    budget: Mailbox<BudgetMessage>,
     router: Mailbox<RouterMessage>,
     catalog: Mailbox<CatalogMessage>,
     timeline: Mailbox<TimelineMessage>,
@@ -176,7 +179,11 @@
                     .await;
             }
             MembershipMessage::IsAlone { reply } => {
-                let others = self.membership.members().filter(|m| m.vm != self.own_vm);
+                let others = self
+                    .gossip
+                    .membership()
+                    .members()
+                    .filter(|m| m.vm != self.own_vm);
                 reply.send(!others.into_iter().any(|m| m.state.takes_work()));
             }
             MembershipMessage::Members { reply } => reply.send(self.views()),
@@ -185,8 +192,8 @@
                 reply.send(self.unconfirmed(revision));
             }
             MembershipMessage::ConfirmationPeers { reply } => {
-                let region = self.membership.own().region.clone();
-                let peers = self.membership.confirmation_peers();
+                let region = self.gossip.membership().own().region.clone();
+                let peers = self.gossip.membership_mut().confirmation_peers();
                 let peers = peers.into_iter();
                 reply.send(peers.map(|m| PeerAddress::of(m, &region)).collect());
             }
@@ -199,41 +206,27 @@
         }
     }
 
-    async fn receive(&mut self, bytes: &[u8], from: SocketAddr, now: Moment) {
-        match datagram::decode(bytes) {
-            Ok(message) => self.on(Event::Received { from, message }, now).await,
-            Err(e) => log::debug!("datagram from {from} was dropped: {e}"),
-        }
-    }
-
     async fn on(&mut self, event: Event, now: Moment) {
-        let actions = self.membership.on(event, now);
         let mut changed = Vec::new();
-        for action in actions {
+        for action in self.gossip.on(event, now).await {
             match action {
-                Action::Send {
-                    to,
-                    crosses_region,
-                    class,
-                    message,
-                } => self.send(to, crosses_region, class, &message).await,
                 Action::MemberChanged(vm) => changed.push(vm),
                 Action::PeerRevision { vm, revision, .. } => self.report_ahead(&vm, revision),
                 Action::RegionChanged(region) => {
-                    let reachable = self.membership.is_region_reachable(&region);
+                    let reachable = self.gossip.membership().is_region_reachable(&region);
                     log::info!(region = region.as_str(), reachable = reachable; "region changed");
                     self.notify_router(RouterMessage::Region { region, reachable });
                 }
-                // The state machine remembers it for `unconfirmed`.
-                Action::RevisionReported { .. } => {}
+                // The state machine remembers reported revisions for `unconfirmed`.
+                Action::RevisionReported { .. } | Action::Send { .. } => {}
             }
         }
         self.publish(changed);
     }
 
     fn report_ahead(&self, vm: &VmName, revision: Revision) {
-        if let Some(member) = self.membership.get(vm) {
-            let peer = PeerAddress::of(member, &self.membership.own().region);
+        if let Some(member) = self.gossip.membership().get(vm) {
+            let peer = PeerAddress::of(member, &self.gossip.membership().own().region);
             // The next probe reports the same revision again.
             let _ = self
                 .catalog
@@ -241,42 +234,13 @@
         }
     }
 
-    async fn send(
-        &self,
-        to: SocketAddr,
-        crosses_region: bool,
-        class: cornelvalve_membership::TrafficClass,
-        message: &Message,
-    ) {
-        let bytes = match datagram::encode(message) {
-            Ok(bytes) => bytes,
-            Err(e) => {
-                log::warn!("message was not sent: {e}");
-                return;
-            }
-        };
-        let size = bytes.len() + DATAGRAM_OVERHEAD_BYTES;
-        let charged = self.budget.ask(|reply| BudgetMessage::Charge {
-            class,
-            bytes: u32::try_from(size).unwrap_or(u32::MAX),
-            crosses_region,
-            reply,
-        });
-        // Without an account nothing is sent, so that the budget holds while it restarts.
-        if matches!(charged.await, Ok(Verdict::Send))
-            && let Err(e) = self.socket.send_to(&bytes, to).await
-        {
-            log::debug!("send to {to} failed: {e}");
-        }
-    }
-
     /// Replaces what the router knows.
     fn publish_all(&mut self) {
-        let members: Vec<Member> = self.membership.members().cloned().collect();
+        let members: Vec<Member> = self.gossip.membership().members().cloned().collect();
         let unreachable = members
             .iter()
             .map(|m| m.region.clone())
-            .filter(|region| !self.membership.is_region_reachable(region))
+            .filter(|region| !self.gossip.membership().is_region_reachable(region))
             .collect();
         let all = RouterMessage::AllMembers {
             members,
@@ -291,7 +255,7 @@
         let mut members = Vec::new();
         let mut removed = Vec::new();
         for vm in changed {
-            match self.membership.get(&vm) {
+            match self.gossip.membership().get(&vm) {
                 Some(member) => {
                     // A record also changes with its upstreams; the timeline shows states only.
                     if self.recorded.insert(vm.clone(), member.state) != Some(member.state) {
@@ -325,8 +289,8 @@
     }
 
     fn publish_role(&mut self) {
-        let is_reader = self.membership.is_own_reader();
-        let first = self.membership.readers(&self.own_domain);
+        let is_reader = self.gossip.membership().is_own_reader();
+        let first = self.gossip.membership().readers(&self.own_domain);
         let is_first = first.first().is_some_and(|m| m.vm == self.own_vm);
         let role = CatalogMessage::Role {
             is_reader,
@@ -338,11 +302,11 @@
     }
 
     fn views(&self) -> Vec<MemberView> {
-        let members = self.membership.members();
+        let members = self.gossip.membership().members();
         members
             .map(|member| MemberView {
                 member: member.clone(),
-                reachable: self.membership.is_region_reachable(&member.region),
+                reachable: self.gossip.membership().is_region_reachable(&member.region),
             })
             .collect()
     }
@@ -350,8 +314,13 @@
     fn unconfirmed(&self, revision: Revision) -> (u32, Vec<VmName>) {
         let mut confirmed = 0;
         let mut missing = Vec::new();
-        for member in self.membership.members().filter(|m| m.state.takes_work()) {
-            match self.membership.revision_of(&member.vm) {
+        for member in self
+            .gossip
+            .membership()
+            .members()
+            .filter(|m| m.state.takes_work())
+        {
+            match self.gossip.membership().revision_of(&member.vm) {
                 Some(applied) if applied >= revision => confirmed += 1,
                 _ => missing.push(member.vm.clone()),
             }
--- a/crates/relay/src/members.rs
+++ b/crates/relay/src/members.rs
@@ -1,14 +1,13 @@
-//! Membership service: owns the datagram socket and wraps the membership state machine.
+//! Membership service: passes on what the membership finds out.
 
-use std::net::{SocketAddr, UdpSocket as StdSocket};
+use std::net::UdpSocket as StdSocket;
 use std::sync::Arc;
 use std::time::Duration;
 
+use cornelvalve_gossip::{Gossip, OpenGate};
 use cornelvalve_kernel::{Context, Mailbox, ServiceResult};
-use cornelvalve_membership::{Action, Event, Membership, MembershipSettings, Message};
+use cornelvalve_membership::{Action, Event, Membership, MembershipSettings};
 use cornelvalve_model::{Member, Moment, Revision, VmName};
-use cornelvalve_wire::datagram;
-use tokio::net::UdpSocket;
 
 use crate::desired::Version;
 use crate::messages::{
@@ -17,9 +16,6 @@
 };
 use crate::names::{CONTROL, MEMBERS, NOTICES, REGISTRY, ROUTER, STATS};
 
-/// Largest datagram that is read.
-const RECEIVE_BYTES: usize = 2048;
-
 /// Peers contacted at once after a start. After the end of many processes each one knows only
 /// itself, and requests cannot wait for the news to spread.
 const JOIN_FANOUT: usize = 24;
@@ -46,10 +42,11 @@
     context
         .subscribe(MEMBERS, settings.tick_period(), |_| MembersMessage::Tick)
         .await?;
+    let own_vm = own.vm.clone();
+    let membership = Membership::new(settings, own, seed);
     let mut service = MembersService {
-        socket: UdpSocket::from_std(socket.try_clone()?)?,
-        own_vm: own.vm.clone(),
-        membership: Membership::new(settings, own, seed),
+        gossip: Gossip::new(&socket, membership, Box::new(OpenGate))?,
+        own_vm,
         joined: false,
         behind: false,
         router: context.registry.mailbox(ROUTER)?,
@@ -59,7 +56,6 @@
         stats: context.registry.mailbox(STATS)?,
     };
     service.publish_all();
-    let mut buffer = [0; RECEIVE_BYTES];
     loop {
         tokio::select! {
             () = context.stop.requested() => return Ok(()),
@@ -67,22 +63,14 @@
                 Some(message) => service.handle(message, context.clock.now()).await,
                 None => return Ok(()),
             },
-            received = service.socket.recv_from(&mut buffer) => match received {
-                Ok((length, from)) => {
-                    let datagram = buffer.get(..length).unwrap_or_default();
-                    service.receive(datagram, from, context.clock.now()).await;
-                }
-                // An earlier datagram met a closed port; the probes notice what it means.
-                Err(e) => log::debug!("receive failed: {e}"),
-            },
+            event = service.gossip.receive() => service.on(event, context.clock.now()).await,
         }
     }
 }
 
 struct MembersService {
-    socket: UdpSocket,
+    gossip: Gossip,
     own_vm: VmName,
-    membership: Membership,
     /// Whether the registry knows that others were found.
     joined: bool,
     /// Whether the router missed a message and needs all records again.
@@ -119,23 +107,16 @@
         }
     }
 
-    async fn receive(&mut self, bytes: &[u8], from: SocketAddr, now: Moment) {
-        match datagram::decode(bytes) {
-            Ok(message) => self.on(Event::Received { from, message }, now).await,
-            Err(e) => log::debug!("datagram from {from} was dropped: {e}"),
-        }
-    }
-
     async fn on(&mut self, event: Event, now: Moment) {
-        let actions = self.membership.on(event, now);
         let mut changed = Vec::new();
-        for action in actions {
+        for action in self.gossip.on(event, now).await {
             match action {
-                Action::Send { to, message, .. } => self.send(to, &message).await,
                 Action::MemberChanged(vm) => changed.push(vm),
                 Action::PeerRevision { vm, revision, .. } => self.report_ahead(&vm, revision),
                 // Requests show at first hand whether a region can be reached.
-                Action::RegionChanged(_) | Action::RevisionReported { .. } => {}
+                Action::RegionChanged(_)
+                | Action::RevisionReported { .. }
+                | Action::Send { .. } => {}
             }
         }
         if !changed.is_empty() {
@@ -144,7 +125,7 @@
     }
 
     fn report_ahead(&self, vm: &VmName, revision: Revision) {
-        let Some(member) = self.membership.get(vm) else {
+        let Some(member) = self.gossip.membership().get(vm) else {
             return;
         };
         let message = ControlMessage::PeerAhead {
@@ -156,21 +137,13 @@
         }
     }
 
-    async fn send(&self, to: SocketAddr, message: &Message) {
-        let sent = match datagram::encode(message) {
-            Ok(bytes) => self.socket.send_to(&bytes, to).await.map(|_| ()),
-            Err(e) => {
-                log::warn!(event = "datagram-not-sent"; "{e}");
-                return;
-            }
-        };
-        if let Err(e) = sent {
-            log::debug!("send to {to} failed: {e}");
-        }
-    }
-
     fn publish_all(&mut self) {
-        let all: Vec<VmName> = self.membership.members().map(|m| m.vm.clone()).collect();
+        let all: Vec<VmName> = self
+            .gossip
+            .membership()
+            .members()
+            .map(|m| m.vm.clone())
+            .collect();
         self.behind = false;
         self.publish(all);
     }
@@ -179,7 +152,7 @@
         let mut members = Vec::new();
         let mut removed = Vec::new();
         for vm in changed {
-            match self.membership.get(&vm) {
+            match self.gossip.membership().get(&vm) {
                 Some(member) => {
                     log::info!(event = "member-changed", vm = vm.as_str(), state:% = member.state, upstreams = member.upstreams.len(); "member changed");
                     members.push(member.clone());
@@ -197,7 +170,7 @@
 
     /// Tells the registry that others are known, and whom to send notices.
     fn tell_others(&mut self) {
-        let others = self.membership.members();
+        let others = self.gossip.membership().members();
         let others = others.filter(|m| m.vm != self.own_vm && m.state.takes_work());
         let recipients: Vec<Recipient> = others
             .map(|m| Recipient {
