Show the way of one request from the logs of several daemons

Cause: to follow a request, on-call engineers had to search the logs of all VMs by hand, and the calls that a request makes have ids of their own.

Change: cornelctl trace ID FILE... prints the lines of the request and of the calls that continue its id, in order of time, for people or as JSON. What stands before the JSON object of a line is passed over.

Tests: two logs with lines of another request, a nested call and a line that is none; unknown id; missing file.

--- a/crates/ctl/src/cli/view.rs
+++ b/crates/ctl/src/cli/view.rs
@@ -1,5 +1,7 @@
 //! Commands that look at daemons, and `leave`.
 
+use std::path::PathBuf;
+
 use clap::{Arg, ArgAction, Command, value_parser};
 use cornelvalve_api::Timestamp;
 use cornelvalve_model::{FailureDomain, TeamName};
@@ -11,7 +13,11 @@
 It is not remembered: a daemon that starts in the failure domain afterwards takes work.
 `domain out` is recorded in the log, holds for daemons that start later, and needs the log store.";
 
-pub(super) fn commands() -> [Command; 6] {
+const TRACE_HELP: &str = "\
+The logs are JSON lines as the daemons write them; what stands before the first brace of a line is
+passed over. Lines are sorted by the clocks of their VMs, which may differ by a little.";
+
+pub(super) fn commands() -> [Command; 7] {
     [
         Command::new("status").about("Describes the daemon that answers"),
         Command::new("members").about("Lists the members"),
@@ -19,6 +25,7 @@
         timeline(),
         leave(),
         explain(),
+        trace(),
     ]
 }
 
@@ -99,3 +106,23 @@
                 .value_parser(value_parser!(TeamName)),
         )
 }
+
+fn trace() -> Command {
+    Command::new("trace")
+        .about("Shows the way of one request from the logs of several daemons")
+        .after_help(TRACE_HELP)
+        .arg(
+            Arg::new("request")
+                .value_name("ID")
+                .help("Id of the request; lines of the calls that it made are shown as well")
+                .required(true),
+        )
+        .arg(
+            Arg::new("file")
+                .value_name("FILE")
+                .help("Log of a daemon; its name, without ending, names the VM")
+                .required(true)
+                .num_args(1..)
+                .value_parser(value_parser!(PathBuf)),
+        )
+}
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -12,6 +12,7 @@
 mod merge;
 mod output;
 mod publish;
+mod trace;
 mod view;
 
 use std::ffi::OsString;
@@ -94,6 +95,7 @@
         Some(("timeline", sub)) => view::timeline(sub, daemons, output).await,
         Some(("leave", sub)) => leave::run(sub, daemons, output).await,
         Some(("explain", sub)) => explain::run(sub, daemons, output).await,
+        Some(("trace", sub)) => trace::run(sub, output),
         Some(("completion", sub)) => cli::completion(sub, output),
         _ => Err(CtlError::usage("no command was given")),
     }
--- a/crates/ctl/src/output.rs
+++ b/crates/ctl/src/output.rs
@@ -9,6 +9,7 @@
 use cornelvalve_model::{Change, VersionedEntry};
 use serde::Serialize;
 
+use crate::trace::TraceEvent;
 use crate::{CtlError, Exit, Result};
 
 mod human;
@@ -110,6 +111,10 @@
         self.write(explanation, human::explanation)
     }
 
+    pub(crate) fn trace(&mut self, events: &[TraceEvent]) -> Result<()> {
+        self.write(events, human::trace)
+    }
+
     fn write<T: Serialize + ?Sized>(
         &mut self,
         value: &T,
--- a/crates/ctl/src/output/human.rs
+++ b/crates/ctl/src/output/human.rs
@@ -8,6 +8,7 @@
 use cornelvalve_model::{Change, Operation, Rule, Service, VersionedEntry};
 
 use crate::CtlError;
+use crate::trace::TraceEvent;
 
 pub(super) fn failure(out: &mut dyn Write, error: &CtlError) -> Result<()> {
     writeln!(out, "error: {}", error.message)?;
@@ -204,3 +205,18 @@
     }
     Ok(())
 }
+
+pub(super) fn trace(out: &mut dyn Write, events: &[TraceEvent]) -> Result<()> {
+    let width = events.iter().map(|e| e.log.len()).max().unwrap_or_default();
+    for event in events {
+        let TraceEvent {
+            at, log, request, ..
+        } = event;
+        write!(out, "{at} {log:width$} {request} {}", event.event)?;
+        for (name, value) in &event.fields {
+            write!(out, " {name}={value}")?;
+        }
+        writeln!(out, ": {}", event.message)?;
+    }
+    Ok(())
+}
--- a/crates/ctl/tests/all/help.rs
+++ b/crates/ctl/tests/all/help.rs
@@ -30,6 +30,7 @@
       timeline    Merges the events of several daemons into one order
       leave       Empties a failure domain without the log store
       explain     Tells how a request would be routed now, without sending it
+      trace       Shows the way of one request from the logs of several daemons
       completion  Writes a completion script for a shell
       help        Print this message or the help of the given subcommand(s)
 
--- a/crates/ctl/tests/all/main.rs
+++ b/crates/ctl/tests/all/main.rs
@@ -7,3 +7,4 @@
 mod help;
 mod merge;
 mod run;
+mod trace;
--- /dev/null
+++ b/crates/ctl/tests/all/trace.rs
@@ -0,0 +1,81 @@
+//! The way of one request from the logs of several daemons.
+
+use std::path::PathBuf;
+
+use cornelvalve_ctl::Exit;
+use insta::assert_snapshot;
+use tempfile::TempDir;
+
+/// Lines as a collector stores them, with columns of its own before the object.
+const ENTRY: &str = r#"
+1.287 vm-1 {"timestamp":"2026-10-26T05:32:13.253453+00:00","level":"INFO","target":"t","message":"attempt","kvs":{"event":"placed","request":"a1","vm":"vm-2","expected_ms":84}}
+{"timestamp":"2026-10-26T05:32:13.900000+00:00","level":"INFO","target":"t","message":"answered","kvs":{"event":"request-answered","request":"a1","status":200}}
+{"timestamp":"2026-10-26T05:32:13.900001+00:00","level":"INFO","target":"t","message":"answered","kvs":{"event":"request-answered","request":"a12","status":200}}
+not a log line
+"#;
+
+/// Lines of the daemon beside the upstream, and of a call that the request made there.
+const GUARD: &str = r#"
+{"timestamp":"2026-10-26T05:32:13.300000+00:00","level":"INFO","target":"t","message":"attempt","kvs":{"event":"placed","request":"a1.b2","vm":"vm-3"}}
+{"timestamp":"2026-10-26T05:32:13.400000+00:00","level":"INFO","target":"t","message":"daemon started","kvs":{"event":"started"}}
+{"timestamp":"2026-10-26T05:32:13.800000+00:00","level":"INFO","target":"t","message":"exchange with the upstream ended","kvs":{"event":"upstream-ended","request":"a1","held_ms":500}}
+"#;
+
+struct Logs {
+    _folder: TempDir,
+    files: Vec<PathBuf>,
+}
+
+fn logs() -> Logs {
+    let folder = TempDir::new().expect("folder");
+    let write = |(name, text): (&str, &str)| {
+        let file = folder.path().join(name);
+        std::fs::write(&file, text).expect("file is written");
+        file
+    };
+    let files = [("vm-1.log", ENTRY), ("vm-2.log", GUARD)].map(write);
+    Logs {
+        files: files.to_vec(),
+        _folder: folder,
+    }
+}
+
+async fn trace(args: &[&str], files: &[PathBuf]) -> (Exit, String, String) {
+    let mut line: Vec<String> = ["cornelctl", "trace"].map(str::to_owned).into();
+    line.extend(args.iter().map(|a| (*a).to_owned()));
+    line.extend(files.iter().map(|f| f.display().to_string()));
+    let (mut out, mut err) = (Vec::new(), Vec::new());
+    let exit = cornelvalve_ctl::run(line, &mut out, &mut err).await;
+    let text = |bytes| String::from_utf8(bytes).expect("text");
+    (exit, text(out), text(err))
+}
+
+// Guards against a story that lacks the calls of a request or holds lines of another one.
+#[tokio::test]
+async fn lines_of_all_daemons_stand_in_order() {
+    let logs = logs();
+    let (exit, out, err) = trace(&["a1"], &logs.files).await;
+    assert_eq!(exit, Exit::Success);
+    assert_snapshot!(out, @r#"
+    2026-10-26T05:32:13.253453+00:00 vm-1 a1 placed expected_ms=84 vm="vm-2": attempt
+    2026-10-26T05:32:13.300000+00:00 vm-2 a1.b2 placed vm="vm-3": attempt
+    2026-10-26T05:32:13.800000+00:00 vm-2 a1 upstream-ended held_ms=500: exchange with the upstream ended
+    2026-10-26T05:32:13.900000+00:00 vm-1 a1 request-answered status=200: answered
+    "#);
+    assert_snapshot!(err, @"note: 1 lines are no log lines");
+}
+
+#[tokio::test]
+async fn an_unknown_request_is_an_error() {
+    let logs = logs();
+    let (exit, out, err) = trace(&["b"], &logs.files).await;
+    assert_eq!((exit, out.as_str()), (Exit::Usage, ""));
+    assert!(err.contains("no line names the request b"), "{err}");
+}
+
+#[tokio::test]
+async fn a_missing_file_is_named() {
+    let (exit, _, err) = trace(&["a1"], &[PathBuf::from("missing.log")]).await;
+    assert_eq!(exit, Exit::Usage);
+    assert!(err.contains("missing.log"), "{err}");
+}
