--- a/crates/policy/tests/all/placement.rs
+++ b/crates/policy/tests/all/placement.rs
@@ -40,6 +40,23 @@
     assert_eq!(best(&places, &READ, now), 2);
 }
 
+// Guards against reads that cross failure domains, whose bytes are metered, for an upstream that is
+// hardly less busy.
+#[test]
+fn a_read_stays_in_its_domain_beside_a_little_more_load() {
+    let now = ms(1000);
+    let mut busy = place(Distance::Domain, 1.0, now);
+    let load = LoadReport {
+        running: 6,
+        slots: 9,
+        slowdown: 1.0,
+        ..LoadReport::default()
+    };
+    busy.reported(load, now);
+    let places = [place(Distance::Region, 1.0, now), busy];
+    assert_eq!(best(&places, &READ, now), 1);
+}
+
 // Guards against work that goes to a near upstream in its slow time.
 #[test]
 fn a_slow_upstream_is_passed_over_for_one_in_the_region() {
