--- a/crates/relay/src/notices.rs
+++ b/crates/relay/src/notices.rs
@@ -5,6 +5,9 @@
 //! that it has turned slow or is fast again. A notice that is lost is not sent again: the next change
 //! of the load replaces it, and the next crash tells of the same request.
 
+#[cfg(test)]
+mod tests;
+
 use std::net::{SocketAddr, UdpSocket as StdSocket};
 use std::sync::Arc;
 
