Refuse before an offer only what no answer can reach in time

Cause: since a request was refused at once if a place had less time for it than its work usually takes.

Change: only a request for which a place has no time at all is refused.

Conclusion: kept for what callers are told; no gain claimed.

--- a/crates/relay/src/entry/forward.rs
+++ b/crates/relay/src/entry/forward.rs
@@ -171,7 +171,7 @@
                 Ok(placed) => placed,
                 Err(cause) => return self.give_up(cause),
             };
-            if self.time_at(&placed) < placed.usual {
+            if self.time_at(&placed).is_zero() {
                 return self.give_up(Cause::Overloaded);
             }
             self.offered = true;
