Weigh a crossing of domains by call, not by the bytes of its body

Cause: doubled the weight of a kilobyte between failure domains, so that an upload of 60 kB stayed at a slow and full upstream (487 ms for its bytes) and ended late.

Change: 8 ms for each call that leaves its domain, and 4 ms a kilobyte of body as before. A test that a late upload leaves its domain was run failing on the old code.

--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -34,10 +34,10 @@
 const REPORT_LIFE: Duration = Duration::from_millis(1000);
 
 /// Added time for each kilobyte that leaves the failure domain, in milliseconds.
-const DOMAIN_KILOBYTE_MS: f64 = 8.0;
+const DOMAIN_KILOBYTE_MS: f64 = 4.0;
 
-/// Bytes of the heads of a call and its answer, which cross the network besides the bodies.
-const HEAD_BYTES: usize = 900;
+/// Added time for the heads of a call that leaves the failure domain, in milliseconds.
+const CALL_MS: f64 = 8.0;
 
 /// Added time for each kilobyte that leaves the region, in milliseconds.
 const REGION_KILOBYTE_MS: f64 = 8.0;
@@ -94,11 +94,11 @@
     }
 
     fn bytes_ms(self, bytes: usize) -> f64 {
-        let kilobytes = (bytes + HEAD_BYTES) as f64 / 1000.0;
+        let kilobytes = bytes as f64 / 1000.0;
         match self {
             Self::Local | Self::Domain => 0.0,
-            Self::Region => kilobytes * DOMAIN_KILOBYTE_MS,
-            Self::Remote => kilobytes * REGION_KILOBYTE_MS,
+            Self::Region => CALL_MS + kilobytes * DOMAIN_KILOBYTE_MS,
+            Self::Remote => CALL_MS + kilobytes * REGION_KILOBYTE_MS,
         }
     }
 }
--- a/crates/policy/tests/all/placement.rs
+++ b/crates/policy/tests/all/placement.rs
@@ -84,6 +84,27 @@
     assert_eq!(best(&places, &READ, now), 1);
 }
 
+// Guards against uploads that end late because their bytes are metered.
+#[test]
+fn a_large_body_leaves_its_domain_if_it_would_be_late_there() {
+    let now = ms(1000);
+    let upload = PlaceWork {
+        bytes: 60_000,
+        work_ms: 72.0,
+    };
+    let mut slow = place(Distance::Domain, 7.0, now);
+    let load = LoadReport {
+        running: 9,
+        waiting: 3,
+        slots: 9,
+        slowdown: 7.0,
+        ..LoadReport::default()
+    };
+    slow.reported(load, now);
+    let places = [slow, place(Distance::Region, 1.0, now)];
+    assert_eq!(best(&places, &upload, now), 1);
+}
+
 // Guards against an upstream that attracts load because it fails fast.
 #[test]
 fn an_upstream_that_fails_gets_little_and_recovers_with_time() {
