--- a/crates/relay/src/guard/tests.rs
+++ b/crates/relay/src/guard/tests.rs
@@ -20,6 +20,7 @@
 };
 use crate::names::{CONTROL, GUARD, MEMBERS, MONITOR, NOTICES, ROUTER};
 use crate::ports::{Cause, HealthReport, UpstreamLoad};
+use crate::testing::pass_on;
 
 /// Age at which load information is asked for again before a call is admitted.
 const STALE: Duration = Duration::from_secs(1);
@@ -54,18 +55,6 @@
     Ok(())
 }
 
-/// Passes messages on to the test.
-async fn pass_on<M: Send + 'static>(
-    mut context: Context<M>,
-    to: mpsc::UnboundedSender<M>,
-) -> ServiceResult {
-    while let Some(message) = context.inbox.recv().await {
-        // The test may have ended.
-        let _ = to.send(message);
-    }
-    Ok(())
-}
-
 /// Guard with an upstream whose health path answers when the test says so.
 struct Fixture {
     clock: Arc<TestClock>,
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -28,5 +28,7 @@
 mod router;
 mod runner;
 mod stats;
+#[cfg(test)]
+mod testing;
 
 pub use node::{Listen, Node, NodeSettings, Parts, Result, StartError};
--- a/crates/relay/src/notices/tests.rs
+++ b/crates/relay/src/notices/tests.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cornelvalve_kernel::{Context, Kernel, Mailbox, ServiceOptions, ServiceResult, SystemClock};
+use cornelvalve_kernel::{Kernel, Mailbox, ServiceOptions, SystemClock};
 use cornelvalve_model::{Fingerprint, Region};
 use cornelvalve_policy::{HomeRegions, LoadReport, SharedSuspect};
 use smallvec::smallvec;
@@ -14,22 +14,11 @@
 use super::{MAX_LOAD_RECIPIENTS, PORT_OFFSET, run_notices, told_of_load};
 use crate::messages::{GuardMessage, NoticesMessage, Recipient, RouterMessage};
 use crate::names::{GUARD, NOTICES, ROUTER};
+use crate::testing::pass_on;
 
 /// Longest wait for a notice; a busy machine meets it.
 const PATIENCE: Duration = Duration::from_secs(60);
 
-/// Passes messages on to the test.
-async fn pass_on<M: Send + 'static>(
-    mut context: Context<M>,
-    to: mpsc::UnboundedSender<M>,
-) -> ServiceResult {
-    while let Some(message) = context.inbox.recv().await {
-        // The test may have ended.
-        let _ = to.send(message);
-    }
-    Ok(())
-}
-
 /// Notices service of one daemon with what it passes on.
 struct Fixture {
     /// Address that names the daemon; its notices arrive at the next port.
