Log when the upstream turns cold and when a request is sent

The logs could not tell the hypotheses apart: nothing said when a guard knew that its upstream was cold, whether it knew the rate, how many starts it remembered, or how long a request lay between its admission and its sending. New: the lines upstream-cold and upstream-warm, the fields sent_ms, cold and recent_starts of upstream-ended, and the counter cornelvalve_cold_starts_total by whether the rate was known. No decision changes.

--- a/crates/policy/src/gate.rs
+++ b/crates/policy/src/gate.rs
@@ -515,8 +515,9 @@
         wait.min(cold.until.since(now))
     }
 
-    /// Returns the number of starts within the last [`COLD_WINDOW`].
-    fn recent_starts(&self, now: Moment) -> usize {
+    /// Returns the number of starts within the window that the limit of a cold upstream covers.
+    #[must_use]
+    pub fn recent_starts(&self, now: Moment) -> usize {
         let recent = self.starts.iter().rev();
         recent.take_while(|s| now.since(**s) < COLD_WINDOW).count()
     }
--- a/crates/relay/src/guard.rs
+++ b/crates/relay/src/guard.rs
@@ -22,7 +22,7 @@
 
 use crate::control::request_republish;
 use crate::messages::GuardMessage;
-use crate::names::{MEMBERS, MONITOR, NOTICES, ROUTER};
+use crate::names::{MEMBERS, MONITOR, NOTICES, ROUTER, STATS};
 use state::GuardState;
 
 /// Settings of the guard service.
@@ -58,6 +58,7 @@
         router: context.registry.mailbox(ROUTER)?,
         notices: context.registry.mailbox(NOTICES)?,
         monitor: context.registry.mailbox(MONITOR)?,
+        stats: context.registry.mailbox(STATS)?,
     };
     let mut state = GuardState::new(settings, channels, context.clock.now());
     state.start(context.clock.now());
--- a/crates/relay/src/guard/state.rs
+++ b/crates/relay/src/guard/state.rs
@@ -23,7 +23,7 @@
 use crate::desired::{ControlView, ServiceSpec};
 use crate::messages::{
     AdmissionDecision, AdmissionRequest, DEFAULT_RETRY_AFTER, MembersMessage, MonitorMessage,
-    NoticesMessage, Permit, PermitOutcome, PermitReport, RouterMessage,
+    NoticesMessage, Permit, PermitOutcome, PermitReport, RouterMessage, StatsMessage,
 };
 use crate::ports::{Cause, CheckIn, HealthReport, UpstreamLoad};
 use cornelvalve_kernel::CompletionSender;
@@ -51,6 +51,7 @@
     pub(super) router: Mailbox<RouterMessage>,
     pub(super) notices: Mailbox<NoticesMessage>,
     pub(super) monitor: Mailbox<MonitorMessage>,
+    pub(super) stats: Mailbox<StatsMessage>,
 }
 
 /// State and decisions of the guard.
@@ -71,6 +72,8 @@
     replaced_instances: SmallVec<[Arc<str>; 4]>,
     /// Whether the last attempt to connect to the upstream failed.
     unreachable: bool,
+    /// Whether the upstream was cold when that was last logged.
+    logged_cold: bool,
     calls: Calls,
     crashes: CrashTracker,
     /// The operators' current configuration.
@@ -98,6 +101,7 @@
             process: None,
             replaced_instances: SmallVec::new(),
             unreachable: false,
+            logged_cold: false,
             calls: Calls::default(),
             crashes,
             view: Arc::default(),
@@ -212,11 +216,47 @@
             per_second: self.settings.tolerance.limit(s.cold_rate),
         });
         let cold = cold.filter(|c| now < c.until);
+        self.log_cold_change(cold, now);
         let actions = self.gate.set_cold_rate(cold, now);
         self.apply_actions(actions, now);
         self.publish_load(now);
     }
 
+    /// Logs that the upstream has become cold or warm; `limit` is the limit on starts, if it is
+    /// known.
+    fn log_cold_change(&mut self, limit: Option<ColdRate>, now: Moment) {
+        let Some(process) = self.process.as_ref() else {
+            return;
+        };
+        let is_cold = self.is_cold(now);
+        if is_cold == self.logged_cold {
+            return;
+        }
+        self.logged_cold = is_cold;
+        let instance = process.instance.as_ref();
+        let recent_starts = self.gate.recent_starts(now);
+        if is_cold {
+            let limit = limit.map(|l| l.per_second);
+            log::info!(event = "upstream-cold", instance = instance, cold_ms = process.cold_until.since(now).as_millis() as u64, limit = limit, recent_starts = recent_starts; "upstream is cold; starts are limited if its rate is known");
+        } else {
+            log::info!(event = "upstream-warm", instance = instance, recent_starts = recent_starts; "upstream is no longer cold");
+        }
+    }
+
+    /// Returns whether the upstream process is cold.
+    fn is_cold(&self, now: Moment) -> bool {
+        self.process.as_ref().is_some_and(|p| now < p.cold_until)
+    }
+
+    /// Counts a start at a cold upstream in the metrics.
+    fn count_cold_start(&self, now: Moment) {
+        let rate_known = self.gate.is_cold(now);
+        let message = StatsMessage::ColdStart { rate_known };
+        if let Err(e) = self.channels.stats.try_send(message) {
+            log::debug!("start at a cold upstream is missing in the metrics: {e}");
+        }
+    }
+
     /// Applies a check-in unless it is out of date or comes from another upstream.
     pub(super) fn handle_check_in(&mut self, check_in: CheckIn, now: Moment) {
         let instance = check_in.instance.as_ref();
@@ -556,6 +596,10 @@
                 let Some(reply) = self.calls.start(id, now) else {
                     return self.gate.finish(id, false, now);
                 };
+                let cold = self.is_cold(now);
+                if cold {
+                    self.count_cold_start(now);
+                }
                 let cancelled = PermitReport {
                     id,
                     outcome: PermitOutcome::Cancelled,
@@ -565,6 +609,9 @@
                     addr: self.settings.addr,
                     instance,
                     slowdown: self.slowdown,
+                    admitted: now,
+                    cold,
+                    recent_starts: self.gate.recent_starts(now),
                     report: CompletionSender::new(self.channels.reports.clone(), cancelled),
                     id,
                 }));
--- a/crates/relay/src/guard/tests.rs
+++ b/crates/relay/src/guard/tests.rs
@@ -20,7 +20,7 @@
     AdmissionDecision, AdmissionRequest, GuardMessage, MonitorMessage, NoticesMessage,
     PermitOutcome, PermitReport,
 };
-use crate::names::{CONTROL, GUARD, MEMBERS, MONITOR, NOTICES, ROUTER};
+use crate::names::{CONTROL, GUARD, MEMBERS, MONITOR, NOTICES, ROUTER, STATS};
 use crate::ports::{Cause, HealthReport, UpstreamLoad};
 use crate::testing::forward_messages;
 
@@ -88,6 +88,7 @@
             .add_service(CONTROL, options, ignore_messages)
             .add_service(MEMBERS, options, ignore_messages)
             .add_service(ROUTER, options, ignore_messages)
+            .add_service(STATS, options, ignore_messages)
             .add_service(NOTICES, options, move |context| {
                 forward_messages(context, notice_sender.clone())
             })
--- a/crates/relay/src/messages.rs
+++ b/crates/relay/src/messages.rs
@@ -296,6 +296,12 @@
     pub(crate) instance: Option<Arc<str>>,
     /// Factor by which requests at the upstream take longer than their baseline, as last reported.
     pub(crate) slowdown: f64,
+    /// Moment of the admission.
+    pub(crate) admitted: Moment,
+    /// Whether the upstream is cold.
+    pub(crate) cold: bool,
+    /// Number of requests admitted within the last second or so, including this one.
+    pub(crate) recent_starts: usize,
     /// Reports the outcome to the guard; if it is dropped, the request counts as cancelled.
     pub(crate) report: CompletionSender<PermitReport>,
     /// Identifies the admitted request to the guard.
@@ -447,6 +453,11 @@
     },
     /// A request of a caller has started.
     RequestStarted,
+    /// A request was admitted to an upstream while it was cold.
+    ColdStart {
+        /// Whether the number of requests per second that the upstream can handle was known.
+        rate_known: bool,
+    },
 }
 
 /// Stage of the daemon's shutdown, as it concerns the requests of callers.
--- a/crates/relay/src/runner.rs
+++ b/crates/relay/src/runner.rs
@@ -46,6 +46,8 @@
     permit_outcome: PermitOutcome,
     /// Load that the upstream reported in its response.
     load: Option<UpstreamLoad>,
+    /// Moment from which the request was sent; `None` if it was not sent.
+    sent: Option<Moment>,
 }
 
 impl ExchangeResult {
@@ -58,6 +60,7 @@
             },
             permit_outcome,
             load: None,
+            sent: None,
         }
     }
 
@@ -66,6 +69,7 @@
             outcome: HopOutcome::Unknown { cause },
             permit_outcome,
             load: None,
+            sent: None,
         }
     }
 }
@@ -134,7 +138,10 @@
         let held = self.clock.now().since(started);
         let mut outcome = result.outcome;
         let slowdown = result.load.and_then(|l| l.slowdown);
-        log::info!(event = "upstream-ended", request = request.attempt_id.as_deref(), instance = permit.instance.as_deref(), end:? = result.permit_outcome, held_ms = held.as_millis() as u64, slowdown_before = permit.slowdown, slowdown = slowdown; "exchange with the upstream ended");
+        let sent_ms = result
+            .sent
+            .map(|s| s.since(permit.admitted).as_millis() as u64);
+        log::info!(event = "upstream-ended", request = request.attempt_id.as_deref(), instance = permit.instance.as_deref(), end:? = result.permit_outcome, held_ms = held.as_millis() as u64, sent_ms = sent_ms, cold = permit.cold, recent_starts = permit.recent_starts, slowdown_before = permit.slowdown, slowdown = slowdown; "exchange with the upstream ended");
         permit.report.finish(PermitReport {
             id: permit.id,
             outcome: result.permit_outcome,
@@ -191,12 +198,14 @@
                     );
                 }
             };
-            let result = self.send(request, permit, connection, end).await;
-            match result {
-                Err(ExchangeError::NotSent(_)) if reused && tries < 3 => {}
-                Err(e) => return failed_exchange(&e, request),
-                Ok(result) => return result,
-            }
+            let sent = Some(self.clock.now());
+            let result = match self.send(request, permit, connection, end).await {
+                Err(ExchangeError::NotSent(_)) if reused && tries < 3 => continue,
+                Err(e @ ExchangeError::NotSent(_)) => return failed_exchange(&e, request),
+                Err(e) => failed_exchange(&e, request),
+                Ok(result) => result,
+            };
+            return ExchangeResult { sent, ..result };
         }
     }
 
@@ -255,6 +264,7 @@
                     PermitOutcome::Answered
                 },
                 load: None,
+                sent: None,
             },
             ResponseOutcome::NotRun => {
                 ExchangeResult::not_run(Cause::UpstreamRefused, PermitOutcome::Refused, true)
--- a/crates/relay/src/stats.rs
+++ b/crates/relay/src/stats.rs
@@ -42,6 +42,8 @@
     /// them sooner.
     hand_backs: IntCounter,
     latency: Histogram,
+    /// Requests admitted to the upstream while it was cold, by whether its rate was known.
+    cold_starts: IntCounterVec,
     /// Version of the desired state in force.
     version: IntGauge,
     domains_out: IntGauge,
@@ -72,6 +74,10 @@
                 HistogramOpts::new("cornelvalve_request_seconds", "Time to the answer")
                     .buckets(LATENCY_BOUNDS_S.to_vec()),
             )?,
+            cold_starts: IntCounterVec::new(
+                opts("cold_starts_total", "Requests admitted to a cold upstream"),
+                &["rate"],
+            )?,
             version: IntGauge::with_opts(opts("version", "Version of the desired state"))?,
             domains_out: IntGauge::with_opts(opts(
                 "domains_out",
@@ -87,6 +93,7 @@
         registry.register(Box::new(metrics.failed_attempts.clone()))?;
         registry.register(Box::new(metrics.hand_backs.clone()))?;
         registry.register(Box::new(metrics.latency.clone()))?;
+        registry.register(Box::new(metrics.cold_starts.clone()))?;
         registry.register(Box::new(metrics.version.clone()))?;
         registry.register(Box::new(metrics.domains_out.clone()))?;
         registry.register(Box::new(metrics.members.clone()))?;
@@ -179,6 +186,10 @@
                 self.running = self.running.saturating_sub(1);
                 self.metrics.record(&record);
             }
+            StatsMessage::ColdStart { rate_known } => {
+                let rate = if rate_known { "known" } else { "unknown" };
+                self.metrics.cold_starts.with_label_values(&[rate]).inc();
+            }
             StatsMessage::Scrape { reply } => reply.send(self.metrics.text()),
             StatsMessage::Ready { reply } => reply.send(self.configured && !self.stopping),
             StatsMessage::MemberCount(count) => self.metrics.members.set(gauge(count)),
