Test how many starts reach a cold upstream, red on this code

Four ways in which the guard floods a cold upstream that tolerates 24 requests a second, each with one offered every 10 ms: - rate not known yet: 100 in a second (8 tolerated, as the rate may be 0), - daemon killed and back within 0.1 s: 40, - upstream turns cold without a restart, next probe 0.75 s later: 87, - a 503 of the health path without the remaining time: 100.

--- a/crates/relay/src/guard/tests.rs
+++ b/crates/relay/src/guard/tests.rs
@@ -1,6 +1,8 @@
 //! Tests of the guard service with stand-ins for the other services and a clock that the test
 //! advances.
 
+mod cold;
+
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -73,7 +75,12 @@
 impl Fixture {
     /// Starts a guard that knows no upstream yet.
     fn start() -> Self {
-        let clock = Arc::new(TestClock::default());
+        Self::start_with(Arc::new(TestClock::default()), ColdTolerance::NONE)
+    }
+
+    /// Starts a guard that knows no upstream yet, with this clock and this tolerance of a cold
+    /// upstream.
+    fn start_with(clock: Arc<TestClock>, tolerance: ColdTolerance) -> Self {
         let options = ServiceOptions::default();
         let (probe_sender, probes) = mpsc::unbounded_channel();
         let (notice_sender, notices) = mpsc::unbounded_channel();
@@ -82,7 +89,7 @@
             domain: domain(),
             service: service(),
             addr: SocketAddr::from((Ipv4Addr::LOCALHOST, 1)),
-            tolerance: ColdTolerance::NONE,
+            tolerance,
         };
         let kernel = Kernel::builder(Arc::clone(&clock) as Arc<dyn Clock>)
             .add_service(CONTROL, options, ignore_messages)
