--- a/crates/policy/src/gate.rs
+++ b/crates/policy/src/gate.rs
@@ -22,12 +22,17 @@
 //! daemon for hosted platforms (crate `relay`) uses this gate; the general daemon (crate `daemon`)
 //! uses [`AdmissionController`](crate::AdmissionController).
 
-use std::collections::{HashMap, VecDeque};
+mod start_limit;
+
+use std::collections::HashMap;
 use std::time::Duration;
 
 use cornelvalve_model::Moment;
 use smallvec::SmallVec;
 
+use start_limit::StartLimit;
+pub use start_limit::{ColdRate, ColdTolerance};
+
 /// Baseline duration assumed for a kind of call until the first one has ended.
 const DEFAULT_BASELINE: Duration = Duration::from_millis(60);
 
@@ -44,14 +49,6 @@
 /// Matters for calls that take longer than expected.
 const MIN_REMAINING_FRACTION: f64 = 0.25;
 
-/// Window in which the starts at a cold upstream are counted. The upstream counts over one second;
-/// the window is longer because starts reach it with some milliseconds of jitter.
-const COLD_WINDOW: Duration = Duration::from_millis(1100);
-
-/// Fraction of the tolerance of a cold upstream that is used; the rest covers starts that the
-/// upstream counts in a different second than the gate.
-const USED_TOLERANCE_FRACTION: f64 = 0.6;
-
 /// Maximum expected wait of a call that is accepted, as a fraction of the time until its deadline.
 /// Calls that wait longer would mostly be refused anyway, only later.
 const MAX_WAIT_FRACTION: f64 = 0.6;
@@ -149,43 +146,6 @@
 /// Actions in the order in which they must be carried out.
 pub type GateActions = SmallVec<[GateAction; 4]>;
 
-/// Tolerance of cold upstreams for starts beyond their rate, the number of starts per second for
-/// which they are configured.
-///
-/// An upstream with rate `r` accepts up to `r * factor + slack` starts in any one second.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct ColdTolerance {
-    /// Factor by which the rate may be exceeded.
-    pub factor: f64,
-    /// Further starts, independent of the rate.
-    pub slack: f64,
-}
-
-impl ColdTolerance {
-    /// Tolerates no starts beyond the rate.
-    pub const NONE: Self = Self {
-        factor: 1.0,
-        slack: 0.0,
-    };
-
-    /// Returns the number of starts per second to allow at a cold upstream with this rate.
-    #[must_use]
-    pub fn limit(&self, rate: f64) -> f64 {
-        let beyond = rate * (self.factor - 1.0) + self.slack;
-        rate + beyond.max(0.0) * USED_TOLERANCE_FRACTION
-    }
-}
-
-/// Limit on the starts at a cold upstream.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct ColdRate {
-    /// Moment from which the upstream counts as warm and has no limit.
-    pub until: Moment,
-    /// Number of starts that are allowed within the window in which starts are counted, which is
-    /// slightly longer than a second.
-    pub per_second: f64,
-}
-
 /// Load of the upstream behind a gate: the part of a load report that the gate knows.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct GateLoad {
@@ -219,10 +179,7 @@
     slots: usize,
     /// Factor by which calls now take longer than their baseline duration.
     slowdown: f64,
-    cold: Option<ColdRate>,
-    /// Moments of recent starts, oldest first. Those older than [`COLD_WINDOW`] are removed at the
-    /// next start.
-    starts: VecDeque<Moment>,
+    start_limit: StartLimit,
     running: HashMap<GateCallId, Running>,
     queue: Vec<Waiting>,
     /// Fraction of the recent time during which calls waited: an exponential moving average.
@@ -240,8 +197,7 @@
         Self {
             slots: slots.max(1),
             slowdown: 1.0,
-            cold: None,
-            starts: VecDeque::new(),
+            start_limit: StartLimit::default(),
             running: HashMap::new(),
             queue: Vec::new(),
             pressure: 0.0,
@@ -269,14 +225,14 @@
 
     /// Sets or removes the limit on starts at a cold upstream, and returns the actions that follow.
     pub fn set_cold_rate(&mut self, cold: Option<ColdRate>, now: Moment) -> GateActions {
-        self.cold = cold;
+        self.start_limit.set_cold_rate(cold);
         self.advance(now)
     }
 
     /// Returns whether the upstream is cold.
     #[must_use]
     pub fn is_cold(&self, now: Moment) -> bool {
-        self.cold.is_some_and(|c| now < c.until)
+        self.start_limit.is_cold(now)
     }
 
     /// Sets the factor by which calls that start now take longer than their baseline duration.
@@ -391,10 +347,8 @@
         // A call is refused only after its latest start, so without the extra millisecond the gate
         // would still be due after it was advanced.
         let first = due.min()? + Duration::from_millis(1);
-        let rate_limited = self.is_cold(now) && self.running.len() < self.slots;
-        let mut recent = self.starts.iter().filter(|s| now.since(**s) < COLD_WINDOW);
-        let oldest = recent.next().filter(|_| rate_limited);
-        let next_start = oldest.map(|s| *s + COLD_WINDOW);
+        let next_release = self.start_limit.next_release(now);
+        let next_start = next_release.filter(|_| self.running.len() < self.slots);
         Some(next_start.map_or(first, |start| start.min(first)))
     }
 
@@ -483,7 +437,7 @@
     /// Returns the time for which a new call would wait at the current speed.
     fn expected_wait(&self, call: &GateCall, now: Moment) -> Duration {
         let free = self.running.len() < self.slots && self.queue.is_empty();
-        if free && self.cold_limit_allows_start(now) {
+        if free && self.start_limit.allows_start(now) {
             return Duration::ZERO;
         }
         let key = self.sort_key(call, now);
@@ -492,34 +446,13 @@
         let ahead: SmallVec<[Duration; 16]> =
             ahead.map(|c| self.baseline_duration(c.work)).collect();
         let slot_wait = self.completion_time(self.remaining_time(now), ahead.iter().sum());
-        slot_wait.max(self.cold_wait(ahead.len(), now))
-    }
-
-    /// Returns the time until the limit of a cold upstream allows another start after `ahead`
-    /// others.
-    fn cold_wait(&self, ahead: usize, now: Moment) -> Duration {
-        let Some(cold) = self.cold.filter(|c| now < c.until) else {
-            return Duration::ZERO;
-        };
-        let recent = self.recent_starts(now);
-        let limit = cold.per_second.max(1.0) as usize;
-        let over = (recent + ahead + 1).saturating_sub(limit);
-        let wait = match over {
-            0 => Duration::ZERO,
-            over if over <= recent => {
-                let leaves_window = self.starts[self.starts.len() - recent + over - 1];
-                (leaves_window + COLD_WINDOW).since(now)
-            }
-            over => COLD_WINDOW.mul_f64(over as f64 / limit as f64),
-        };
-        wait.min(cold.until.since(now))
+        slot_wait.max(self.start_limit.wait(ahead.len(), now))
     }
 
     /// Returns the number of starts within the window that the limit of a cold upstream covers.
     #[must_use]
     pub fn recent_starts(&self, now: Moment) -> usize {
-        let recent = self.starts.iter().rev();
-        recent.take_while(|s| now.since(**s) < COLD_WINDOW).count()
+        self.start_limit.recent_starts(now)
     }
 
     /// Returns the time until all calls that now run or wait have ended.
@@ -530,7 +463,7 @@
             .map(|w| self.baseline_duration(w.call.work));
         let waiting: Duration = waiting.sum();
         let slot_time = self.completion_time(self.remaining_time(now), waiting);
-        slot_time.max(self.cold_wait(self.queue.len(), now))
+        slot_time.max(self.start_limit.wait(self.queue.len(), now))
     }
 
     /// Returns the time in which all slots together finish the given remaining time of running
@@ -567,19 +500,9 @@
         (call.priority, misses_objective, due)
     }
 
-    /// Returns whether the limit of a cold upstream allows a start now.
-    fn cold_limit_allows_start(&self, now: Moment) -> bool {
-        match self.cold {
-            Some(cold) if now < cold.until => {
-                (self.recent_starts(now) as f64) < cold.per_second.max(1.0)
-            }
-            _ => true,
-        }
-    }
-
     /// Starts waiting calls in queue order while slots and the limit of a cold upstream allow it.
     fn start_ready_calls(&mut self, now: Moment, actions: &mut GateActions) {
-        while self.running.len() < self.slots && self.cold_limit_allows_start(now) {
+        while self.running.len() < self.slots && self.start_limit.allows_start(now) {
             let ready = self
                 .queue
                 .iter()
@@ -597,7 +520,7 @@
                 slowdown: self.slowdown,
             };
             self.running.insert(call.id, running);
-            self.record_start(now);
+            self.start_limit.record_start(now);
             actions.push(GateAction::Start(call.id));
         }
     }
@@ -607,18 +530,6 @@
         self.hold_until(waiting).is_some_and(|until| now < until)
     }
 
-    /// Records a start for the limit of a cold upstream.
-    fn record_start(&mut self, now: Moment) {
-        while self
-            .starts
-            .front()
-            .is_some_and(|s| now.since(*s) >= COLD_WINDOW)
-        {
-            self.starts.pop_front();
-        }
-        self.starts.push_back(now);
-    }
-
     /// Hands back the waiting calls that another upstream is expected to finish earlier.
     fn hand_back_calls(&mut self, now: Moment, actions: &mut GateActions) {
         let waiting = std::mem::take(&mut self.queue);
