Run the guard's tests under paused time

The timer of the guard ran in real time while the clock of the tests stood, so that the number of starts before a probe differed from run to run (the test of an upstream that turns cold passed once in five).

--- a/crates/relay/src/guard/tests.rs
+++ b/crates/relay/src/guard/tests.rs
@@ -1,20 +1,19 @@
-//! Tests of the guard service with stand-ins for the other services and a clock that the test
-//! advances.
+//! Tests of the guard service with stand-ins for the other services, under Tokio's paused time.
 
 mod cold;
 
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use cornelvalve_kernel::{
-    Clock, Context, Kernel, Mailbox, Name, ReplySender, ServiceOptions, ServiceResult,
+    Clock, Context, Kernel, Mailbox, Name, ReplySender, ServiceOptions, ServiceResult, SystemClock,
 };
-use cornelvalve_model::{FailureDomain, Fingerprint, Moment, Region, ServiceName, WallTime};
+use cornelvalve_model::{FailureDomain, Fingerprint, Moment, Region, ServiceName};
 use cornelvalve_policy::{ColdTolerance, SharedSuspect, WorkKey};
 use smallvec::SmallVec;
 use tokio::sync::mpsc;
+use tokio::time::advance;
 
 use super::{GuardSettings, run_guard};
 use crate::desired::ControlView;
@@ -33,28 +32,6 @@
 /// them.
 const TIME_TO_DEADLINE: Duration = Duration::from_secs(60);
 
-/// Clock that only the test advances.
-#[derive(Default)]
-struct TestClock(AtomicU64);
-
-impl TestClock {
-    fn advance(&self, by: Duration) {
-        let nanos =
-            u64::try_from(by.as_nanos()).expect("duration fits into 64 bits of nanoseconds");
-        self.0.fetch_add(nanos, Ordering::SeqCst);
-    }
-}
-
-impl Clock for TestClock {
-    fn now(&self) -> Moment {
-        Moment(self.0.load(Ordering::SeqCst))
-    }
-
-    fn wall_time(&self) -> WallTime {
-        WallTime::default()
-    }
-}
-
 /// Runs a stand-in for a service that ignores all messages.
 async fn ignore_messages<M: Send + 'static>(mut context: Context<M>) -> ServiceResult {
     while context.inbox.recv().await.is_some() {}
@@ -63,7 +40,7 @@
 
 /// Guard service whose health probes are answered by the test.
 struct Fixture {
-    clock: Arc<TestClock>,
+    clock: Arc<SystemClock>,
     guard: Mailbox<GuardMessage>,
     /// Probes that the guard requested.
     probes: mpsc::UnboundedReceiver<MonitorMessage>,
@@ -75,12 +52,12 @@
 impl Fixture {
     /// Starts a guard that knows no upstream yet.
     fn start() -> Self {
-        Self::start_with(Arc::new(TestClock::default()), ColdTolerance::NONE)
+        Self::start_with(Arc::new(SystemClock::new()), ColdTolerance::NONE)
     }
 
     /// Starts a guard that knows no upstream yet, with this clock and this tolerance of a cold
     /// upstream.
-    fn start_with(clock: Arc<TestClock>, tolerance: ColdTolerance) -> Self {
+    fn start_with(clock: Arc<SystemClock>, tolerance: ColdTolerance) -> Self {
         let options = ServiceOptions::default();
         let (probe_sender, probes) = mpsc::unbounded_channel();
         let (notice_sender, notices) = mpsc::unbounded_channel();
@@ -255,12 +232,12 @@
 
 // Guards against running a request in a failure domain that was taken out of service while the
 // request waited for fresh load information.
-#[tokio::test]
+#[tokio::test(start_paused = true)]
 async fn calls_waiting_for_load_are_refused_when_the_domain_goes_out_of_service() {
     let mut fixture = Fixture::start();
     fixture.wait_for_probe().await;
     fixture.report_healthy().await;
-    fixture.clock.advance(STALE_LOAD_AGE);
+    advance(STALE_LOAD_AGE).await;
     let now = fixture.clock.now();
     let guard = fixture.guard.clone();
     let admitted = tokio::spawn(async move {
@@ -285,7 +262,7 @@
 
 // Guards against a request that crashes one upstream after another because each daemon counts only
 // the crashes of its own upstream.
-#[tokio::test]
+#[tokio::test(start_paused = true)]
 async fn a_request_that_crashes_upstreams_is_refused_by_every_daemon() {
     let crashing = Fingerprint(7);
     let mut first = Fixture::start_with_healthy_upstream().await;
@@ -305,7 +282,7 @@
 
 // Guards against refusing a harmless request because it was running when another request crashed
 // the upstream: a request that had been running for a while did not cause the crash.
-#[tokio::test]
+#[tokio::test(start_paused = true)]
 async fn requests_that_started_long_before_a_crash_are_not_suspects() {
     let harmless = Fingerprint(9);
     let fixture = Fixture::start_with_healthy_upstream().await;
@@ -314,7 +291,7 @@
             panic!("not admitted");
         };
         // Longer than a request may run and still count as the cause of a crash.
-        fixture.clock.advance(STALE_LOAD_AGE);
+        advance(STALE_LOAD_AGE).await;
         // The replacement is seen before the connection is reported as lost.
         fixture.report_healthy_as(process).await;
         let id = permit.id;
--- a/crates/relay/src/guard/tests/cold.rs
+++ b/crates/relay/src/guard/tests/cold.rs
@@ -3,12 +3,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cornelvalve_kernel::Clock;
+use cornelvalve_kernel::{Clock, SystemClock};
 use cornelvalve_model::{Fingerprint, Moment};
 use cornelvalve_policy::ColdTolerance;
-use tokio::task::yield_now;
+use tokio::time::sleep;
 
-use super::{Fixture, TestClock, domain, health_report, service};
+use super::{Fixture, domain, health_report, service};
 use crate::desired::{ControlView, DesiredState, ServiceSpec, Version};
 use crate::messages::{AdmissionDecision, GuardMessage, Permit, PermitOutcome, PermitReport};
 use crate::ports::{HealthReport, UpstreamLoad};
@@ -84,7 +84,7 @@
 
 impl Fixture {
     /// Starts a guard that tolerates [`TOLERANCE`] and uses the given clock.
-    fn start_beside_cold(clock: &Arc<TestClock>) -> Self {
+    fn start_beside_cold(clock: &Arc<SystemClock>) -> Self {
         Self::start_with(Arc::clone(clock), TOLERANCE)
     }
 
@@ -102,14 +102,14 @@
                 finish(permit);
             }
             self.answer_probes(&health).await;
-            self.clock.advance(STEP);
+            sleep(STEP).await;
         }
         arrivals
     }
 
     /// Offers a request whose caller waits for a moment only.
     async fn admit_briefly(&mut self) -> Option<Permit> {
-        let wait = Duration::from_millis(30);
+        let wait = Duration::from_millis(1);
         let admitted = self.admit(Fingerprint(1));
         match tokio::time::timeout(wait, admitted).await {
             Ok(AdmissionDecision::Admitted(permit)) => Some(permit),
@@ -119,9 +119,6 @@
 
     /// Answers the probes that the guard has requested.
     async fn answer_probes(&mut self, health: impl Fn(Moment) -> HealthReport) {
-        for _ in 0..10 {
-            yield_now().await;
-        }
         while self.probes.try_recv().is_ok() {
             let report = health(self.clock.now());
             self.send(GuardMessage::Health(Some(report))).await;
@@ -141,9 +138,9 @@
 
 // Guards against flooding a cold upstream whose rate the guard has not learnt yet, after a loss of
 // power of the VM while the store is slow.
-#[tokio::test]
+#[tokio::test(start_paused = true)]
 async fn a_cold_upstream_with_unknown_rate_is_not_flooded() {
-    let clock = Arc::new(TestClock::default());
+    let clock = Arc::new(SystemClock::new());
     let mut fixture = Fixture::start_beside_cold(&clock);
     fixture.wait_for_probe().await;
     let health = |now: Moment| cold_report(COLD_DURATION.saturating_sub(now.since(Moment(0))));
@@ -161,9 +158,9 @@
 
 // Guards against flooding a cold upstream because a restarted daemon has forgotten the starts of the
 // previous one.
-#[tokio::test]
+#[tokio::test(start_paused = true)]
 async fn a_restarted_daemon_does_not_flood_a_cold_upstream() {
-    let clock = Arc::new(TestClock::default());
+    let clock = Arc::new(SystemClock::new());
     let health = |now: Moment| cold_report(COLD_DURATION.saturating_sub(now.since(Moment(0))));
     let mut arrivals = Vec::new();
     for _ in 0..2 {
@@ -175,16 +172,16 @@
         // The daemon is killed after half a second.
         let steps = STEPS_PER_SECOND / 2 - 10;
         arrivals.extend(fixture.offer_for(steps, health).await);
-        clock.advance(STEP * 10);
+        sleep(STEP * 10).await;
     }
     assert!(most_in_a_second(&arrivals) <= TOLERATED, "{arrivals:?}");
 }
 
 // Guards against flooding an upstream that turns cold while it runs, which only its health path
 // tells.
-#[tokio::test]
+#[tokio::test(start_paused = true)]
 async fn an_upstream_that_turns_cold_without_a_restart_is_not_flooded() {
-    let clock = Arc::new(TestClock::default());
+    let clock = Arc::new(SystemClock::new());
     let mut fixture = Fixture::start_beside_cold(&clock);
     fixture.wait_for_probe().await;
     fixture.send(configuration(false)).await;
@@ -200,16 +197,16 @@
 }
 
 // Guards against ending a known coldness by a response that does not say how long it lasts.
-#[tokio::test]
+#[tokio::test(start_paused = true)]
 async fn an_unhealthy_response_without_the_remaining_time_does_not_end_the_coldness() {
-    let clock = Arc::new(TestClock::default());
+    let clock = Arc::new(SystemClock::new());
     let mut fixture = Fixture::start_beside_cold(&clock);
     fixture.wait_for_probe().await;
     fixture.send(configuration(false)).await;
     fixture
         .send(GuardMessage::Health(Some(cold_report(COLD_DURATION))))
         .await;
-    clock.advance(Duration::from_secs(1));
+    sleep(Duration::from_secs(1)).await;
     let unhealthy = |_: Moment| HealthReport {
         healthy: false,
         ..health_report("i-1")
