Limit the starts at a cold upstream whose rate is not known yet

Callers saw: a cold upstream was flooded and may crash, so that requests failed that a warm one would have answered. Cause: the guard set no limit while the desired state did not describe its service. A daemon that starts with its upstream knows the upstream after one probe, and the desired state only after it has read the store or a peer. Refusing all was ruled out: the slack may be used without harm. Class of the fault: missing knowledge was taken for permission.

--- a/crates/relay/src/guard/state.rs
+++ b/crates/relay/src/guard/state.rs
@@ -209,11 +209,14 @@
     }
 
     /// Limits the rate of starts at the gate while the upstream is cold.
+    ///
+    /// While the desired state does not describe the upstream's service, its rate counts as zero, so
+    /// that only the starts that it tolerates at any rate are allowed.
     fn update_cold_limit(&mut self, now: Moment) {
-        let cold = self.process.as_ref().zip(self.service());
-        let cold = cold.map(|(p, s)| ColdRate {
+        let rate = self.service().map_or(0.0, |s| s.cold_rate);
+        let cold = self.process.as_ref().map(|p| ColdRate {
             until: p.cold_until,
-            per_second: self.settings.tolerance.limit(s.cold_rate),
+            per_second: self.settings.tolerance.limit(rate),
         });
         let cold = cold.filter(|c| now < c.until);
         self.log_cold_change(cold, now);
@@ -222,13 +225,12 @@
         self.publish_load(now);
     }
 
-    /// Logs that the upstream has become cold or warm; `limit` is the limit on starts, if it is
-    /// known.
+    /// Logs that the upstream has become cold or warm.
     fn log_cold_change(&mut self, limit: Option<ColdRate>, now: Moment) {
         let Some(process) = self.process.as_ref() else {
             return;
         };
-        let is_cold = self.is_cold(now);
+        let is_cold = limit.is_some();
         if is_cold == self.logged_cold {
             return;
         }
@@ -237,20 +239,15 @@
         let recent_starts = self.gate.recent_starts(now);
         if is_cold {
             let limit = limit.map(|l| l.per_second);
-            log::info!(event = "upstream-cold", instance = instance, cold_ms = process.cold_until.since(now).as_millis() as u64, limit = limit, recent_starts = recent_starts; "upstream is cold; starts are limited if its rate is known");
+            log::info!(event = "upstream-cold", instance = instance, cold_ms = process.cold_until.since(now).as_millis() as u64, limit = limit, rate_known = self.service().is_some(), recent_starts = recent_starts; "upstream is cold; starts are limited");
         } else {
             log::info!(event = "upstream-warm", instance = instance, recent_starts = recent_starts; "upstream is no longer cold");
         }
     }
 
-    /// Returns whether the upstream process is cold.
-    fn is_cold(&self, now: Moment) -> bool {
-        self.process.as_ref().is_some_and(|p| now < p.cold_until)
-    }
-
     /// Counts a start at a cold upstream in the metrics.
-    fn count_cold_start(&self, now: Moment) {
-        let rate_known = self.gate.is_cold(now);
+    fn count_cold_start(&self) {
+        let rate_known = self.service().is_some();
         let message = StatsMessage::ColdStart { rate_known };
         if let Err(e) = self.channels.stats.try_send(message) {
             log::debug!("start at a cold upstream is missing in the metrics: {e}");
@@ -596,9 +593,9 @@
                 let Some(reply) = self.calls.start(id, now) else {
                     return self.gate.finish(id, false, now);
                 };
-                let cold = self.is_cold(now);
+                let cold = self.gate.is_cold(now);
                 if cold {
-                    self.count_cold_start(now);
+                    self.count_cold_start();
                 }
                 let cancelled = PermitReport {
                     id,
