Count starts against the cold limit until the upstream confirms it is warm

Callers saw: an upstream that turned cold while it ran was flooded for up to a second, and requests failed when it crashed. Cause: the limit held only while the guard knew of the coldness. An upstream may turn cold at any moment, for example when its failure domain returns and this daemon has not seen that; only its health path tells, and that is asked at least once a second. Change: a start counts unless the upstream was certainly warm after it, that is, unless it answered as warm to a probe requested after it. So at most the allowed number starts between two confirmations, whatever the upstream does meanwhile. At half of the limit the guard asks, so that a warm upstream has answered before calls are held; probes carry the moment of their request. The end of an announced coldness is confirmed in the same way. Ruled out: more frequent probes alone, which only shorten the gap and are paid at every upstream; here an upstream with few requests costs none. The test calls_wait_for_an_upstream_that_will_soon_be_warm now confirms the end of the coldness as the guard does; its checks are the same.

--- a/crates/policy/src/gate.rs
+++ b/crates/policy/src/gate.rs
@@ -13,7 +13,8 @@
 //! calls start in order of priority; among equal priorities, those that can still meet their
 //! objective start first. A call that cannot end before its deadline is refused at once. A cold
 //! upstream, which has started recently and runs slowly at first, gets no more starts per second
-//! than it tolerates.
+//! than it tolerates, and neither does one that may have turned cold since it was last known to be
+//! warm.
 //!
 //! The baseline duration of a call is its duration while the upstream runs at its normal speed. The
 //! slowdown is the factor by which calls currently take longer than that.
@@ -197,7 +198,7 @@
         Self {
             slots: slots.max(1),
             slowdown: 1.0,
-            start_limit: StartLimit::default(),
+            start_limit: StartLimit::unlimited(),
             running: HashMap::new(),
             queue: Vec::new(),
             pressure: 0.0,
@@ -223,13 +224,21 @@
         self.advance(now)
     }
 
-    /// Sets or removes the limit on starts at a cold upstream, and returns the actions that follow.
-    pub fn set_cold_rate(&mut self, cold: Option<ColdRate>, now: Moment) -> GateActions {
+    /// Sets what is known about an upstream that is or may be cold, and returns the actions that
+    /// follow.
+    pub fn set_cold_rate(&mut self, cold: ColdRate, now: Moment) -> GateActions {
         self.start_limit.set_cold_rate(cold);
         self.advance(now)
     }
 
-    /// Returns whether the upstream is cold.
+    /// Returns whether the upstream should be asked if it is warm, because the starts since it last
+    /// confirmed that will soon reach the limit of a cold upstream.
+    #[must_use]
+    pub fn needs_warm_confirmation(&self, now: Moment) -> bool {
+        self.start_limit.needs_confirmation(now)
+    }
+
+    /// Returns whether the upstream is known to be cold.
     #[must_use]
     pub fn is_cold(&self, now: Moment) -> bool {
         self.start_limit.is_cold(now)
--- a/crates/policy/src/gate/start_limit.rs
+++ b/crates/policy/src/gate/start_limit.rs
@@ -1,4 +1,7 @@
-//! Limit on the starts at a cold upstream, which has started recently and runs slowly at first.
+//! Limit on the starts at an upstream that is cold, or may be.
+//!
+//! An upstream that has started recently is cold: it runs slowly and tolerates few requests per
+//! second. It may also turn cold while it runs. Only its check-ins and its health path tell.
 
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -13,6 +16,10 @@
 /// upstream counts in a different second than the gate.
 const USED_TOLERANCE_FRACTION: f64 = 0.6;
 
+/// Fraction of the limit at which an upstream that may be warm should be asked, so that its answer
+/// arrives before the limit holds calls back.
+const CONFIRMATION_FRACTION: f64 = 0.5;
+
 /// Tolerance of cold upstreams for starts beyond their rate, the number of starts per second for
 /// which they are configured.
 ///
@@ -40,34 +47,68 @@
     }
 }
 
-/// Limit on the starts at a cold upstream.
+/// What is known about an upstream that is cold or may have turned cold.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ColdRate {
-    /// Moment from which the upstream counts as warm and has no limit.
+    /// Moment until which the upstream is known to be cold; in the past if it is not.
     pub until: Moment,
-    /// Number of starts that are allowed within the window in which starts are counted, which is
-    /// slightly longer than a second.
+    /// Latest moment at which the upstream was certainly warm; `None` if it is not known to have
+    /// been warm.
+    pub warm_at: Option<Moment>,
+    /// Number of starts that a cold upstream is allowed within the window in which starts are
+    /// counted, which is slightly longer than a second.
     pub per_second: f64,
 }
 
-/// Counts the recent starts at an upstream and limits them while it is cold.
-#[derive(Debug, Default)]
+impl ColdRate {
+    /// Sets no limit on the starts.
+    pub const UNLIMITED: Self = Self {
+        until: Moment(0),
+        warm_at: None,
+        per_second: f64::INFINITY,
+    };
+
+    /// Returns whether the upstream is known to be cold.
+    fn is_cold(&self, now: Moment) -> bool {
+        now < self.until
+    }
+
+    /// Returns the number of starts allowed within the window; at least one, so that every upstream
+    /// gets work.
+    fn limit(&self) -> f64 {
+        self.per_second.max(1.0)
+    }
+}
+
+/// Counts the recent starts at an upstream and limits those that may reach it while it is cold.
+///
+/// An upstream may turn cold at any moment, which is known only later. A start counts unless the
+/// upstream is known to have been warm after it.
+#[derive(Debug)]
 pub(super) struct StartLimit {
-    cold: Option<ColdRate>,
+    cold: ColdRate,
     /// Moments of recent starts, oldest first. Those older than [`WINDOW`] are removed at the next
     /// start.
     starts: VecDeque<Moment>,
 }
 
 impl StartLimit {
-    /// Sets or removes the limit.
-    pub(super) fn set_cold_rate(&mut self, cold: Option<ColdRate>) {
+    /// Creates a limit that allows all starts.
+    pub(super) fn unlimited() -> Self {
+        Self {
+            cold: ColdRate::UNLIMITED,
+            starts: VecDeque::new(),
+        }
+    }
+
+    /// Sets what is known about the upstream.
+    pub(super) fn set_cold_rate(&mut self, cold: ColdRate) {
         self.cold = cold;
     }
 
-    /// Returns whether the upstream is cold.
+    /// Returns whether the upstream is known to be cold.
     pub(super) fn is_cold(&self, now: Moment) -> bool {
-        self.cold.is_some_and(|c| now < c.until)
+        self.cold.is_cold(now)
     }
 
     /// Returns the number of starts within the last [`WINDOW`].
@@ -76,14 +117,26 @@
         recent.take_while(|s| now.since(**s) < WINDOW).count()
     }
 
+    /// Returns the number of recent starts that may have reached the upstream while it was cold.
+    fn counted_starts(&self, now: Moment) -> usize {
+        let warm_at = self.cold.warm_at.filter(|_| !self.is_cold(now));
+        let recent = self.starts.iter().rev();
+        let recent = recent.take_while(|s| now.since(**s) < WINDOW);
+        recent
+            .take_while(|s| warm_at.is_none_or(|w| w <= **s))
+            .count()
+    }
+
     /// Returns whether the limit allows a start now.
     pub(super) fn allows_start(&self, now: Moment) -> bool {
-        match self.cold {
-            Some(cold) if now < cold.until => {
-                (self.recent_starts(now) as f64) < cold.per_second.max(1.0)
-            }
-            _ => true,
-        }
+        (self.counted_starts(now) as f64) < self.cold.limit()
+    }
+
+    /// Returns whether the limit will soon be reached although the upstream may be warm, so that it
+    /// should be asked.
+    pub(super) fn needs_confirmation(&self, now: Moment) -> bool {
+        let counted = self.counted_starts(now) as f64;
+        !self.is_cold(now) && counted >= self.cold.limit() * CONFIRMATION_FRACTION
     }
 
     /// Records a start.
@@ -96,28 +149,36 @@
 
     /// Returns the time until the limit allows another start after `ahead` others.
     pub(super) fn wait(&self, ahead: usize, now: Moment) -> Duration {
-        let Some(cold) = self.cold.filter(|c| now < c.until) else {
+        let cold = self.is_cold(now);
+        let confirmed = self.cold.warm_at.is_some_and(|w| now.since(w) < WINDOW);
+        let counted = self.counted_starts(now);
+        let limit = self.cold.limit() as usize;
+        let over = counted.saturating_add(ahead + 1).saturating_sub(limit);
+        // A warm upstream confirms that within milliseconds, and its earlier starts then no longer
+        // count.
+        if over == 0 || (!cold && confirmed) {
             return Duration::ZERO;
+        }
+        let wait = if over <= counted {
+            let leaves_window = self.starts[self.starts.len() - counted + over - 1];
+            (leaves_window + WINDOW).since(now)
+        } else {
+            WINDOW.mul_f64(over as f64 / limit as f64)
         };
-        let recent = self.recent_starts(now);
-        let limit = cold.per_second.max(1.0) as usize;
-        let over = (recent + ahead + 1).saturating_sub(limit);
-        let wait = match over {
-            0 => Duration::ZERO,
-            over if over <= recent => {
-                let leaves_window = self.starts[self.starts.len() - recent + over - 1];
-                (leaves_window + WINDOW).since(now)
-            }
-            over => WINDOW.mul_f64(over as f64 / limit as f64),
-        };
-        wait.min(cold.until.since(now))
+        if cold {
+            wait.min(self.cold.until.since(now))
+        } else {
+            wait
+        }
     }
 
-    /// Returns the next moment at which a start leaves the window of a cold upstream, so that
-    /// another may be allowed.
+    /// Returns the next moment at which a start leaves the window, if the limit is reached.
     pub(super) fn next_release(&self, now: Moment) -> Option<Moment> {
-        let mut recent = self.starts.iter().filter(|s| now.since(**s) < WINDOW);
-        let oldest = recent.next().filter(|_| self.is_cold(now));
-        oldest.map(|s| *s + WINDOW)
+        if self.allows_start(now) {
+            return None;
+        }
+        let counted = self.counted_starts(now);
+        let oldest = self.starts.get(self.starts.len() - counted)?;
+        Some(*oldest + WINDOW)
     }
 }
--- a/crates/policy/tests/all/gate.rs
+++ b/crates/policy/tests/all/gate.rs
@@ -183,9 +183,10 @@
     let mut simulation = Simulation::new(50);
     let cold = ColdRate {
         until: ms(5000),
+        warm_at: None,
         per_second: 29.0,
     };
-    simulation.gate.set_cold_rate(Some(cold), ms(0));
+    simulation.gate.set_cold_rate(cold, ms(0));
     for now in 0..4000 {
         simulation.step(now, (now % 5 == 0).then(|| call(now + 1, now, 300, 2000)));
     }
@@ -215,9 +216,10 @@
     let mut simulation = Simulation::new(50);
     let cold = ColdRate {
         until: ms(5000),
+        warm_at: None,
         per_second: tolerance.limit(rate),
     };
-    simulation.gate.set_cold_rate(Some(cold), ms(0));
+    simulation.gate.set_cold_rate(cold, ms(0));
     for now in 0..4000 {
         simulation.step(now, (now % 5 == 0).then(|| call(now + 1, now, 300, 2000)));
     }
@@ -243,9 +245,10 @@
     let mut simulation = Simulation::new(9);
     let cold = ColdRate {
         until: ms(5000),
+        warm_at: None,
         per_second: 11.0,
     };
-    simulation.gate.set_cold_rate(Some(cold), ms(0));
+    simulation.gate.set_cold_rate(cold, ms(0));
     for now in 0..2000 {
         let arrives = now % 5 == 0 && now < 1000;
         simulation.step(now, arrives.then(|| call(now + 1, now, 100, 300)));
@@ -262,10 +265,20 @@
     let mut simulation = Simulation::new(9);
     let cold = ColdRate {
         until: ms(100),
+        warm_at: None,
         per_second: 1.0,
     };
-    simulation.gate.set_cold_rate(Some(cold), ms(0));
+    simulation.gate.set_cold_rate(cold, ms(0));
     for now in 0..1000 {
+        // The upstream is asked once its coldness is over, and confirms that it is warm.
+        if now >= 100 && simulation.gate.needs_warm_confirmation(ms(now)) {
+            let warm = ColdRate {
+                warm_at: Some(ms(now)),
+                ..cold
+            };
+            let actions = simulation.gate.set_cold_rate(warm, ms(now));
+            simulation.carry_out(now, actions);
+        }
         simulation.step(now, (now < 5).then(|| call(now + 1, now, 300, 2000)));
     }
     assert_eq!(simulation.stats.in_time, 5, "{:?}", simulation.stats);
@@ -281,9 +294,10 @@
         if now % 4000 == 0 {
             let cold = ColdRate {
                 until: ms(now + 2500),
+                warm_at: None,
                 per_second: 5.0,
             };
-            let actions = simulation.gate.set_cold_rate(Some(cold), ms(now));
+            let actions = simulation.gate.set_cold_rate(cold, ms(now));
             simulation.carry_out(now, actions);
         }
         if now % 700 == 0 {
@@ -300,6 +314,38 @@
     }
 }
 
+// Guards against flooding an upstream that turns cold while it runs: nothing but a confirmation
+// tells that it was still warm.
+#[test]
+fn starts_without_confirmed_warmth_stay_within_the_limit() {
+    let limit = 19;
+    let mut simulation = Simulation::new(50);
+    let unconfirmed = ColdRate {
+        until: ms(0),
+        warm_at: Some(ms(0)),
+        per_second: limit as f64,
+    };
+    simulation.gate.set_cold_rate(unconfirmed, ms(0));
+    let mut asked = false;
+    for now in 1..=900 {
+        simulation.step(now, (now % 5 == 0).then(|| call(now, now, 300, 2000)));
+        asked |= simulation.gate.needs_warm_confirmation(ms(now));
+        assert!(asked || simulation.stats.starts.len() < limit);
+    }
+    assert!(asked, "the upstream is asked before the limit holds calls");
+    assert_eq!(simulation.stats.starts.len(), limit);
+    let confirmed = ColdRate {
+        warm_at: Some(ms(901)),
+        ..unconfirmed
+    };
+    let actions = simulation.gate.set_cold_rate(confirmed, ms(901));
+    simulation.carry_out(901, actions);
+    for now in 901..=1000 {
+        simulation.step(now, (now % 5 == 0).then(|| call(now, now, 300, 2000)));
+    }
+    assert!(simulation.stats.starts.len() > limit + 10);
+}
+
 // Guards against urgent calls that wait behind less urgent ones.
 #[test]
 fn urgent_calls_start_first() {
--- a/crates/relay/src/guard/probing.rs
+++ b/crates/relay/src/guard/probing.rs
@@ -32,6 +32,10 @@
 /// not report that an upstream has become cold again, but the health path does.
 const MAX_PROBE_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Interval between probes of an upstream that must confirm that it is warm. It confirms that in its
+/// first response unless it gives none or does not say.
+const UNCONFIRMED_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Maximum age of the load information that a call may be admitted with; above it the upstream is
 /// probed first. A request that starts in a slow period takes several times as long, while a probe
 /// takes about a millisecond.
@@ -44,6 +48,9 @@
     Leaving,
     /// It is unreachable or not yet known.
     Unreachable,
+    /// It may have turned cold since it was last known to be warm, and so many requests have started
+    /// since that the admission gate will soon hold further ones.
+    Unconfirmed,
     /// It is slow, and the admission gate delays the start of calls until the slow period ends.
     Holding,
     /// It is slow.
@@ -80,6 +87,8 @@
         }
         let max_age = match condition {
             UpstreamCondition::Leaving => return None,
+            // How fresh the load information is does not matter here.
+            UpstreamCondition::Unconfirmed => return Some(self.last_probe + UNCONFIRMED_INTERVAL),
             UpstreamCondition::Unreachable => UNREACHABLE_INTERVAL,
             UpstreamCondition::Holding => HOLDING_MAX_AGE,
             UpstreamCondition::Slow => SLOW_MAX_AGE,
--- a/crates/relay/src/guard/state.rs
+++ b/crates/relay/src/guard/state.rs
@@ -120,7 +120,7 @@
     /// Returns the moment at which [`GuardState::on_timer`] must be called next.
     pub(super) fn next_wakeup(&self, now: Moment) -> Moment {
         let gate = self.gate.next_due(now);
-        let probe = self.next_probe();
+        let probe = self.next_probe(now);
         let load_wait = self.calls.load_wait_deadline();
         let due = gate.into_iter().chain(probe).chain(load_wait).min();
         due.unwrap_or(now + MAX_SLEEP).min(now + MAX_SLEEP)
@@ -138,22 +138,23 @@
         }
         let actions = self.gate.advance(now);
         self.apply_actions(actions, now);
-        if self.next_probe().is_some_and(|due| due <= now) {
+        if self.next_probe(now).is_some_and(|due| due <= now) {
             self.probe(now);
         }
     }
 
     /// Returns the moment at which the next health probe is due.
-    fn next_probe(&self) -> Option<Moment> {
-        self.probes.next_probe(self.condition())
+    fn next_probe(&self, now: Moment) -> Option<Moment> {
+        self.probes.next_probe(self.condition(now))
     }
 
     /// Returns the condition of the upstream for the probe schedule.
-    fn condition(&self) -> UpstreamCondition {
+    fn condition(&self, now: Moment) -> UpstreamCondition {
         match &self.process {
             Some(process) if process.is_leaving() => UpstreamCondition::Leaving,
             None => UpstreamCondition::Unreachable,
             Some(_) if self.unreachable => UpstreamCondition::Unreachable,
+            Some(_) if self.gate.needs_warm_confirmation(now) => UpstreamCondition::Unconfirmed,
             Some(_) if self.gate.is_holding() => UpstreamCondition::Holding,
             Some(_) if self.slowdown >= SLOW_THRESHOLD => UpstreamCondition::Slow,
             Some(_) => UpstreamCondition::Normal,
@@ -174,6 +175,7 @@
         let probe = MonitorMessage::Probe {
             addr: self.settings.addr,
             path: path.into(),
+            requested: now,
         };
         self.probes.probe_sent(now);
         if let Err(e) = self.channels.monitor.try_send(probe) {
@@ -208,29 +210,32 @@
         self.probe(now);
     }
 
-    /// Limits the rate of starts at the gate while the upstream is cold.
+    /// Tells the gate what is known about the coldness of the upstream.
     ///
     /// While the desired state does not describe the upstream's service, its rate counts as zero, so
     /// that only the starts that it tolerates at any rate are allowed.
     fn update_cold_limit(&mut self, now: Moment) {
+        let Some(process) = &self.process else {
+            return;
+        };
         let rate = self.service().map_or(0.0, |s| s.cold_rate);
-        let cold = self.process.as_ref().map(|p| ColdRate {
-            until: p.cold_until,
+        let cold = ColdRate {
+            until: process.cold_until,
+            warm_at: process.warm_at,
             per_second: self.settings.tolerance.limit(rate),
-        });
-        let cold = cold.filter(|c| now < c.until);
-        self.log_cold_change(cold, now);
+        };
+        self.log_cold_change(&cold, now);
         let actions = self.gate.set_cold_rate(cold, now);
         self.apply_actions(actions, now);
         self.publish_load(now);
     }
 
     /// Logs that the upstream has become cold or warm.
-    fn log_cold_change(&mut self, limit: Option<ColdRate>, now: Moment) {
+    fn log_cold_change(&mut self, cold: &ColdRate, now: Moment) {
         let Some(process) = self.process.as_ref() else {
             return;
         };
-        let is_cold = limit.is_some();
+        let is_cold = now < cold.until;
         if is_cold == self.logged_cold {
             return;
         }
@@ -238,8 +243,7 @@
         let instance = process.instance.as_ref();
         let recent_starts = self.gate.recent_starts(now);
         if is_cold {
-            let limit = limit.map(|l| l.per_second);
-            log::info!(event = "upstream-cold", instance = instance, cold_ms = process.cold_until.since(now).as_millis() as u64, limit = limit, rate_known = self.service().is_some(), recent_starts = recent_starts; "upstream is cold; starts are limited");
+            log::info!(event = "upstream-cold", instance = instance, cold_ms = process.cold_until.since(now).as_millis() as u64, limit = cold.per_second, rate_known = self.service().is_some(), recent_starts = recent_starts; "upstream is cold; starts are limited");
         } else {
             log::info!(event = "upstream-warm", instance = instance, recent_starts = recent_starts; "upstream is no longer cold");
         }
@@ -321,7 +325,12 @@
     }
 
     /// Applies the result of a probe; `None` means that the upstream gave no answer.
-    pub(super) fn handle_health(&mut self, report: Option<HealthReport>, now: Moment) {
+    pub(super) fn handle_health(
+        &mut self,
+        requested: Moment,
+        report: Option<HealthReport>,
+        now: Moment,
+    ) {
         self.probes.probe_ended(now);
         let Some(report) = report else {
             self.set_unreachable(true, now);
@@ -330,7 +339,7 @@
         };
         self.set_unreachable(false, now);
         if let Some(instance) = report.instance.as_deref() {
-            self.apply_probed_instance(instance, &report, now);
+            self.apply_probed_instance(instance, &report, requested, now);
         }
         if let Some(load) = report.load {
             self.apply_load(load, now);
@@ -340,14 +349,22 @@
     }
 
     /// Applies the instance that the health path named, which may be a new process.
-    fn apply_probed_instance(&mut self, instance: &str, report: &HealthReport, now: Moment) {
+    fn apply_probed_instance(
+        &mut self,
+        instance: &str,
+        report: &HealthReport,
+        requested: Moment,
+        now: Moment,
+    ) {
         match &mut self.process {
             Some(process) if *process.instance == *instance => {
-                process.cold_until = now + report.cold_remaining.unwrap_or_default();
+                process.apply_health(report, requested, now);
             }
             _ => {
                 let old = self.process.take();
-                self.process = Some(UpstreamProcess::from_probe(instance, report, now));
+                self.process = Some(UpstreamProcess::from_probe(
+                    instance, report, requested, now,
+                ));
                 self.detect_replacement(old, now);
                 log::info!(event = "upstream-changed", instance = instance, healthy = report.healthy; "health path reported a new upstream process");
                 self.on_upstream_changed(now);
--- a/crates/relay/src/guard/tests.rs
+++ b/crates/relay/src/guard/tests.rs
@@ -108,6 +108,12 @@
             .expect("the guard is running");
     }
 
+    /// Reports the result of a probe that was requested now.
+    async fn send_health(&self, report: Option<HealthReport>) {
+        let requested = self.clock.now();
+        self.send(GuardMessage::Health { requested, report }).await;
+    }
+
     /// Reports that the first upstream process is healthy and waits until the guard has applied
     /// that.
     async fn report_healthy(&self) {
@@ -116,8 +122,7 @@
 
     /// Reports that an upstream process is healthy and waits until the guard has applied that.
     async fn report_healthy_as(&self, process: &str) {
-        self.send(GuardMessage::Health(Some(health_report(process))))
-            .await;
+        self.send_health(Some(health_report(process))).await;
         let work = WorkKey(1);
         let load = self.guard.ask(|reply| GuardMessage::Load { work, reply });
         load.await.expect("the guard is running");
@@ -154,7 +159,7 @@
             load: None,
         });
         self.wait_for_probe().await;
-        self.send(GuardMessage::Health(None)).await;
+        self.send_health(None).await;
         self.report_healthy_as(process).await;
     }
 
@@ -300,7 +305,7 @@
             outcome: PermitOutcome::Lost,
             load: None,
         });
-        fixture.send(GuardMessage::Health(None)).await;
+        fixture.send_health(None).await;
         fixture.report_healthy_as(process).await;
     }
     assert!(!is_refused_as_suspect(&fixture.admit(harmless).await));
--- a/crates/relay/src/guard/tests/cold.rs
+++ b/crates/relay/src/guard/tests/cold.rs
@@ -10,7 +10,9 @@
 
 use super::{Fixture, domain, health_report, service};
 use crate::desired::{ControlView, DesiredState, ServiceSpec, Version};
-use crate::messages::{AdmissionDecision, GuardMessage, Permit, PermitOutcome, PermitReport};
+use crate::messages::{
+    AdmissionDecision, GuardMessage, MonitorMessage, Permit, PermitOutcome, PermitReport,
+};
 use crate::ports::{HealthReport, UpstreamLoad};
 
 /// Requests per second that the cold upstream can handle.
@@ -119,9 +121,9 @@
 
     /// Answers the probes that the guard has requested.
     async fn answer_probes(&mut self, health: impl Fn(Moment) -> HealthReport) {
-        while self.probes.try_recv().is_ok() {
-            let report = health(self.clock.now());
-            self.send(GuardMessage::Health(Some(report))).await;
+        while let Ok(MonitorMessage::Probe { requested, .. }) = self.probes.try_recv() {
+            let report = Some(health(self.clock.now()));
+            self.send(GuardMessage::Health { requested, report }).await;
         }
     }
 }
@@ -144,9 +146,7 @@
     let mut fixture = Fixture::start_beside_cold(&clock);
     fixture.wait_for_probe().await;
     let health = |now: Moment| cold_report(COLD_DURATION.saturating_sub(now.since(Moment(0))));
-    fixture
-        .send(GuardMessage::Health(Some(health(Moment(0)))))
-        .await;
+    fixture.send_health(Some(health(Moment(0)))).await;
     let arrivals = fixture.offer_for(STEPS_PER_SECOND, health).await;
     // The rate may be as low as zero.
     assert!(
@@ -168,7 +168,7 @@
         fixture.wait_for_probe().await;
         let report = health(clock.now());
         fixture.send(configuration(false)).await;
-        fixture.send(GuardMessage::Health(Some(report))).await;
+        fixture.send_health(Some(report)).await;
         // The daemon is killed after half a second.
         let steps = STEPS_PER_SECOND / 2 - 10;
         arrivals.extend(fixture.offer_for(steps, health).await);
@@ -185,9 +185,7 @@
     let mut fixture = Fixture::start_beside_cold(&clock);
     fixture.wait_for_probe().await;
     fixture.send(configuration(false)).await;
-    fixture
-        .send(GuardMessage::Health(Some(health_report("i-1"))))
-        .await;
+    fixture.send_health(Some(health_report("i-1"))).await;
     let warm = |_: Moment| health_report("i-1");
     fixture.offer_for(STEPS_PER_SECOND * 5 / 4, warm).await;
     let turned = clock.now();
@@ -203,9 +201,7 @@
     let mut fixture = Fixture::start_beside_cold(&clock);
     fixture.wait_for_probe().await;
     fixture.send(configuration(false)).await;
-    fixture
-        .send(GuardMessage::Health(Some(cold_report(COLD_DURATION))))
-        .await;
+    fixture.send_health(Some(cold_report(COLD_DURATION))).await;
     sleep(Duration::from_secs(1)).await;
     let unhealthy = |_: Moment| HealthReport {
         healthy: false,
--- a/crates/relay/src/guard/upstream.rs
+++ b/crates/relay/src/guard/upstream.rs
@@ -22,8 +22,11 @@
     pub(super) state: UpstreamState,
     /// Whether it announced its shutdown. A later check-in of the same process cannot undo that.
     leaving: bool,
-    /// Moment until which the process is cold.
+    /// Moment until which the process is known to be cold; in the past if it is not.
     pub(super) cold_until: Moment,
+    /// Latest moment at which the process was certainly warm. Check-ins do not tell that, because
+    /// they may arrive seconds late.
+    pub(super) warm_at: Option<Moment>,
 }
 
 /// Effect of a check-in on the known process.
@@ -48,24 +51,44 @@
             state: upstream_state(check_in.state),
             leaving,
             cold_until: now + check_in.cold_remaining,
+            warm_at: None,
         }
     }
 
     /// Creates a process that has been seen through its health path only. An unhealthy process
-    /// counts as draining: it may finish its requests but gets no new ones.
-    pub(super) fn from_probe(instance: &str, report: &HealthReport, now: Moment) -> Self {
+    /// counts as draining: it may finish its requests but gets no new ones. The probe was requested
+    /// at `requested`.
+    pub(super) fn from_probe(
+        instance: &str,
+        report: &HealthReport,
+        requested: Moment,
+        now: Moment,
+    ) -> Self {
         let state = if report.healthy {
             UpstreamState::Ready
         } else {
             UpstreamState::Draining
         };
-        Self {
+        let mut process = Self {
             instance: Arc::from(instance),
             started_ms: 0,
             sequence: 0,
             state,
             leaving: false,
-            cold_until: now + report.cold_remaining.unwrap_or_default(),
+            cold_until: Moment::default(),
+            warm_at: None,
+        };
+        process.apply_health(report, requested, now);
+        process
+    }
+
+    /// Applies what the health path reported about the coldness of the process, in response to a
+    /// probe that was requested at `requested`.
+    pub(super) fn apply_health(&mut self, report: &HealthReport, requested: Moment, now: Moment) {
+        let remaining = report.cold_remaining.unwrap_or_default();
+        self.cold_until = now + remaining;
+        if remaining.is_zero() {
+            self.warm_at = self.warm_at.max(Some(requested));
         }
     }
 
--- a/crates/relay/src/messages.rs
+++ b/crates/relay/src/messages.rs
@@ -369,8 +369,13 @@
         /// Receives the confirmation once the guard has applied the check-in.
         reply: ReplySender<()>,
     },
-    /// Result of a health probe; `None` if the upstream did not answer.
-    Health(Option<HealthReport>),
+    /// Result of a health probe.
+    Health {
+        /// Moment at which the guard requested the probe; the report is not older.
+        requested: Moment,
+        /// What the upstream reported; `None` if it did not answer.
+        report: Option<HealthReport>,
+    },
     /// The configuration changed.
     Control(Arc<ControlView>),
     /// Stops admitting calls.
@@ -399,6 +404,8 @@
         addr: SocketAddr,
         /// Path of the health check.
         path: Box<str>,
+        /// Moment of the request, which is returned with the result.
+        requested: Moment,
     },
 }
 
--- a/crates/relay/src/monitor.rs
+++ b/crates/relay/src/monitor.rs
@@ -40,12 +40,18 @@
             () = context.stop.requested() => return Ok(()),
             message = context.inbox.recv() => message,
         };
-        let Some(MonitorMessage::Probe { addr, path }) = message else {
+        let Some(MonitorMessage::Probe {
+            addr,
+            path,
+            requested,
+        }) = message
+        else {
             return Ok(());
         };
         let report = timeout(PROBE_TIMEOUT, prober.probe(addr, &path)).await;
         let report = report.unwrap_or_default();
-        if let Err(e) = guard.send(GuardMessage::Health(report)).await {
+        let health = GuardMessage::Health { requested, report };
+        if let Err(e) = guard.send(health).await {
             log::warn!(event = "health-not-passed-on"; "health report was not passed on to the guard: {e}");
         }
     }
