Allow for the starts of an earlier daemon at a cold upstream

Callers saw: a cold upstream was flooded and requests failed when it crashed, after the daemon beside it had been killed or stopped and was back at once. Cause: the moments of recent starts are in the memory of the gate. A daemon that is back within the window began to count at zero. Change: a guard takes it that an earlier one has used the whole limit up to its own start, unless the upstream turned cold after that (shown by its health path and the configured duration) or is confirmed warm. Ruled out: keeping the moments outside the process, as no VM has a disk. Cost: beside an upstream that turned cold before the daemon started, up to 1.1 s with few starts. An upstream that turns cold later gets the full limit, which a test holds.

--- a/crates/policy/src/gate/start_limit.rs
+++ b/crates/policy/src/gate/start_limit.rs
@@ -45,6 +45,14 @@
         let beyond = rate * (self.factor - 1.0) + self.slack;
         rate + beyond.max(0.0) * USED_TOLERANCE_FRACTION
     }
+
+    /// Returns the number of starts per second that a cold upstream with this rate tolerates beyond
+    /// [`ColdTolerance::limit`].
+    #[must_use]
+    pub fn spare(&self, rate: f64) -> f64 {
+        let beyond = rate * (self.factor - 1.0) + self.slack;
+        beyond.max(0.0) * (1.0 - USED_TOLERANCE_FRACTION)
+    }
 }
 
 /// What is known about an upstream that is cold or may have turned cold.
@@ -58,6 +66,12 @@
     /// Number of starts that a cold upstream is allowed within the window in which starts are
     /// counted, which is slightly longer than a second.
     pub per_second: f64,
+    /// Number of starts that it tolerates beyond that. They cover jitter, and are allowed while
+    /// earlier starts are unknown.
+    pub spare: f64,
+    /// Moment up to which another process may have started calls that are not recorded here, as
+    /// many as the limit allows; `None` if there was none.
+    pub unrecorded_until: Option<Moment>,
 }
 
 impl ColdRate {
@@ -66,6 +80,8 @@
         until: Moment(0),
         warm_at: None,
         per_second: f64::INFINITY,
+        spare: 0.0,
+        unrecorded_until: None,
     };
 
     /// Returns whether the upstream is known to be cold.
@@ -73,10 +89,21 @@
         now < self.until
     }
 
-    /// Returns the number of starts allowed within the window; at least one, so that every upstream
-    /// gets work.
-    fn limit(&self) -> f64 {
-        self.per_second.max(1.0)
+    /// Returns the number of starts allowed within the window. At least one is allowed, so that every
+    /// upstream gets work, unless there may be unrecorded starts.
+    fn limit(&self, now: Moment) -> f64 {
+        match self.unrecorded_in_window(now) {
+            Some(_) => self.spare.min(self.per_second),
+            None => self.per_second.max(1.0),
+        }
+    }
+
+    /// Returns the moment up to which unrecorded starts may have reached the upstream while it was
+    /// cold, if that lies within the window.
+    fn unrecorded_in_window(&self, now: Moment) -> Option<Moment> {
+        let warm_at = self.warm_at.filter(|_| !self.is_cold(now));
+        self.unrecorded_until
+            .filter(|u| now.since(*u) < WINDOW && warm_at.is_none_or(|w| w < *u))
     }
 }
 
@@ -129,14 +156,14 @@
 
     /// Returns whether the limit allows a start now.
     pub(super) fn allows_start(&self, now: Moment) -> bool {
-        (self.counted_starts(now) as f64) < self.cold.limit()
+        (self.counted_starts(now) as f64) < self.cold.limit(now).floor()
     }
 
     /// Returns whether the limit will soon be reached although the upstream may be warm, so that it
     /// should be asked.
     pub(super) fn needs_confirmation(&self, now: Moment) -> bool {
         let counted = self.counted_starts(now) as f64;
-        !self.is_cold(now) && counted >= self.cold.limit() * CONFIRMATION_FRACTION
+        !self.is_cold(now) && counted >= self.cold.limit(now) * CONFIRMATION_FRACTION
     }
 
     /// Records a start.
@@ -152,14 +179,16 @@
         let cold = self.is_cold(now);
         let confirmed = self.cold.warm_at.is_some_and(|w| now.since(w) < WINDOW);
         let counted = self.counted_starts(now);
-        let limit = self.cold.limit() as usize;
+        let limit = self.cold.limit(now) as usize;
         let over = counted.saturating_add(ahead + 1).saturating_sub(limit);
         // A warm upstream confirms that within milliseconds, and its earlier starts then no longer
         // count.
         if over == 0 || (!cold && confirmed) {
             return Duration::ZERO;
         }
-        let wait = if over <= counted {
+        let wait = if let Some(until) = self.cold.unrecorded_in_window(now) {
+            (until + WINDOW).since(now)
+        } else if over <= counted {
             let leaves_window = self.starts[self.starts.len() - counted + over - 1];
             (leaves_window + WINDOW).since(now)
         } else {
@@ -178,7 +207,9 @@
             return None;
         }
         let counted = self.counted_starts(now);
-        let oldest = self.starts.get(self.starts.len() - counted)?;
-        Some(*oldest + WINDOW)
+        let oldest = self.starts.get(self.starts.len() - counted).copied();
+        let unrecorded = self.cold.unrecorded_in_window(now);
+        let first = oldest.into_iter().chain(unrecorded).min()?;
+        Some(first + WINDOW)
     }
 }
--- a/crates/policy/tests/all/gate.rs
+++ b/crates/policy/tests/all/gate.rs
@@ -183,8 +183,8 @@
     let mut simulation = Simulation::new(50);
     let cold = ColdRate {
         until: ms(5000),
-        warm_at: None,
         per_second: 29.0,
+        ..ColdRate::UNLIMITED
     };
     simulation.gate.set_cold_rate(cold, ms(0));
     for now in 0..4000 {
@@ -216,8 +216,8 @@
     let mut simulation = Simulation::new(50);
     let cold = ColdRate {
         until: ms(5000),
-        warm_at: None,
         per_second: tolerance.limit(rate),
+        ..ColdRate::UNLIMITED
     };
     simulation.gate.set_cold_rate(cold, ms(0));
     for now in 0..4000 {
@@ -245,8 +245,8 @@
     let mut simulation = Simulation::new(9);
     let cold = ColdRate {
         until: ms(5000),
-        warm_at: None,
         per_second: 11.0,
+        ..ColdRate::UNLIMITED
     };
     simulation.gate.set_cold_rate(cold, ms(0));
     for now in 0..2000 {
@@ -265,8 +265,8 @@
     let mut simulation = Simulation::new(9);
     let cold = ColdRate {
         until: ms(100),
-        warm_at: None,
         per_second: 1.0,
+        ..ColdRate::UNLIMITED
     };
     simulation.gate.set_cold_rate(cold, ms(0));
     for now in 0..1000 {
@@ -294,8 +294,8 @@
         if now % 4000 == 0 {
             let cold = ColdRate {
                 until: ms(now + 2500),
-                warm_at: None,
                 per_second: 5.0,
+                ..ColdRate::UNLIMITED
             };
             let actions = simulation.gate.set_cold_rate(cold, ms(now));
             simulation.carry_out(now, actions);
@@ -324,6 +324,7 @@
         until: ms(0),
         warm_at: Some(ms(0)),
         per_second: limit as f64,
+        ..ColdRate::UNLIMITED
     };
     simulation.gate.set_cold_rate(unconfirmed, ms(0));
     let mut asked = false;
--- a/crates/relay/src/guard/state.rs
+++ b/crates/relay/src/guard/state.rs
@@ -58,6 +58,8 @@
 pub(super) struct GuardState {
     settings: GuardSettings,
     channels: Channels,
+    /// Start of this guard. An earlier process may have sent requests to the same upstream.
+    started: Moment,
     gate: Gate,
     /// Number of requests that the upstream runs concurrently.
     slots: usize,
@@ -94,6 +96,7 @@
         Self {
             settings,
             channels,
+            started: now,
             gate: Gate::new(DEFAULT_SLOTS),
             slots: DEFAULT_SLOTS,
             slowdown: 1.0,
@@ -223,6 +226,8 @@
             until: process.cold_until,
             warm_at: process.warm_at,
             per_second: self.settings.tolerance.limit(rate),
+            spare: self.settings.tolerance.spare(rate),
+            unrecorded_until: self.may_lack_starts(process).then_some(self.started),
         };
         self.log_cold_change(&cold, now);
         let actions = self.gate.set_cold_rate(cold, now);
@@ -230,6 +235,15 @@
         self.publish_load(now);
     }
 
+    /// Returns whether an earlier guard may have sent requests to the process since it turned cold:
+    /// it may have turned cold before this guard started.
+    fn may_lack_starts(&self, process: &UpstreamProcess) -> bool {
+        let cold_duration = self.service().map(|s| s.cold_duration);
+        let turned_cold = process.earliest_warm.zip(cold_duration);
+        turned_cold
+            .is_none_or(|(end, duration)| duration.is_zero() || end < self.started + duration)
+    }
+
     /// Logs that the upstream has become cold or warm.
     fn log_cold_change(&mut self, cold: &ColdRate, now: Moment) {
         let Some(process) = self.process.as_ref() else {
--- a/crates/relay/src/guard/tests/cold.rs
+++ b/crates/relay/src/guard/tests/cold.rs
@@ -177,6 +177,23 @@
     assert!(most_in_a_second(&arrivals) <= TOLERATED, "{arrivals:?}");
 }
 
+// Guards against holding calls back for a second after every start of an upstream, although no
+// earlier daemon can have sent it requests.
+#[tokio::test(start_paused = true)]
+async fn an_upstream_that_turns_cold_after_the_daemon_started_gets_the_full_limit() {
+    let clock = Arc::new(SystemClock::new());
+    let mut fixture = Fixture::start_beside_cold(&clock);
+    fixture.wait_for_probe().await;
+    fixture.send(configuration(false)).await;
+    sleep(STEP).await;
+    let turned = clock.now();
+    let health = |now: Moment| cold_report(COLD_DURATION.saturating_sub(now.since(turned)));
+    fixture.send_health(Some(health(turned))).await;
+    let arrivals = fixture.offer_for(STEPS_PER_SECOND, health).await;
+    let limit = TOLERANCE.limit(RATE) as usize;
+    assert_eq!(most_in_a_second(&arrivals), limit, "{arrivals:?}");
+}
+
 // Guards against flooding an upstream that turns cold while it runs, which only its health path
 // tells.
 #[tokio::test(start_paused = true)]
--- a/crates/relay/src/guard/upstream.rs
+++ b/crates/relay/src/guard/upstream.rs
@@ -27,6 +27,9 @@
     /// Latest moment at which the process was certainly warm. Check-ins do not tell that, because
     /// they may arrive seconds late.
     pub(super) warm_at: Option<Moment>,
+    /// Lower bound of the moment at which the process becomes warm, from the last response of its
+    /// health path that said that it was cold.
+    pub(super) earliest_warm: Option<Moment>,
 }
 
 /// Effect of a check-in on the known process.
@@ -52,6 +55,7 @@
             leaving,
             cold_until: now + check_in.cold_remaining,
             warm_at: None,
+            earliest_warm: None,
         }
     }
 
@@ -77,6 +81,7 @@
             leaving: false,
             cold_until: Moment::default(),
             warm_at: None,
+            earliest_warm: None,
         };
         process.apply_health(report, requested, now);
         process
@@ -89,6 +94,8 @@
         self.cold_until = now + remaining;
         if remaining.is_zero() {
             self.warm_at = self.warm_at.max(Some(requested));
+        } else {
+            self.earliest_warm = Some(requested + remaining);
         }
     }
 
