Do not take a health response that tells nothing for warmth

Cause: a health response ended a known coldness although it could not tell. Change: silence of an unhealthy upstream changes nothing, and only a response to a later probe may shorten a coldness. An upstream that reports ill although it is well stays within the limit of a cold one meanwhile, as nothing shows that it is warm.

--- a/crates/relay/src/guard/state.rs
+++ b/crates/relay/src/guard/state.rs
@@ -208,7 +208,7 @@
     fn assume_cold(&mut self, now: Moment) {
         let cold_duration = self.service().map_or(Duration::ZERO, |s| s.cold_duration);
         if let Some(process) = &mut self.process {
-            process.cold_until = process.cold_until.max(now + cold_duration);
+            process.extend_cold(cold_duration, now);
         }
         self.probe(now);
     }
--- a/crates/relay/src/guard/tests/cold.rs
+++ b/crates/relay/src/guard/tests/cold.rs
@@ -5,7 +5,7 @@
 
 use cornelvalve_kernel::{Clock, SystemClock};
 use cornelvalve_model::{Fingerprint, Moment};
-use cornelvalve_policy::ColdTolerance;
+use cornelvalve_policy::{ColdTolerance, WorkKey};
 use tokio::time::sleep;
 
 use super::{Fixture, domain, health_report, service};
@@ -228,3 +228,28 @@
     let arrivals = fixture.offer_for(STEPS_PER_SECOND, unhealthy).await;
     assert!(most_in_a_second(&arrivals) <= TOLERATED, "{arrivals:?}");
 }
+
+// Guards against ending a coldness that the guard has just learnt of by the response to an earlier
+// probe.
+#[tokio::test(start_paused = true)]
+async fn an_earlier_response_does_not_end_the_coldness_of_a_returned_domain() {
+    let clock = Arc::new(SystemClock::new());
+    let mut fixture = Fixture::start_beside_cold(&clock);
+    fixture.wait_for_probe().await;
+    fixture.send(configuration(true)).await;
+    let requested = clock.now();
+    sleep(STEP).await;
+    fixture.send_health(Some(health_report("i-1"))).await;
+    sleep(STEP).await;
+    fixture.send(configuration(false)).await;
+    let report = Some(health_report("i-1"));
+    fixture
+        .send(GuardMessage::Health { requested, report })
+        .await;
+    let work = WorkKey(1);
+    let load = fixture
+        .guard
+        .ask(|reply| GuardMessage::Load { work, reply });
+    let (load, _) = load.await.expect("the guard is running");
+    assert!(load.expect("the process is known").cold);
+}
--- a/crates/relay/src/guard/upstream.rs
+++ b/crates/relay/src/guard/upstream.rs
@@ -3,8 +3,10 @@
 //! A check-in is a report that the upstream sends to its daemon: its state, its address and how
 //! long it stays cold after its start.
 
-use cornelvalve_model::{Moment, UpstreamState};
 use std::sync::Arc;
+use std::time::Duration;
+
+use cornelvalve_model::{Moment, UpstreamState};
 
 use crate::ports::{AnnouncedState, CheckIn, HealthReport};
 
@@ -30,6 +32,9 @@
     /// Lower bound of the moment at which the process becomes warm, from the last response of its
     /// health path that said that it was cold.
     pub(super) earliest_warm: Option<Moment>,
+    /// Moment at which something other than the health path last told that the process is cold. Only
+    /// a response to a later probe may say otherwise.
+    cold_learned: Moment,
 }
 
 /// Effect of a check-in on the known process.
@@ -47,16 +52,19 @@
     /// Creates the process that a check-in describes.
     pub(super) fn from_check_in(check_in: &CheckIn, now: Moment) -> Self {
         let leaving = check_in.state != AnnouncedState::Ready;
-        Self {
+        let mut process = Self {
             instance: Arc::from(check_in.instance.as_ref()),
             started_ms: check_in.started_ms.unwrap_or_default(),
             sequence: check_in.sequence,
             state: upstream_state(check_in.state),
             leaving,
-            cold_until: now + check_in.cold_remaining,
+            cold_until: Moment::default(),
             warm_at: None,
             earliest_warm: None,
-        }
+            cold_learned: Moment::default(),
+        };
+        process.extend_cold(check_in.cold_remaining, now);
+        process
     }
 
     /// Creates a process that has been seen through its health path only. An unhealthy process
@@ -82,6 +90,7 @@
             cold_until: Moment::default(),
             warm_at: None,
             earliest_warm: None,
+            cold_learned: Moment::default(),
         };
         process.apply_health(report, requested, now);
         process
@@ -89,8 +98,19 @@
 
     /// Applies what the health path reported about the coldness of the process, in response to a
     /// probe that was requested at `requested`.
+    ///
+    /// A healthy process that names no remaining time is warm. An unhealthy one that names none has
+    /// said nothing.
     pub(super) fn apply_health(&mut self, report: &HealthReport, requested: Moment, now: Moment) {
-        let remaining = report.cold_remaining.unwrap_or_default();
+        let unsaid = report.healthy.then_some(Duration::ZERO);
+        let Some(remaining) = report.cold_remaining.or(unsaid) else {
+            return;
+        };
+        if requested < self.cold_learned {
+            // The response may be older than what is known.
+            self.cold_until = self.cold_until.max(now + remaining);
+            return;
+        }
         self.cold_until = now + remaining;
         if remaining.is_zero() {
             self.warm_at = self.warm_at.max(Some(requested));
@@ -99,6 +119,14 @@
         }
     }
 
+    /// Treats the process as cold for at least this time from now on.
+    pub(super) fn extend_cold(&mut self, remaining: Duration, now: Moment) {
+        if !remaining.is_zero() {
+            self.cold_until = self.cold_until.max(now + remaining);
+            self.cold_learned = now;
+        }
+    }
+
     /// Applies a check-in and returns its effect.
     pub(super) fn apply_check_in(&mut self, check_in: &CheckIn, now: Moment) -> CheckInEffect {
         if self.is_newer_process(check_in) {
@@ -115,7 +143,7 @@
             self.started_ms = started_ms;
         }
         self.sequence = self.sequence.max(check_in.sequence);
-        self.cold_until = self.cold_until.max(now + check_in.cold_remaining);
+        self.extend_cold(check_in.cold_remaining, now);
         self.leaving |= check_in.state != AnnouncedState::Ready;
         let state = match check_in.state {
             AnnouncedState::Gone => UpstreamState::Lost,
