Count a start at a cold upstream from when the call is sent

Cause: the limit counted a call when it was admitted, the upstream counts it when it arrives. Calls of two windows arrive within one second if the time between the two varies by more than the 0.1 s by which the window exceeds a second. The new test calls_that_are_sent_late_stay_within_the_limit_of_a_cold_upstream counts 38 sent in a second with the old way of counting, 19 allowed. Change: the runner reports when it sends an admitted request; until then the start counts in full. If the report is lost, it counts until its end. Ruled out: counting every running call, which would halve the limit of an upstream that is busy and would need more probes.

--- a/crates/policy/src/gate.rs
+++ b/crates/policy/src/gate.rs
@@ -172,6 +172,8 @@
     started: Moment,
     /// Slowdown of the upstream when the call started, which applies to all of the call.
     slowdown: f64,
+    /// Whether the call has been sent to the upstream.
+    sent: bool,
 }
 
 /// Admission gate in front of one upstream.
@@ -302,12 +304,25 @@
         self.pressure_updated = now;
     }
 
+    /// Records that a started call is being sent to the upstream.
+    ///
+    /// Until then it may still arrive at any moment and counts in full towards the limit of a cold
+    /// upstream. A call that ends without this counts as sent at its end.
+    pub fn record_sent(&mut self, id: GateCallId, now: Moment) {
+        if let Some(running) = self.running.get_mut(&id)
+            && !std::mem::replace(&mut running.sent, true)
+        {
+            self.start_limit.record_sent(now);
+        }
+    }
+
     /// Removes a call that has ended after it was started, or was cancelled while it waited.
     ///
     /// `answered` means that the upstream ran the call to its end, so that its duration is a sample
     /// for the baseline estimate. Returns the actions to carry out, such as starts in the free
     /// slot.
     pub fn finish(&mut self, id: GateCallId, answered: bool, now: Moment) -> GateActions {
+        self.record_sent(id, now);
         match self.running.remove(&id) {
             Some(running) if answered => self.update_baseline(running, now),
             Some(_) => {}
@@ -527,9 +542,10 @@
                 work: call.work,
                 started: now,
                 slowdown: self.slowdown,
+                sent: false,
             };
             self.running.insert(call.id, running);
-            self.start_limit.record_start(now);
+            self.start_limit.record_start();
             actions.push(GateAction::Start(call.id));
         }
     }
--- a/crates/policy/src/gate/start_limit.rs
+++ b/crates/policy/src/gate/start_limit.rs
@@ -109,14 +109,19 @@
 
 /// Counts the recent starts at an upstream and limits those that may reach it while it is cold.
 ///
+/// A start counts from when the call is sent, because that may be long after its start on a VM with
+/// little processor time.
+///
 /// An upstream may turn cold at any moment, which is known only later. A start counts unless the
 /// upstream is known to have been warm after it.
 #[derive(Debug)]
 pub(super) struct StartLimit {
     cold: ColdRate,
-    /// Moments of recent starts, oldest first. Those older than [`WINDOW`] are removed at the next
-    /// start.
-    starts: VecDeque<Moment>,
+    /// Number of started calls that have not been sent yet; they may arrive at any moment.
+    unsent: usize,
+    /// Moments at which recent calls were sent, oldest first. Those older than [`WINDOW`] are
+    /// removed when the next one is sent.
+    sent: VecDeque<Moment>,
 }
 
 impl StartLimit {
@@ -124,7 +129,8 @@
     pub(super) fn unlimited() -> Self {
         Self {
             cold: ColdRate::UNLIMITED,
-            starts: VecDeque::new(),
+            unsent: 0,
+            sent: VecDeque::new(),
         }
     }
 
@@ -138,22 +144,28 @@
         self.cold.is_cold(now)
     }
 
-    /// Returns the number of starts within the last [`WINDOW`].
+    /// Returns the number of calls that were sent within the last [`WINDOW`] or still will be.
     pub(super) fn recent_starts(&self, now: Moment) -> usize {
-        let recent = self.starts.iter().rev();
-        recent.take_while(|s| now.since(**s) < WINDOW).count()
+        let recent = self.sent.iter().rev();
+        self.unsent + recent.take_while(|s| now.since(**s) < WINDOW).count()
     }
 
-    /// Returns the number of recent starts that may have reached the upstream while it was cold.
-    fn counted_starts(&self, now: Moment) -> usize {
+    /// Returns the number of recently sent calls that may have reached the upstream while it was
+    /// cold.
+    fn counted_sent(&self, now: Moment) -> usize {
         let warm_at = self.cold.warm_at.filter(|_| !self.is_cold(now));
-        let recent = self.starts.iter().rev();
+        let recent = self.sent.iter().rev();
         let recent = recent.take_while(|s| now.since(**s) < WINDOW);
         recent
             .take_while(|s| warm_at.is_none_or(|w| w <= **s))
             .count()
     }
 
+    /// Returns the number of starts that count towards the limit.
+    fn counted_starts(&self, now: Moment) -> usize {
+        self.unsent + self.counted_sent(now)
+    }
+
     /// Returns whether the limit allows a start now.
     pub(super) fn allows_start(&self, now: Moment) -> bool {
         (self.counted_starts(now) as f64) < self.cold.limit(now).floor()
@@ -167,20 +179,26 @@
     }
 
     /// Records a start.
-    pub(super) fn record_start(&mut self, now: Moment) {
-        while self.starts.front().is_some_and(|s| now.since(*s) >= WINDOW) {
-            self.starts.pop_front();
+    pub(super) fn record_start(&mut self) {
+        self.unsent += 1;
+    }
+
+    /// Records that a call was sent after its start.
+    pub(super) fn record_sent(&mut self, now: Moment) {
+        self.unsent = self.unsent.saturating_sub(1);
+        while self.sent.front().is_some_and(|s| now.since(*s) >= WINDOW) {
+            self.sent.pop_front();
         }
-        self.starts.push_back(now);
+        self.sent.push_back(now);
     }
 
     /// Returns the time until the limit allows another start after `ahead` others.
     pub(super) fn wait(&self, ahead: usize, now: Moment) -> Duration {
         let cold = self.is_cold(now);
         let confirmed = self.cold.warm_at.is_some_and(|w| now.since(w) < WINDOW);
-        let counted = self.counted_starts(now);
+        let sent = self.counted_sent(now);
         let limit = self.cold.limit(now) as usize;
-        let over = counted.saturating_add(ahead + 1).saturating_sub(limit);
+        let over = (self.unsent + sent + ahead + 1).saturating_sub(limit);
         // A warm upstream confirms that within milliseconds, and its earlier starts then no longer
         // count.
         if over == 0 || (!cold && confirmed) {
@@ -188,8 +206,8 @@
         }
         let wait = if let Some(until) = self.cold.unrecorded_in_window(now) {
             (until + WINDOW).since(now)
-        } else if over <= counted {
-            let leaves_window = self.starts[self.starts.len() - counted + over - 1];
+        } else if over <= sent {
+            let leaves_window = self.sent[self.sent.len() - sent + over - 1];
             (leaves_window + WINDOW).since(now)
         } else {
             WINDOW.mul_f64(over as f64 / limit as f64)
@@ -201,13 +219,13 @@
         }
     }
 
-    /// Returns the next moment at which a start leaves the window, if the limit is reached.
+    /// Returns the next moment at which a sent call leaves the window, if the limit is reached.
     pub(super) fn next_release(&self, now: Moment) -> Option<Moment> {
         if self.allows_start(now) {
             return None;
         }
-        let counted = self.counted_starts(now);
-        let oldest = self.starts.get(self.starts.len() - counted).copied();
+        let oldest = self.sent.len() - self.counted_sent(now);
+        let oldest = self.sent.get(oldest).copied();
         let unrecorded = self.cold.unrecorded_in_window(now);
         let first = oldest.into_iter().chain(unrecorded).min()?;
         Some(first + WINDOW)
--- a/crates/policy/tests/all/gate.rs
+++ b/crates/policy/tests/all/gate.rs
@@ -82,6 +82,7 @@
                     let (_, call) = self.waiting.remove(&id).expect("call waits");
                     self.running.insert((now + self.duration, id), call);
                     self.stats.starts.push(now);
+                    self.gate.record_sent(GateCallId(id), ms(now));
                 }
                 GateAction::Refuse(GateCallId(id), _) => {
                     let (since, call) = self.waiting.remove(&id).expect("call waits");
@@ -314,6 +315,45 @@
     }
 }
 
+// Guards against flooding a cold upstream by calls that lie between their start and their sending,
+// as on a VM with little processor time: those of two windows are sent within one second.
+#[test]
+fn calls_that_are_sent_late_stay_within_the_limit_of_a_cold_upstream() {
+    let (limit, delay) = (19, 900);
+    let mut gate = Gate::new(100);
+    let cold = ColdRate {
+        until: ms(5000),
+        per_second: limit as f64,
+        ..ColdRate::UNLIMITED
+    };
+    gate.set_cold_rate(cold, ms(0));
+    let mut started: Vec<GateCallId> = Vec::new();
+    let mut sent: Vec<u64> = Vec::new();
+    for now in 0..4000 {
+        let offered = gate.offer(call(now, now, 3000, 8000), ms(now));
+        let advanced = gate.advance(ms(now));
+        for action in offered.into_iter().chain(advanced) {
+            if let GateAction::Start(id) = action {
+                started.push(id);
+            }
+        }
+        // The processor is busy with other work for most of each second and a half.
+        if now % 1500 < delay {
+            continue;
+        }
+        for id in started.drain(..) {
+            gate.record_sent(id, ms(now));
+            sent.push(now);
+        }
+    }
+    for (index, first) in sent.iter().enumerate() {
+        let in_second = sent[index..].iter().take_while(|s| **s < first + 1000);
+        let count = in_second.count();
+        assert!(count <= limit, "{count} sent from {first} ms");
+    }
+    assert!(sent.len() >= limit);
+}
+
 // Guards against flooding an upstream that turns cold while it runs: nothing but a confirmation
 // tells that it was still warm.
 #[test]
--- a/crates/relay/src/guard.rs
+++ b/crates/relay/src/guard.rs
@@ -86,6 +86,7 @@
             state.handle_check_in(*check_in, now);
             reply.send(());
         }
+        GuardMessage::Sent(id) => state.record_sent(id, now),
         GuardMessage::Health { requested, report } => state.handle_health(requested, report, now),
         GuardMessage::Control(view) => state.apply_configuration(view, now),
         GuardMessage::CrashSuspects(suspects) => state.merge_suspects(&suspects, now),
--- a/crates/relay/src/guard/state.rs
+++ b/crates/relay/src/guard/state.rs
@@ -580,6 +580,11 @@
         }
     }
 
+    /// Records that an admitted request is being sent to the upstream.
+    pub(super) fn record_sent(&mut self, id: GateCallId, now: Moment) {
+        self.gate.record_sent(id, now);
+    }
+
     /// Records the end of an admitted request and starts the calls that may now run.
     pub(super) fn finish(&mut self, report: PermitReport, now: Moment) {
         if let Some(call) = self.calls.end(report.id) {
--- a/crates/relay/src/messages.rs
+++ b/crates/relay/src/messages.rs
@@ -369,6 +369,8 @@
         /// Receives the confirmation once the guard has applied the check-in.
         reply: ReplySender<()>,
     },
+    /// An admitted request is being sent to the upstream.
+    Sent(GateCallId),
     /// Result of a health probe.
     Health {
         /// Moment at which the guard requested the probe; the report is not older.
--- a/crates/relay/src/runner.rs
+++ b/crates/relay/src/runner.rs
@@ -199,6 +199,11 @@
                 }
             };
             let sent = Some(self.clock.now());
+            if let Err(e) = self.guard.try_send(GuardMessage::Sent(permit.id)) {
+                log::debug!(
+                    "sending was not reported: {e}; the request counts as unsent until it ends"
+                );
+            }
             let result = match self.send(request, permit, connection, end).await {
                 Err(ExchangeError::NotSent(_)) if reused && tries < 3 => continue,
                 Err(e @ ExchangeError::NotSent(_)) => return failed_exchange(&e, request),
