Limit a trailer line that does not end

A target that sends a trailer line for ever grew the buffer of its daemon until the process was killed for its memory, and each read searched all of it again, so that all requests at that VM were lost. Cause: the size of the trailer section was checked only at the end of a line. A caller could do the same with a chunked request.

--- a/crates/http1/src/body.rs
+++ b/crates/http1/src/body.rs
@@ -189,13 +189,13 @@
                 }
                 ChunkState::Trailers(read) => {
                     let Some(end) = line_end(buffer) else {
+                        // The end of the line may never come.
+                        check_trailers_length(read + buffer.len())?;
                         return Ok(false);
                     };
                     let line = buffer.split_to(end + 2);
                     let read = read + line.len();
-                    if read > MAX_TRAILER_BYTES {
-                        return Err(Error::HeadTooLarge);
-                    }
+                    check_trailers_length(read)?;
                     if end == 0 {
                         return Ok(true);
                     }
@@ -206,6 +206,15 @@
     }
 }
 
+/// Returns an error if `length`, the number of bytes of a trailer section received so far, exceeds
+/// the limit.
+fn check_trailers_length(length: usize) -> Result<()> {
+    if length > MAX_TRAILER_BYTES {
+        return Err(Error::HeadTooLarge);
+    }
+    Ok(())
+}
+
 /// Returns the position of the first CRLF.
 fn line_end(buffer: &[u8]) -> Option<usize> {
     buffer.windows(2).position(|pair| pair == b"\r\n")
--- a/crates/http1/tests/all/main.rs
+++ b/crates/http1/tests/all/main.rs
@@ -2,4 +2,5 @@
 
 mod client;
 mod decode;
+mod endless;
 mod server;
