Limit the interim responses before a final one

A target that sends interim (1xx) responses for ever kept its daemon busy with reading until the deadline of the request, on a fraction of a core. Cause: interim responses were skipped without any limit. The decoder lives for one exchange, so a connection may be used for any number of requests.

--- a/crates/http1/src/message.rs
+++ b/crates/http1/src/message.rs
@@ -126,6 +126,8 @@
 pub struct ResponseDecoder {
     limits: DecodeLimits,
     state: DecodeState<Response>,
+    /// Size in bytes of the interim responses that were skipped.
+    skipped_bytes: usize,
 }
 
 impl ResponseDecoder {
@@ -135,12 +137,13 @@
         Self {
             limits,
             state: DecodeState::Head,
+            skipped_bytes: 0,
         }
     }
 
     /// Consumes bytes from the buffer and returns the next response once it is complete.
     ///
-    /// Interim (1xx) responses are skipped. `at_eof` means that the server has closed its side of
+    /// Interim (1xx) responses are skipped; together they may be as large as one head. `at_eof` means that the server has closed its side of
     /// the connection (FIN).
     ///
     /// # Errors
@@ -149,6 +152,7 @@
     /// response is complete.
     pub fn decode(&mut self, buffer: &mut BytesMut, at_eof: bool) -> Result<Option<Response>> {
         while matches!(self.state, DecodeState::Head) {
+            let length = buffer.len();
             let Some((response, framing)) = parse_response_head(buffer, self.limits.head_bytes)?
             else {
                 return if at_eof {
@@ -157,7 +161,10 @@
                     Ok(None)
                 };
             };
-            if !response.status.is_informational() {
+            if response.status.is_informational() {
+                self.skipped_bytes += length - buffer.len();
+                check_head_length(self.skipped_bytes, self.limits.head_bytes)?;
+            } else {
                 let body = BodyDecoder::new(framing, self.limits.body_bytes)?;
                 self.state = DecodeState::Body(response, body);
             }
--- a/crates/http1/tests/all/endless.rs
+++ b/crates/http1/tests/all/endless.rs
@@ -32,7 +32,7 @@
 const SERVER_BYTES: usize = 256 << 20;
 
 /// What comes first and what then comes again and again.
-const STREAMS: [(&str, &str, &str); 10] = [
+const STREAMS: [(&str, &str, &str); 11] = [
     ("no protocol", "", "\u{1}\u{2}\u{3}"),
     ("empty lines", "", "\r\n"),
     ("reason phrase", "HTTP/1.1 200 ", "x"),
@@ -43,6 +43,7 @@
     ("chunk size line", CHUNKED_SIZE, "x"),
     ("trailers", CHUNKED_END, "a: b\r\n"),
     ("trailer value", CHUNKED_TRAILER, "x"),
+    ("interim responses", "", "HTTP/1.1 103 Early Hints\r\n\r\n"),
 ];
 
 const CHUNKED: &str = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
