Limit the responses to other requests that an exchange skips

A target that sends complete responses to other requests for ever kept its daemon busy with reading until the deadline. Cause: such responses were skipped without any limit. Change: more than eight are an invalid response. Targets that answer twice or late send one or two, which are skipped as before.

--- a/crates/http1/src/client.rs
+++ b/crates/http1/src/client.rs
@@ -13,6 +13,10 @@
 use crate::socket::{SocketTimeouts, connect};
 use crate::{DecodeLimits, Response, ResponseDecoder, encode};
 
+/// Maximum number of responses to other requests that are skipped in one exchange. A server that
+/// answers twice or late sends one or two.
+const MAX_SKIPPED_RESPONSES: usize = 8;
+
 /// Free space in bytes that is reserved in the read buffer after each read.
 const READ_RESERVE_BYTES: usize = 4096;
 
@@ -88,7 +92,8 @@
     ///
     /// Some servers send a late or duplicate response to an earlier request on the same connection.
     /// Responses for which `matches_request` returns false are therefore skipped; it can recognise
-    /// the response by a request id that the server returns, for example.
+    /// the response by a request id that the server returns, for example. A server that sends more than
+    /// a few of them violates the protocol.
     ///
     /// In the returned response, `keep_alive` is false if the connection must not be used again.
     ///
@@ -113,6 +118,7 @@
         let mut sending = Box::pin(send(&mut writer, &head, body, &mut sent));
         let mut send_done = false;
         let mut send_error = None;
+        let mut skipped = 0;
         loop {
             tokio::select! {
                 result = &mut sending, if !send_done => {
@@ -134,7 +140,14 @@
                         let decoded = decoder.decode(&mut self.buffer, at_eof);
                         match decoded.map_err(ExchangeError::InvalidResponse) {
                             Ok(None) => break,
-                            Ok(Some(response)) if !matches_request(&response) => {}
+                            Ok(Some(response)) if !matches_request(&response) => {
+                                skipped += 1;
+                                if skipped > MAX_SKIPPED_RESPONSES {
+                                    return Err(ExchangeError::InvalidResponse(
+                                        crate::Error::Malformed("too many other responses"),
+                                    ));
+                                }
+                            }
                             Ok(Some(mut response)) => {
                                 // If the body was not sent in full, the server still expects the
                                 // rest of it, so no other request can follow.
--- a/crates/http1/tests/all/endless.rs
+++ b/crates/http1/tests/all/endless.rs
@@ -51,6 +51,9 @@
 const CHUNKED_END: &str = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n0\r\n";
 const CHUNKED_TRAILER: &str = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n0\r\na: ";
 
+/// Complete response to another request.
+const OTHER_RESPONSE: &str = "HTTP/1.1 200 OK\r\nid: other\r\ncontent-length: 2\r\n\r\nok";
+
 /// Starts a server that sends `first` and then `unit` until the connection is closed. Returns its
 /// address and a channel for the number of bytes that it could send.
 async fn spawn_server(first: &str, unit: &str) -> (SocketAddr, oneshot::Receiver<usize>) {
@@ -88,7 +91,7 @@
         headers: &HeaderMap::new(),
         body: &Bytes::new(),
     };
-    let exchange = connection.exchange(request, |_| true);
+    let exchange = connection.exchange(request, |r| !r.headers.contains_key("id"));
     let result = timeout(WAIT, exchange).await.expect("the exchange ends");
     drop(connection);
     let sent = timeout(WAIT, sent).await.expect("the server ends");
@@ -108,3 +111,14 @@
         assert!(sent < SERVER_BYTES / 4, "{what}: {sent} bytes were taken");
     }
 }
+
+// Guards against a client that skips responses to other requests for ever.
+#[tokio::test]
+async fn responses_to_other_requests_without_end_are_an_invalid_response() {
+    let (error, sent) = request_endless("", OTHER_RESPONSE).await;
+    assert!(
+        matches!(error, Some(ExchangeError::InvalidResponse(_))),
+        "{error:?}"
+    );
+    assert!(sent < SERVER_BYTES / 4, "{sent} bytes were taken");
+}
