Bound the memory for all running responses together

An upstream that sends bodies without end to all its requests cost the daemon 16 MiB each, with buffers twice as large, which is more than the 160 MB of the smallest VMs with six requests; a killed daemon loses all requests at its VM. A health probe could take as much within its 0.4 s. Cause: the size of a response was limited for each alone. Evidence: test end_to_end::endless::a_response_without_end_costs_one_attempt, with an upstream that sends one of four streams until it is cut: 20 MB were taken by each of four requests on the parent, 64 MiB allowed together. The rest of the test, that idempotent requests are served by another upstream and others fail at once with 502, held before. Change: the guard divides 32 MiB by the slots, at least 1 and at most 16 MiB each, and a health report may have 64 KiB.

--- a/crates/http1/src/client.rs
+++ b/crates/http1/src/client.rs
@@ -79,6 +79,11 @@
         })
     }
 
+    /// Sets the maximum size in bytes of the body of later responses.
+    pub fn limit_body(&mut self, bytes: usize) {
+        self.limits.body_bytes = bytes;
+    }
+
     /// Returns whether the connection can carry the next request: it is open and no unexpected
     /// bytes have arrived.
     #[must_use]
--- a/crates/relay/src/guard/state.rs
+++ b/crates/relay/src/guard/state.rs
@@ -42,6 +42,16 @@
 /// loss of power the upstream is mostly up for less than this when the guard starts.
 const MIN_RESTART_TIME: Duration = Duration::from_millis(200);
 
+/// Memory in bytes for the response bodies of all running requests. Buffers may be twice as large as
+/// their contents, and the smallest VMs leave 160 MB to the daemon.
+const RESPONSE_MEMORY_BYTES: usize = 32 * 1024 * 1024;
+
+/// Maximum size in bytes of a response body, however few requests run.
+const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
+
+/// Size in bytes of a response body that is always allowed, however many requests run.
+const MIN_RESPONSE_BYTES: usize = 1024 * 1024;
+
 /// Slowdown at which an upstream counts as slow; 1.0 is normal speed.
 const SLOW_THRESHOLD: f64 = 1.5;
 
@@ -268,6 +278,11 @@
         }
     }
 
+    /// Returns the maximum size in bytes of a response body.
+    fn response_limit(&self) -> usize {
+        (RESPONSE_MEMORY_BYTES / self.slots).clamp(MIN_RESPONSE_BYTES, MAX_RESPONSE_BYTES)
+    }
+
     /// Counts a start at a cold upstream in the metrics.
     fn count_cold_start(&self) {
         let rate_known = self.service().is_some();
@@ -650,6 +665,7 @@
                     admitted: now,
                     cold,
                     recent_starts: self.gate.recent_starts(now),
+                    response_bytes: self.response_limit(),
                     report: CompletionSender::new(self.channels.reports.clone(), cancelled),
                     id,
                 }));
--- a/crates/relay/src/messages.rs
+++ b/crates/relay/src/messages.rs
@@ -302,6 +302,8 @@
     pub(crate) cold: bool,
     /// Number of requests admitted within the last second or so, including this one.
     pub(crate) recent_starts: usize,
+    /// Maximum size in bytes of the response body.
+    pub(crate) response_bytes: usize,
     /// Reports the outcome to the guard; if it is dropped, the request counts as cancelled.
     pub(crate) report: CompletionSender<PermitReport>,
     /// Identifies the admitted request to the guard.
--- a/crates/relay/src/monitor.rs
+++ b/crates/relay/src/monitor.rs
@@ -19,6 +19,9 @@
 /// after which the guard considers a probe lost.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// Maximum size in bytes of the body of a health report, which is not used.
+const MAX_REPORT_BYTES: usize = 64 * 1024;
+
 /// Runs the monitor service until it is asked to stop.
 ///
 /// # Errors
@@ -73,6 +76,7 @@
             .await
             .ok()?
             .0;
+        connection.limit_body(MAX_REPORT_BYTES);
         let mut headers = HeaderMap::new();
         let host = HeaderValue::from_str(&addr.to_string()).ok()?;
         headers.insert(HOST, host);
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -66,9 +66,6 @@
 /// Time reserved at the end of the grace period for stopping the services and the process.
 const EXIT_RESERVE: Duration = Duration::from_millis(500);
 
-/// Maximum response body in bytes; the daemon buffers responses, and larger ones fail.
-const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
-
 /// Maximum response head (status line and headers) in bytes.
 const MAX_RESPONSE_HEAD_BYTES: usize = 32 * 1024;
 
@@ -361,7 +358,8 @@
             peer_timeouts: PEER_TIMEOUTS,
             response_limits: DecodeLimits {
                 head_bytes: MAX_RESPONSE_HEAD_BYTES,
-                body_bytes: MAX_RESPONSE_BYTES,
+                // The user of a connection sets the limit of each response.
+                body_bytes: 0,
             },
         }
     }
--- a/crates/relay/src/runner.rs
+++ b/crates/relay/src/runner.rs
@@ -226,6 +226,7 @@
         mut connection: ClientConnection,
         end: Instant,
     ) -> Result<ExchangeResult, ExchangeError> {
+        connection.limit_body(permit.response_bytes);
         let mut headers: HeaderMap = request.headers.to_map();
         let metadata = UpstreamMetadata {
             caller: &request.caller,
