Use the first health response after a check-in for the age of a coldness

Cause: a response to a probe that was requested before the upstream's check-in was not used, so that the guard took an earlier daemon for possible until the next probe, up to a second later. The lower bound of the end of the coldness holds from any response, as a later coldness ends later.

--- a/crates/relay/src/guard/tests/cold.rs
+++ b/crates/relay/src/guard/tests/cold.rs
@@ -13,7 +13,7 @@
 use crate::messages::{
     AdmissionDecision, GuardMessage, MonitorMessage, Permit, PermitOutcome, PermitReport,
 };
-use crate::ports::{HealthReport, UpstreamLoad};
+use crate::ports::{AnnouncedState, CheckIn, HealthReport, UpstreamLoad};
 
 /// Requests per second that the cold upstream can handle.
 const RATE: f64 = 11.0;
@@ -90,6 +90,25 @@
         Self::start_with(Arc::clone(clock), TOLERANCE)
     }
 
+    /// Reports a check-in of a ready upstream that stays cold for `remaining`.
+    async fn check_in_cold(&self, remaining: Duration) {
+        let check_in = CheckIn {
+            instance: "i-1".into(),
+            started_ms: Some(1),
+            addr: None,
+            service: None,
+            slots: None,
+            state: AnnouncedState::Ready,
+            sequence: 1,
+            cold_remaining: remaining,
+        };
+        let applied = self.guard.ask(|reply| GuardMessage::CheckIn {
+            check_in: Box::new(check_in),
+            reply,
+        });
+        applied.await.expect("the guard is running");
+    }
+
     /// Offers a request every [`STEP`] and runs each admitted one to its end at once; answers each
     /// probe with `health`. Returns the moments at which requests arrived at the upstream.
     async fn offer_for(
@@ -189,7 +208,14 @@
     fixture.wait_for_probe().await;
     fixture.send(configuration(false)).await;
     let health = |now: Moment| cold_report(COLD_DURATION.saturating_sub(now.since(turned)));
-    fixture.send_health(Some(health(clock.now()))).await;
+    // The upstream checks in while the first probe is under way.
+    let requested = clock.now();
+    sleep(STEP).await;
+    fixture.check_in_cold(COLD_DURATION - STEP * 16).await;
+    let report = Some(health(clock.now()));
+    fixture
+        .send(GuardMessage::Health { requested, report })
+        .await;
     let arrivals = fixture.offer_for(STEPS_PER_SECOND, health).await;
     let limit = TOLERANCE.limit(RATE) as usize;
     assert_eq!(most_in_a_second(&arrivals), limit, "{arrivals:?}");
--- a/crates/relay/src/guard/upstream.rs
+++ b/crates/relay/src/guard/upstream.rs
@@ -29,8 +29,8 @@
     /// Latest moment at which the process was certainly warm. Check-ins do not tell that, because
     /// they may arrive seconds late.
     pub(super) warm_at: Option<Moment>,
-    /// Lower bound of the moment at which the process becomes warm, from the last response of its
-    /// health path that said that it was cold.
+    /// Lower bound of the moment at which the process becomes warm, from the responses of its health
+    /// path that said that it was cold.
     pub(super) earliest_warm: Option<Moment>,
     /// Moment at which something other than the health path last told that the process is cold. Only
     /// a response to a later probe may say otherwise.
@@ -106,6 +106,9 @@
         let Some(remaining) = report.cold_remaining.or(unsaid) else {
             return;
         };
+        if !remaining.is_zero() {
+            self.earliest_warm = self.earliest_warm.max(Some(requested + remaining));
+        }
         if requested < self.cold_learned {
             // The response may be older than what is known.
             self.cold_until = self.cold_until.max(now + remaining);
@@ -114,8 +117,6 @@
         self.cold_until = now + remaining;
         if remaining.is_zero() {
             self.warm_at = self.warm_at.max(Some(requested));
-        } else {
-            self.earliest_warm = Some(requested + remaining);
         }
     }
 
