Compare the age of a coldness without going below the clock's origin

Cause: the clock of a daemon starts with it, so that the moment 200 ms before the start of the guard was cut to the origin, and upstreams that were up before that counted as older than the daemon.

--- a/crates/relay/src/guard/state.rs
+++ b/crates/relay/src/guard/state.rs
@@ -73,8 +73,8 @@
 pub(super) struct GuardState {
     settings: GuardSettings,
     channels: Channels,
-    /// Latest moment at which an earlier daemon may have sent a request to the upstream.
-    earlier_daemon: Moment,
+    /// Start of this guard. An earlier daemon may have sent requests to the same upstream.
+    started: Moment,
     gate: Gate,
     /// Number of requests that the upstream runs concurrently.
     slots: usize,
@@ -111,7 +111,7 @@
         Self {
             settings,
             channels,
-            earlier_daemon: now - MIN_RESTART_TIME,
+            started: now,
             gate: Gate::new(DEFAULT_SLOTS),
             slots: DEFAULT_SLOTS,
             slowdown: 1.0,
@@ -242,7 +242,9 @@
             warm_at: process.warm_at,
             per_second: self.settings.tolerance.limit(rate),
             spare: self.settings.tolerance.spare(rate),
-            unrecorded_until: self.may_lack_starts(process).then_some(self.earlier_daemon),
+            unrecorded_until: self
+                .may_lack_starts(process)
+                .then_some(self.started - MIN_RESTART_TIME),
         };
         self.log_cold_change(&cold, now);
         let actions = self.gate.set_cold_rate(cold, now);
@@ -255,7 +257,8 @@
         let cold_duration = self.service().map(|s| s.cold_duration);
         let turned_cold = process.earliest_warm.zip(cold_duration);
         turned_cold.is_none_or(|(end, duration)| {
-            duration.is_zero() || end < self.earlier_daemon + duration
+            // Nothing is subtracted, as the clock may have started with this process.
+            duration.is_zero() || end + MIN_RESTART_TIME < self.started + duration
         })
     }
 
--- a/crates/relay/src/guard/tests/cold.rs
+++ b/crates/relay/src/guard/tests/cold.rs
@@ -200,18 +200,18 @@
 // have sent its upstream requests.
 #[tokio::test(start_paused = true)]
 async fn an_upstream_that_boots_with_its_daemon_gets_the_full_limit() {
+    // The clock starts with the daemon, when the upstream has been up for a while.
     let clock = Arc::new(SystemClock::new());
-    sleep(Duration::from_secs(5)).await;
-    let turned = clock.now();
-    sleep(STEP * 15).await;
+    let lead = STEP * 15;
     let mut fixture = Fixture::start_beside_cold(&clock);
     fixture.wait_for_probe().await;
     fixture.send(configuration(false)).await;
-    let health = |now: Moment| cold_report(COLD_DURATION.saturating_sub(now.since(turned)));
+    let health =
+        |now: Moment| cold_report((COLD_DURATION - lead).saturating_sub(now.since(Moment(0))));
     // The upstream checks in while the first probe is under way.
     let requested = clock.now();
     sleep(STEP).await;
-    fixture.check_in_cold(COLD_DURATION - STEP * 16).await;
+    fixture.check_in_cold(COLD_DURATION - lead - STEP).await;
     let report = Some(health(clock.now()));
     fixture
         .send(GuardMessage::Health { requested, report })
