End the soak's faults in time and leave its own pauses out of the latency

Cause, traced in the logs of the daemons: the loop of the soak waited for 3 s while it replaced a target, and for up to 2.7 s for the exit of a terminated daemon, so that daemons which it had paused were resumed late (pauses of 4.9 to 5.4 s, planned 2.5 s at most). Change: both waits run within the loop, which ends other faults meanwhile, so that faults overlap more; a terminating daemon counts as one. The bound of 4.5 s stays, so a request without a pause is checked as before.

--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -27,6 +27,8 @@
 pub(crate) struct Observation {
     /// Attempt identifier, which is unique among all requests of the run.
     pub(crate) attempt_id: String,
+    /// Position of the caller's daemon in the list of daemons.
+    pub(crate) daemon: usize,
     /// Whether the request may run more than once.
     pub(crate) idempotent: bool,
     /// Status, whether a target signed the response, and body; `None` without a response.
@@ -39,6 +41,8 @@
 pub(crate) struct Caller {
     /// Prefix of the attempt identifiers.
     pub(crate) name: String,
+    /// Position of the daemon in the list of daemons.
+    pub(crate) daemon: usize,
     /// Address of the daemon for callers.
     pub(crate) addr: SocketAddr,
     pub(crate) observations: mpsc::UnboundedSender<Observation>,
@@ -74,6 +78,7 @@
             }
             let observation = Observation {
                 attempt_id,
+                daemon: self.daemon,
                 idempotent,
                 response: response.map(|r| {
                     let signed = has_target_signature(&r);
--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -10,8 +10,8 @@
 use crate::callers::Observation;
 
 /// Maximum latency of a request: the timeout of the routes (2 s), plus 0.5 s that the daemon may
-/// add, plus 2 s of tolerance for a busy machine. The callers' own deadline is longer than the
-/// timeout of the routes.
+/// add, plus 2 s of tolerance for a busy machine. The time for which the soak pauses the daemon of
+/// the caller does not count. The callers' own deadline is longer than the timeout of the routes.
 const MAX_LATENCY: Duration = Duration::from_millis(4500);
 
 /// Statuses with which the daemon guarantees that the request has not run and will not run.
@@ -103,11 +103,13 @@
 }
 
 /// Compares the requests that callers observed with those that targets received, each with the
-/// identifier of the target's process; returns the violations.
+/// identifier of the target's process; returns the violations. `pauses` holds the pauses of each
+/// daemon.
 pub(crate) fn check(
     observations: &[Observation],
     received: &[(String, ReceivedRequest)],
     drained: &[DrainedTarget],
+    pauses: &[&[(Instant, Instant)]],
 ) -> Vec<Violation> {
     let mut violations = Vec::new();
     let mut runs: HashMap<&str, usize> = HashMap::new();
@@ -134,13 +136,28 @@
             .get(observation.attempt_id.as_str())
             .copied()
             .unwrap_or_default();
-        violations.extend(check_request(observation, run_count));
+        let pauses = pauses.get(observation.daemon).copied().unwrap_or_default();
+        violations.extend(check_request(observation, run_count, pauses));
     }
     violations
 }
 
-/// Checks one request, which ran `runs` times.
-fn check_request(request: &Observation, runs: usize) -> Vec<Violation> {
+/// Returns for how long the daemon of a request was paused while its caller waited.
+fn paused_time(request: &Observation, pauses: &[(Instant, Instant)]) -> Duration {
+    let end = request.sent_at + request.latency;
+    let overlap = |(from, to): &(Instant, Instant)| {
+        let to = (*to).min(end);
+        to.saturating_duration_since((*from).max(request.sent_at))
+    };
+    pauses.iter().map(overlap).sum()
+}
+
+/// Checks one request, which ran `runs` times and whose daemon had these pauses.
+fn check_request(
+    request: &Observation,
+    runs: usize,
+    pauses: &[(Instant, Instant)],
+) -> Vec<Violation> {
     let mut violations = Vec::new();
     let attempt = || request.attempt_id.clone();
     if !request.idempotent && runs > 1 {
@@ -149,10 +166,11 @@
             runs,
         });
     }
-    if request.latency > MAX_LATENCY {
+    let latency = request.latency.saturating_sub(paused_time(request, pauses));
+    if latency > MAX_LATENCY {
         violations.push(Violation::LatencyExceeded {
             attempt: attempt(),
-            latency_ms: u64::try_from(request.latency.as_millis()).unwrap_or(u64::MAX),
+            latency_ms: u64::try_from(latency.as_millis()).unwrap_or(u64::MAX),
         });
     }
     if let Some((status, signed, body)) = &request.response {
--- a/crates/soak/src/daemon.rs
+++ b/crates/soak/src/daemon.rs
@@ -13,7 +13,7 @@
 use http::{HeaderMap, HeaderName, HeaderValue, Method};
 use rustix::process::{Pid, Signal, kill_process};
 use tokio::process::{Child, Command};
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout};
 
 use crate::proxy::Proxy;
 use crate::run::{Result, SoakError};
@@ -31,6 +31,12 @@
     body_bytes: 1 << 24,
 };
 
+/// State of a target that takes requests.
+pub(crate) const READY: &str = "ready";
+
+/// State of a target that will be replaced.
+pub(crate) const DRAINING: &str = "draining";
+
 /// Maximum time for a check-in, a readiness check or a read of the metrics.
 const CONTROL_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -88,8 +94,14 @@
     pub(crate) target_instance: String,
     /// Number of the last check-in of the target's process.
     sequence: u64,
-    /// Whether SIGSTOP paused the process.
-    pub(crate) paused: bool,
+    /// Start of the pause by SIGSTOP; `None` if the process is not paused.
+    paused_since: Option<Instant>,
+    /// Earlier pauses of the process, each with its start and end.
+    pub(crate) pauses: Vec<(Instant, Instant)>,
+    /// Latest moment at which the process must have exited after a SIGTERM.
+    exit_deadline: Option<Instant>,
+    /// State that the target reports in its check-ins.
+    pub(crate) target_state: &'static str,
 }
 
 impl Daemon {
@@ -128,7 +140,10 @@
             store_proxy,
             target_instance,
             sequence: 0,
-            paused: false,
+            paused_since: None,
+            pauses: Vec::new(),
+            exit_deadline: None,
+            target_state: READY,
         };
         daemon.spawn()?;
         Ok(daemon)
@@ -164,14 +179,59 @@
         if let Some(pid) = pid {
             kill_process(pid, signal).map_err(std::io::Error::from)?;
         }
-        self.paused = match signal {
-            Signal::STOP => true,
-            Signal::CONT | Signal::KILL => false,
-            _ => self.paused,
-        };
+        match signal {
+            Signal::STOP => {
+                self.paused_since.get_or_insert_with(Instant::now);
+            }
+            Signal::CONT | Signal::KILL => {
+                let since = self.paused_since.take();
+                self.pauses.extend(since.map(|s| (s, Instant::now())));
+            }
+            _ => {}
+        }
+        Ok(())
+    }
+
+    /// Returns whether SIGSTOP paused the process.
+    pub(crate) fn is_paused(&self) -> bool {
+        self.paused_since.is_some()
+    }
+
+    /// Asks the process to exit within `max_wait`; [`Self::poll_exit`] tells when it has.
+    pub(crate) fn terminate(&mut self, max_wait: Duration) -> Result<()> {
+        // A stopped process does not handle the signal.
+        self.signal(Signal::CONT)?;
+        self.signal(Signal::TERM)?;
+        self.exit_deadline = Some(Instant::now() + max_wait);
         Ok(())
     }
 
+    /// Returns whether the process was asked to exit and is not known to have done so.
+    pub(crate) fn is_terminating(&self) -> bool {
+        self.exit_deadline.is_some()
+    }
+
+    /// Returns whether the process has exited after [`Self::terminate`].
+    ///
+    /// # Errors
+    ///
+    /// Returns [`SoakError::ExitTimeout`] if it still runs at its deadline.
+    pub(crate) fn poll_exit(&mut self) -> Result<bool> {
+        if let Some(child) = &mut self.child
+            && child.try_wait()?.is_none()
+        {
+            let late = self.exit_deadline.is_some_and(|d| d < Instant::now());
+            return if late {
+                Err(SoakError::ExitTimeout(self.spec.index))
+            } else {
+                Ok(false)
+            };
+        }
+        self.child = None;
+        self.exit_deadline = None;
+        Ok(true)
+    }
+
     /// Waits until the process has exited.
     ///
     /// # Errors
@@ -184,6 +244,7 @@
                 .map_err(|_| SoakError::ExitTimeout(self.spec.index))??;
         }
         self.child = None;
+        self.exit_deadline = None;
         Ok(())
     }
 
@@ -202,7 +263,7 @@
     }
 
     /// Sends a check-in of the target; returns whether the daemon confirmed it.
-    pub(crate) async fn check_in(&mut self, state: &str) -> bool {
+    pub(crate) async fn check_in(&mut self) -> bool {
         self.sequence += 1;
         let check_in = CheckInRequest {
             instance: &self.target_instance,
@@ -210,7 +271,7 @@
             service: self.spec.service,
             domain: self.spec.domain,
             slots: TARGET_SLOTS,
-            state,
+            state: self.target_state,
             sequence: self.sequence,
         };
         let addr = self.addr(CHECK_IN_PORT);
@@ -223,6 +284,7 @@
     /// address.
     pub(crate) async fn replace_target(&mut self, number: u32) -> Result<()> {
         self.target_instance = format!("i-{}-{number}", self.spec.index);
+        self.target_state = READY;
         self.sequence = 0;
         self.target = start_target(self.ip, &self.target_instance).await?;
         self.target_proxy.set_server(self.target.addr());
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -17,7 +17,7 @@
 
 use crate::callers::{Caller, Observation};
 use crate::checks::{DrainedTarget, Violation, check};
-use crate::daemon::{CALLER_PORT, Daemon, DaemonSpec};
+use crate::daemon::{CALLER_PORT, DRAINING, Daemon, DaemonSpec, READY};
 use crate::plan::{Fault, PlannedFault, TargetFault, plan};
 use crate::proxy::ProxyMode;
 
@@ -188,6 +188,7 @@
         for number in 0..2 {
             let caller = Caller {
                 name: format!("s{}-d{index}-c{number}", options.seed),
+                daemon: index,
                 addr: daemon.addr(CALLER_PORT),
                 observations: sender.clone(),
                 stop: stopped.clone(),
@@ -246,7 +247,7 @@
                 if Instant::now() > deadline {
                     return Err(SoakError::StartTimeout);
                 }
-                daemon.check_in("ready").await;
+                daemon.check_in().await;
                 sleep(Duration::from_millis(50)).await;
             }
         }
@@ -261,12 +262,18 @@
             self.inject(*fault).await?;
         }
         self.maintain_until(start + period).await?;
-        while let Some(last) = self.recoveries.iter().map(|r| r.0).max() {
-            self.maintain_until(last).await?;
+        while self.has_faults() {
+            self.maintain_until(Instant::now() + CHECK_IN_INTERVAL)
+                .await?;
         }
         Ok(())
     }
 
+    /// Returns whether a fault has not ended yet.
+    fn has_faults(&self) -> bool {
+        !self.recoveries.is_empty() || self.daemons.iter().any(Daemon::is_terminating)
+    }
+
     /// Waits until `end`; meanwhile carries out recoveries, sends check-ins and watches for daemons
     /// that exit unexpectedly.
     async fn maintain_until(&mut self, end: Instant) -> Result<()> {
@@ -275,12 +282,17 @@
             if Instant::now() >= end {
                 return Ok(());
             }
-            for daemon in &mut self.daemons {
-                if daemon.exited_unexpectedly() {
+            for (index, daemon) in self.daemons.iter_mut().enumerate() {
+                if daemon.is_terminating() {
+                    if daemon.poll_exit()? {
+                        let due = Instant::now() + RESTART_DELAY;
+                        self.recoveries.push((due, index, Recovery::RestartDaemon));
+                    }
+                } else if daemon.exited_unexpectedly() {
                     let daemon = daemon.spec.index;
                     self.violations.push(Violation::UnexpectedExit { daemon });
-                } else if !daemon.paused {
-                    daemon.check_in("ready").await;
+                } else if !daemon.is_paused() {
+                    daemon.check_in().await;
                 }
             }
             let next_recovery = self.recoveries.iter().map(|r| r.0).min().unwrap_or(end);
@@ -305,12 +317,7 @@
                 daemon.wait(EXIT_TIMEOUT).await?;
                 schedule(RESTART_DELAY, Recovery::RestartDaemon);
             }
-            Fault::Terminate => {
-                daemon.signal(Signal::CONT)?;
-                daemon.signal(Signal::TERM)?;
-                daemon.wait(EXIT_TIMEOUT).await?;
-                schedule(RESTART_DELAY, Recovery::RestartDaemon);
-            }
+            Fault::Terminate => daemon.terminate(EXIT_TIMEOUT)?,
             Fault::Pause(duration) => {
                 daemon.signal(Signal::STOP)?;
                 schedule(duration, Recovery::ResumeDaemon);
@@ -361,23 +368,32 @@
 
     /// Drains the target of a daemon and replaces it with another process.
     ///
-    /// Returns after the drain, about 3 s later. Until then no check-ins are sent, and recoveries
-    /// and other faults are delayed. Does nothing if the daemon is paused or does not confirm the
-    /// drain.
+    /// Returns after the drain, about 3 s later. Until then other faults are delayed, but those that
+    /// were injected before end in time. The target stays if the daemon is paused or does not confirm
+    /// the drain.
     async fn replace_target(&mut self, index: usize) -> Result<()> {
         self.target_number += 1;
         let number = self.target_number;
         let Some(daemon) = self.daemons.get_mut(index) else {
             return Ok(());
         };
-        if daemon.paused || !daemon.check_in("draining").await {
+        if daemon.is_paused() {
+            return Ok(());
+        }
+        daemon.target_state = DRAINING;
+        if !daemon.check_in().await {
+            daemon.target_state = READY;
             return Ok(());
         }
         let drained = DrainedTarget {
             instance: daemon.target_instance.clone(),
             deadline: Instant::now() + DRAIN_GRACE_PERIOD,
         };
-        sleep_until(drained.deadline + LATE_REQUEST_WINDOW).await;
+        self.maintain_until(drained.deadline + LATE_REQUEST_WINDOW)
+            .await?;
+        let Some(daemon) = self.daemons.get_mut(index) else {
+            return Ok(());
+        };
         let received = daemon.target.received_requests().await;
         let instance = daemon.target_instance.clone();
         daemon.replace_target(number).await?;
@@ -444,8 +460,9 @@
                 .map(|r| (daemon.target_instance.clone(), r));
             self.received.extend(received);
         }
+        let pauses: Vec<_> = self.daemons.iter().map(|d| d.pauses.as_slice()).collect();
         self.violations
-            .extend(check(observations, &self.received, &self.drained));
+            .extend(check(observations, &self.received, &self.drained, &pauses));
         let is_served = |o: &&Observation| {
             let response = o.response.as_ref();
             response.is_some_and(|(status, ..)| *status == 200)
