--- a/crates/relay/src/guard.rs
+++ b/crates/relay/src/guard.rs
@@ -4,9 +4,12 @@
 //! another daemon, is admitted here first. The guard also tracks the upstream's health and load
 //! and publishes both to the other services.
 
+mod admission;
 mod calls;
+mod cold;
 mod crashes;
 mod probing;
+mod reports;
 mod state;
 #[cfg(test)]
 mod tests;
--- /dev/null
+++ b/crates/relay/src/guard/reports.rs
@@ -0,0 +1,146 @@
+//! What the upstream reports: its check-ins and the results of health probes.
+
+use std::sync::Arc;
+
+use cornelvalve_model::Moment;
+
+use super::state::GuardState;
+use super::upstream::{CheckInEffect, UpstreamProcess};
+use crate::ports::{Cause, CheckIn, HealthReport, UpstreamLoad};
+
+impl GuardState {
+    /// Applies a check-in unless it is out of date or comes from another upstream.
+    pub(super) fn handle_check_in(&mut self, check_in: CheckIn, now: Moment) {
+        let instance = check_in.instance.as_ref();
+        let other_addr = check_in.addr.is_some_and(|a| a != self.settings.addr);
+        let other_service = check_in
+            .service
+            .as_ref()
+            .is_some_and(|s| *s != self.settings.service);
+        if other_addr || other_service || self.replaced_instances.iter().any(|i| **i == *instance) {
+            log::info!(event = "check-in-passed-over", instance = instance; "check-in ignored: other address, other service or replaced instance");
+            return;
+        }
+        let old = self.process.clone();
+        let effect = match &mut self.process {
+            Some(process) => process.apply_check_in(&check_in, now),
+            None => {
+                self.process = Some(UpstreamProcess::from_check_in(&check_in, now));
+                CheckInEffect::Changed
+            }
+        };
+        if effect == CheckInEffect::Stale {
+            log::info!(event = "check-in-passed-over", instance = instance, sequence = check_in.sequence; "check-in ignored: older than the known state, or from an older instance");
+            return;
+        }
+        if let Some(slots) = check_in.slots {
+            self.set_slots(usize::from(slots), now);
+        }
+        if effect == CheckInEffect::Changed {
+            self.detect_replacement(old, now);
+            self.unreachable = false;
+            log::info!(event = "upstream-changed", instance = instance, state:% = check_in.state, sequence = check_in.sequence, cold_ms = check_in.cold_remaining.as_millis() as u64; "upstream checked in with a new state or as a new process");
+            self.on_upstream_changed(now);
+        }
+        self.update_cold_limit(now);
+    }
+
+    /// Compares the current process with the previous one. If it is another one, reports the
+    /// replacement to the crash tracker and makes the guard ignore late check-ins of `old`.
+    fn detect_replacement(&mut self, old: Option<UpstreamProcess>, now: Moment) {
+        let current = self.process.as_ref().map(|p| Arc::clone(&p.instance));
+        let old = old
+            .map(|p| p.instance)
+            .filter(|i| Some(i) != current.as_ref());
+        if let Some(instance) = old {
+            self.crashes.record_replacement(now);
+            if self.replaced_instances.len() == self.replaced_instances.inline_size() {
+                self.replaced_instances.remove(0);
+            }
+            self.replaced_instances.push(instance);
+        }
+    }
+
+    /// Sets the number of requests that the upstream runs concurrently; zero is ignored.
+    fn set_slots(&mut self, slots: usize, now: Moment) {
+        if slots > 0 && slots != self.slots {
+            self.slots = slots;
+            let actions = self.gate.set_slots(slots, now);
+            self.apply_actions(actions, now);
+        }
+    }
+
+    /// Applies the result of a probe; `None` means that the upstream gave no answer.
+    pub(super) fn handle_health(
+        &mut self,
+        requested: Moment,
+        report: Option<HealthReport>,
+        now: Moment,
+    ) {
+        self.probes.probe_ended(now);
+        let Some(report) = report else {
+            self.set_unreachable(true, now);
+            self.offer_awaiting_load(now);
+            return;
+        };
+        self.set_unreachable(false, now);
+        if let Some(instance) = report.instance.as_deref() {
+            self.apply_probed_instance(instance, &report, requested, now);
+        }
+        if let Some(load) = report.load {
+            self.apply_load(load, now);
+        }
+        self.update_cold_limit(now);
+        self.offer_awaiting_load(now);
+    }
+
+    /// Applies the instance that the health path named, which may be a new process.
+    fn apply_probed_instance(
+        &mut self,
+        instance: &str,
+        report: &HealthReport,
+        requested: Moment,
+        now: Moment,
+    ) {
+        match &mut self.process {
+            Some(process) if *process.instance == *instance => {
+                process.apply_health(report, requested, now);
+            }
+            _ => {
+                let old = self.process.take();
+                self.process = Some(UpstreamProcess::from_probe(
+                    instance, report, requested, now,
+                ));
+                self.detect_replacement(old, now);
+                log::info!(event = "upstream-changed", instance = instance, healthy = report.healthy; "health path reported a new upstream process");
+                self.on_upstream_changed(now);
+            }
+        }
+    }
+
+    /// Records whether the upstream accepts connections and reacts to a change.
+    pub(super) fn set_unreachable(&mut self, unreachable: bool, now: Moment) {
+        if unreachable == self.unreachable {
+            return;
+        }
+        self.unreachable = unreachable;
+        if unreachable {
+            self.crashes.record_unreachable(now);
+            self.refuse_unstarted(Cause::Unreachable, now);
+        }
+        log::info!(event = "upstream-reachable", reachable = !unreachable; "upstream became unreachable or reachable again");
+        self.on_upstream_changed(now);
+    }
+
+    /// Applies the load that the upstream reported.
+    pub(super) fn apply_load(&mut self, load: UpstreamLoad, now: Moment) {
+        self.probes.load_reported(now);
+        self.set_slots(usize::from(load.slots), now);
+        if let Some(slowdown) = load.slowdown {
+            self.slowdown = slowdown;
+            let actions = self.gate.set_slowdown(slowdown, now);
+            self.apply_actions(actions, now);
+        }
+        self.publish_load(now);
+    }
+}
