--- a/crates/relay/src/guard/tests/cold.rs
+++ b/crates/relay/src/guard/tests/cold.rs
@@ -66,6 +66,11 @@
     }
 }
 
+/// Returns the responses of the health path of an upstream that turned cold at `turned`.
+fn cold_since(turned: Moment) -> impl Fn(Moment) -> HealthReport + Copy {
+    move |now| cold_report(COLD_DURATION.saturating_sub(now.since(turned)))
+}
+
 /// Returns the largest number of arrivals within one second.
 fn most_in_a_second(arrivals: &[Moment]) -> usize {
     let within = |from: &Moment| {
@@ -90,6 +95,14 @@
         Self::start_with(Arc::clone(clock), TOLERANCE)
     }
 
+    /// Starts a guard that knows the upstream's service and has requested its first probe.
+    async fn start_configured(clock: &Arc<SystemClock>) -> Self {
+        let mut fixture = Self::start_beside_cold(clock);
+        fixture.wait_for_probe().await;
+        fixture.send(configuration(false)).await;
+        fixture
+    }
+
     /// Reports a check-in of a ready upstream that stays cold for `remaining`.
     async fn check_in_cold(&self, remaining: Duration) {
         let check_in = CheckIn {
@@ -164,7 +177,7 @@
     let clock = Arc::new(SystemClock::new());
     let mut fixture = Fixture::start_beside_cold(&clock);
     fixture.wait_for_probe().await;
-    let health = |now: Moment| cold_report(COLD_DURATION.saturating_sub(now.since(Moment(0))));
+    let health = cold_since(Moment(0));
     fixture.send_health(Some(health(Moment(0)))).await;
     let arrivals = fixture.offer_for(STEPS_PER_SECOND, health).await;
     // The rate may be as low as zero.
@@ -180,13 +193,11 @@
 #[tokio::test(start_paused = true)]
 async fn a_restarted_daemon_does_not_flood_a_cold_upstream() {
     let clock = Arc::new(SystemClock::new());
-    let health = |now: Moment| cold_report(COLD_DURATION.saturating_sub(now.since(Moment(0))));
+    let health = cold_since(Moment(0));
     let mut arrivals = Vec::new();
     for _ in 0..2 {
-        let mut fixture = Fixture::start_beside_cold(&clock);
-        fixture.wait_for_probe().await;
+        let mut fixture = Fixture::start_configured(&clock).await;
         let report = health(clock.now());
-        fixture.send(configuration(false)).await;
         fixture.send_health(Some(report)).await;
         // The daemon is killed after half a second.
         let steps = STEPS_PER_SECOND / 2 - 10;
@@ -203,9 +214,7 @@
     // The clock starts with the daemon, when the upstream has been up for a while.
     let clock = Arc::new(SystemClock::new());
     let lead = STEP * 15;
-    let mut fixture = Fixture::start_beside_cold(&clock);
-    fixture.wait_for_probe().await;
-    fixture.send(configuration(false)).await;
+    let mut fixture = Fixture::start_configured(&clock).await;
     let health =
         |now: Moment| cold_report((COLD_DURATION - lead).saturating_sub(now.since(Moment(0))));
     // The upstream checks in while the first probe is under way.
@@ -226,14 +235,12 @@
 #[tokio::test(start_paused = true)]
 async fn an_upstream_that_turns_cold_without_a_restart_is_not_flooded() {
     let clock = Arc::new(SystemClock::new());
-    let mut fixture = Fixture::start_beside_cold(&clock);
-    fixture.wait_for_probe().await;
-    fixture.send(configuration(false)).await;
+    let mut fixture = Fixture::start_configured(&clock).await;
     fixture.send_health(Some(health_report("i-1"))).await;
     let warm = |_: Moment| health_report("i-1");
     fixture.offer_for(STEPS_PER_SECOND * 5 / 4, warm).await;
     let turned = clock.now();
-    let health = |now: Moment| cold_report(COLD_DURATION.saturating_sub(now.since(turned)));
+    let health = cold_since(turned);
     let arrivals = fixture.offer_for(STEPS_PER_SECOND, health).await;
     assert!(most_in_a_second(&arrivals) <= TOLERATED, "{arrivals:?}");
 }
@@ -242,9 +249,7 @@
 #[tokio::test(start_paused = true)]
 async fn an_unhealthy_response_without_the_remaining_time_does_not_end_the_coldness() {
     let clock = Arc::new(SystemClock::new());
-    let mut fixture = Fixture::start_beside_cold(&clock);
-    fixture.wait_for_probe().await;
-    fixture.send(configuration(false)).await;
+    let mut fixture = Fixture::start_configured(&clock).await;
     fixture.send_health(Some(cold_report(COLD_DURATION))).await;
     sleep(Duration::from_secs(1)).await;
     let unhealthy = |_: Moment| HealthReport {
