--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -385,6 +385,7 @@
             daemon.target_state = READY;
             return Ok(());
         }
+        daemon.target.set_leaving();
         let drained = DrainedTarget {
             instance: daemon.target_instance.clone(),
             deadline: Instant::now() + DRAIN_GRACE_PERIOD,
--- a/crates/standins/src/platform/target.rs
+++ b/crates/standins/src/platform/target.rs
@@ -71,13 +71,23 @@
     /// Sets the processing time to report, in percent of the normal one; 100 is normal.
     SetSlowdown(u16),
     SetCold(Duration),
-    /// Requests the time until the target is no longer cold.
-    ColdRemaining(oneshot::Sender<Duration>),
+    SetLeaving,
+    /// Requests what the health path reports.
+    Health(oneshot::Sender<Health>),
     /// Requests the number of running requests and the slowdown in percent.
     Load(oneshot::Sender<(u16, u16)>),
     ReceivedRequests(oneshot::Sender<Vec<ReceivedRequest>>),
 }
 
+/// What the health path reports besides the load.
+#[derive(Clone, Copy, Debug, Default)]
+struct Health {
+    /// Whether the target is about to exit.
+    leaving: bool,
+    /// Time until the target is no longer cold.
+    cold_remaining: Duration,
+}
+
 /// Handle of a running target; dropping it ends the target.
 #[derive(Debug)]
 pub struct TargetHandle {
@@ -127,6 +137,11 @@
         self.send(Message::SetCold(duration));
     }
 
+    /// Makes the target report on its health path that it is about to exit. It still runs requests.
+    pub fn set_leaving(&self) {
+        self.send(Message::SetLeaving);
+    }
+
     /// Returns the requests that the target has received.
     pub async fn received_requests(&self) -> Vec<ReceivedRequest> {
         let (sender, reply) = oneshot::channel();
@@ -153,6 +168,7 @@
     let mut received = Vec::new();
     let (mut mode, mut running, mut slowdown) = (TargetMode::Serving, 0_u16, 100_u16);
     let mut cold_until = Instant::now();
+    let mut leaving = false;
     while let Some(message) = inbox.recv().await {
         match message {
             Message::RequestStarted(mut request, reply) => {
@@ -167,8 +183,12 @@
             Message::SetMode(new_mode) => mode = new_mode,
             Message::SetSlowdown(percent) => slowdown = percent,
             Message::SetCold(duration) => cold_until = Instant::now() + duration,
-            Message::ColdRemaining(reply) => {
-                let _ = reply.send(cold_until.saturating_duration_since(Instant::now()));
+            Message::SetLeaving => leaving = true,
+            Message::Health(reply) => {
+                let _ = reply.send(Health {
+                    leaving,
+                    cold_remaining: cold_until.saturating_duration_since(Instant::now()),
+                });
             }
             Message::Load(reply) => {
                 let _ = reply.send((running, slowdown));
@@ -238,12 +258,19 @@
     options: &TargetOptions,
     sender: &mpsc::UnboundedSender<Message>,
 ) -> OutgoingResponse {
-    let mut response = OutgoingResponse::empty(StatusCode::OK);
+    let (reply_sender, reply) = oneshot::channel();
+    let _ = sender.send(Message::Health(reply_sender));
+    let Health {
+        leaving,
+        cold_remaining,
+    } = reply.await.unwrap_or_default();
+    let mut response = OutgoingResponse::empty(if leaving {
+        StatusCode::SERVICE_UNAVAILABLE
+    } else {
+        StatusCode::OK
+    });
     set_header(&mut response.headers, "x-instance-id", &options.instance);
     set_load_header(&mut response.headers, options, sender).await;
-    let (reply_sender, reply) = oneshot::channel();
-    let _ = sender.send(Message::ColdRemaining(reply_sender));
-    let cold_remaining = reply.await.unwrap_or_default();
     if !cold_remaining.is_zero() {
         set_header(
             &mut response.headers,
