--- a/crates/http1/src/client.rs
+++ b/crates/http1/src/client.rs
@@ -97,8 +97,8 @@
     ///
     /// Some servers send a late or duplicate response to an earlier request on the same connection.
     /// Responses for which `matches_request` returns false are therefore skipped; it can recognise
-    /// the response by a request id that the server returns, for example. A server that sends more than
-    /// a few of them violates the protocol.
+    /// the response by a request id that the server returns, for example. A server that sends more
+    /// than a few of them violates the protocol.
     ///
     /// In the returned response, `keep_alive` is false if the connection must not be used again.
     ///
--- a/crates/http1/src/message.rs
+++ b/crates/http1/src/message.rs
@@ -143,8 +143,8 @@
 
     /// Consumes bytes from the buffer and returns the next response once it is complete.
     ///
-    /// Interim (1xx) responses are skipped; together they may be as large as one head. `at_eof` means that the server has closed its side of
-    /// the connection (FIN).
+    /// Interim (1xx) responses are skipped; together they may be as large as one head. `at_eof`
+    /// means that the server has closed its side of the connection (FIN).
     ///
     /// # Errors
     ///
--- a/crates/http1/tests/all/endless.rs
+++ b/crates/http1/tests/all/endless.rs
@@ -98,8 +98,7 @@
     (result.err(), sent.expect("the server counts its bytes"))
 }
 
-// Guards against a client that reads for ever, or into unlimited memory, what a faulty server sends
-// without end.
+// Guards against reading what a faulty server sends for ever, or into unlimited memory.
 #[tokio::test]
 async fn bytes_without_end_are_an_invalid_response() {
     for (what, first, unit) in STREAMS {
--- a/crates/policy/src/gate/start_limit.rs
+++ b/crates/policy/src/gate/start_limit.rs
@@ -89,8 +89,8 @@
         now < self.until
     }
 
-    /// Returns the number of starts allowed within the window. At least one is allowed, so that every
-    /// upstream gets work, unless there may be unrecorded starts.
+    /// Returns the number of starts allowed within the window. At least one is allowed, so that
+    /// every upstream gets work, unless there may be unrecorded starts.
     fn limit(&self, now: Moment) -> f64 {
         match self.unrecorded_in_window(now) {
             Some(_) => self.spare.min(self.per_second),
--- a/crates/policy/tests/all/gate.rs
+++ b/crates/policy/tests/all/gate.rs
@@ -315,8 +315,7 @@
     }
 }
 
-// Guards against flooding a cold upstream by calls that lie between their start and their sending,
-// as on a VM with little processor time: those of two windows are sent within one second.
+// Guards against sending the calls of two windows within one second, after a delay.
 #[test]
 fn calls_that_are_sent_late_stay_within_the_limit_of_a_cold_upstream() {
     let (limit, delay) = (19, 900);
@@ -354,8 +353,7 @@
     assert!(sent.len() >= limit);
 }
 
-// Guards against flooding an upstream that turns cold while it runs: nothing but a confirmation
-// tells that it was still warm.
+// Guards against flooding an upstream that turns cold while it runs.
 #[test]
 fn starts_without_confirmed_warmth_stay_within_the_limit() {
     let limit = 19;
--- a/crates/relay/src/guard/admission.rs
+++ b/crates/relay/src/guard/admission.rs
@@ -16,8 +16,8 @@
 /// Longest time for which a call waits for fresh load information before it is admitted without.
 const MAX_LOAD_WAIT: Duration = Duration::from_millis(10);
 
-/// Memory in bytes for the response bodies of all running requests. Buffers may be twice as large as
-/// their contents, and the smallest VMs leave 160 MB to the daemon.
+/// Memory in bytes for the response bodies of all running requests. Buffers may be twice as large
+/// as their contents, and the smallest VMs leave 160 MB to the daemon.
 const RESPONSE_MEMORY_BYTES: usize = 32 * 1024 * 1024;
 
 /// Maximum size in bytes of a response body, however few requests run.
--- a/crates/relay/src/guard/cold.rs
+++ b/crates/relay/src/guard/cold.rs
@@ -10,8 +10,7 @@
 use crate::messages::StatsMessage;
 
 /// Minimum time from the last request of a daemon to the start of the guard in the next one. A
-/// process supervisor waits for 100 ms or more, and the start takes as long on a small VM. After a
-/// loss of power the upstream is mostly up for less than this when the guard starts.
+/// process supervisor waits for 100 ms or more, and the start takes as long on a small VM.
 const MIN_RESTART_TIME: Duration = Duration::from_millis(200);
 
 impl GuardState {
@@ -26,8 +25,8 @@
 
     /// Tells the gate what is known about the coldness of the upstream.
     ///
-    /// While the desired state does not describe the upstream's service, its rate counts as zero, so
-    /// that only the starts that it tolerates at any rate are allowed.
+    /// While the desired state does not describe the upstream's service, its rate counts as zero,
+    /// so that only the starts that it tolerates at any rate are allowed.
     pub(super) fn update_cold_limit(&mut self, now: Moment) {
         let Some(process) = &self.process else {
             return;
@@ -48,7 +47,8 @@
         self.publish_load(now);
     }
 
-    /// Returns whether an earlier daemon may have sent requests to the process since it turned cold.
+    /// Returns whether an earlier daemon may have sent requests to the process since it turned
+    /// cold.
     fn may_lack_starts(&self, process: &UpstreamProcess) -> bool {
         let cold_duration = self.service().map(|s| s.cold_duration);
         let turned_cold = process.earliest_warm.zip(cold_duration);
--- a/crates/relay/src/guard/probing.rs
+++ b/crates/relay/src/guard/probing.rs
@@ -32,8 +32,8 @@
 /// not report that an upstream has become cold again, but the health path does.
 const MAX_PROBE_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Interval between probes of an upstream that must confirm that it is warm. It confirms that in its
-/// first response unless it gives none or does not say.
+/// Interval between probes of an upstream that must confirm that it is warm. It confirms that in
+/// its first response unless it gives none or does not say.
 const UNCONFIRMED_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Maximum age of the load information that a call may be admitted with; above it the upstream is
@@ -48,8 +48,8 @@
     Leaving,
     /// It is unreachable or not yet known.
     Unreachable,
-    /// It may have turned cold since it was last known to be warm, and so many requests have started
-    /// since that the admission gate will soon hold further ones.
+    /// It may have turned cold since it was last known to be warm, and so many requests have
+    /// started since that the admission gate will soon hold further ones.
     Unconfirmed,
     /// It is slow, and the admission gate delays the start of calls until the slow period ends.
     Holding,
--- a/crates/relay/src/guard/tests/cold.rs
+++ b/crates/relay/src/guard/tests/cold.rs
@@ -170,8 +170,7 @@
     });
 }
 
-// Guards against flooding a cold upstream whose rate the guard has not learnt yet, after a loss of
-// power of the VM while the store is slow.
+// Guards against flooding a cold upstream whose rate the guard has not learnt yet.
 #[tokio::test(start_paused = true)]
 async fn a_cold_upstream_with_unknown_rate_is_not_flooded() {
     let clock = Arc::new(SystemClock::new());
@@ -188,8 +187,7 @@
     assert!(!arrivals.is_empty(), "the slack may be used");
 }
 
-// Guards against flooding a cold upstream because a restarted daemon has forgotten the starts of the
-// previous one.
+// Guards against forgetting the starts of an earlier daemon.
 #[tokio::test(start_paused = true)]
 async fn a_restarted_daemon_does_not_flood_a_cold_upstream() {
     let clock = Arc::new(SystemClock::new());
@@ -207,8 +205,7 @@
     assert!(most_in_a_second(&arrivals) <= TOLERATED, "{arrivals:?}");
 }
 
-// Guards against holding calls back for a second whenever a VM boots, although no earlier daemon can
-// have sent its upstream requests.
+// Guards against holding calls back after each boot of a VM, when there was no earlier daemon.
 #[tokio::test(start_paused = true)]
 async fn an_upstream_that_boots_with_its_daemon_gets_the_full_limit() {
     // The clock starts with the daemon, when the upstream has been up for a while.
@@ -230,8 +227,7 @@
     assert_eq!(most_in_a_second(&arrivals), limit, "{arrivals:?}");
 }
 
-// Guards against flooding an upstream that turns cold while it runs, which only its health path
-// tells.
+// Guards against flooding an upstream between the moment it turns cold and the next probe.
 #[tokio::test(start_paused = true)]
 async fn an_upstream_that_turns_cold_without_a_restart_is_not_flooded() {
     let clock = Arc::new(SystemClock::new());
@@ -261,8 +257,7 @@
     assert!(most_in_a_second(&arrivals) <= TOLERATED, "{arrivals:?}");
 }
 
-// Guards against ending a coldness that the guard has just learnt of by the response to an earlier
-// probe.
+// Guards against ending a coldness by the response to a probe from before it was learnt.
 #[tokio::test(start_paused = true)]
 async fn an_earlier_response_does_not_end_the_coldness_of_a_returned_domain() {
     let clock = Arc::new(SystemClock::new());
--- a/crates/relay/src/guard/upstream.rs
+++ b/crates/relay/src/guard/upstream.rs
@@ -29,11 +29,11 @@
     /// Latest moment at which the process was certainly warm. Check-ins do not tell that, because
     /// they may arrive seconds late.
     pub(super) warm_at: Option<Moment>,
-    /// Lower bound of the moment at which the process becomes warm, from the responses of its health
-    /// path that said that it was cold.
+    /// Lower bound of the moment at which the process becomes warm, from the responses of its
+    /// health path that said that it was cold.
     pub(super) earliest_warm: Option<Moment>,
-    /// Moment at which something other than the health path last told that the process is cold. Only
-    /// a response to a later probe may say otherwise.
+    /// Moment at which something other than the health path last told that the process is cold.
+    /// Only a response to a later probe may say otherwise.
     cold_learned: Moment,
 }
 
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -368,9 +368,9 @@
 
     /// Drains the target of a daemon and replaces it with another process.
     ///
-    /// Returns after the drain, about 3 s later. Until then other faults are delayed, but those that
-    /// were injected before end in time. The target stays if the daemon is paused or does not confirm
-    /// the drain.
+    /// Returns after the drain, about 3 s later. Until then other faults are delayed, but those
+    /// that were injected before end in time. The target stays if the daemon is paused or does not
+    /// confirm the drain.
     async fn replace_target(&mut self, index: usize) -> Result<()> {
         self.target_number += 1;
         let number = self.target_number;
