Log when a peer has a later configuration, and how long this daemon was behind

The log told when a configuration came into force, but not how long a daemon had known that it lacked one, which is what distinguishes a slow read from a change that nobody reported. No logic changes.

--- a/crates/relay/src/control.rs
+++ b/crates/relay/src/control.rs
@@ -61,6 +61,7 @@
     let mut service = ControlService {
         view: Arc::new(ControlView::default()),
         reachable: true,
+        behind_since: None,
         peer_fetch: None,
         timeouts,
         router: context.registry.mailbox(ROUTER)?,
@@ -152,6 +153,8 @@
     view: Arc<ControlView>,
     /// Whether the store answered the last read.
     reachable: bool,
+    /// Moment at which a peer first reported a later version than the one in force.
+    behind_since: Option<Instant>,
     /// Task that fetches the configuration from a peer.
     peer_fetch: Option<AbortOnDrop>,
     timeouts: SocketTimeouts,
@@ -248,7 +251,8 @@
             return;
         }
         let out = self.view.domains_out.len();
-        log::info!(event = "control-changed", version = self.version(), position = self.view.position, domains_out = out, source = source; "new configuration is in force");
+        let behind = self.behind_since.take().map(|since| since.elapsed());
+        log::info!(event = "control-changed", version = self.version(), position = self.view.position, domains_out = out, source = source, behind_ms = behind.map(|b| b.as_millis() as u64); "new configuration is in force");
         self.publish().await;
     }
 
@@ -273,7 +277,14 @@
     /// Fetches the configuration from a peer with a later version, unless a fetch is in progress.
     fn fetch_from_peer(&mut self, addr: std::net::SocketAddr, version: crate::desired::Version) {
         let busy = self.peer_fetch.as_ref().is_some_and(|f| !f.0.is_finished());
-        if version.0 <= self.version() || busy {
+        if version.0 <= self.version() {
+            return;
+        }
+        if self.behind_since.is_none() {
+            self.behind_since = Some(Instant::now());
+            log::info!(event = "control-behind", peer:% = addr, version = self.version(), later = version.0; "a peer has a later configuration");
+        }
+        if busy {
             return;
         }
         let (own, timeouts) = (self.own.clone(), self.timeouts);
