--- a/crates/standins/src/platform/store.rs
+++ b/crates/standins/src/platform/store.rs
@@ -49,6 +49,7 @@
     /// Evicts the history of all topics; only the newest value of each key stays readable.
     Compact,
     CallCount(oneshot::Sender<u64>),
+    OperatorBytes(oneshot::Sender<u64>),
 }
 
 /// Handle of a running store; dropping it ends the store.
@@ -111,6 +112,13 @@
         reply.await.unwrap_or_default()
     }
 
+    /// Returns the number of bytes of the operator's topic that the store has sent.
+    pub async fn operator_bytes(&self) -> u64 {
+        let (sender, reply) = oneshot::channel();
+        self.send(Message::OperatorBytes(sender));
+        reply.await.unwrap_or_default()
+    }
+
     fn send(&self, message: Message) {
         // The owner runs for as long as this handle exists, unless the runtime shuts down.
         let _ = self.sender.send(message);
@@ -196,6 +204,8 @@
     /// open.
     unanswered: Vec<oneshot::Sender<OutgoingResponse>>,
     call_count: u64,
+    /// Number of bytes of the operator's topic that were sent.
+    operator_bytes: u64,
 }
 
 /// Runs the owner of the topics and the pending reads until all senders of its mailbox are dropped.
@@ -206,6 +216,7 @@
         pending_reads: Vec::new(),
         unanswered: Vec::new(),
         call_count: 0,
+        operator_bytes: 0,
     };
     loop {
         let deadline = store.pending_reads.iter().map(|r| r.deadline).min();
@@ -255,6 +266,9 @@
                 // Fails only if the future of the requester was dropped.
                 let _ = reply.send(self.call_count);
             }
+            Message::OperatorBytes(reply) => {
+                let _ = reply.send(self.operator_bytes);
+            }
         }
     }
 
@@ -318,8 +332,11 @@
             json!({ "key": key, "value": BASE64.encode(value), "offset": offset })
         });
         let items: Vec<_> = items.collect();
-        let body = json!({ "items": items, "hasMore": false, "end": topic.end() });
-        respond(reply, StatusCode::OK, &body.to_string());
+        let body = json!({ "items": items, "hasMore": false, "end": topic.end() }).to_string();
+        if name == OPERATOR_TOPIC {
+            self.operator_bytes += body.len() as u64;
+        }
+        respond(reply, StatusCode::OK, &body);
     }
 
     /// Responds to the pending reads that have records to return or whose deadline has passed.
@@ -337,7 +354,11 @@
                 let body = json!({ "first": topic.first });
                 respond(read.reply, StatusCode::GONE, &body.to_string());
             } else if read.from < topic.end() || read.deadline <= now {
-                respond_with_bytes(read.reply, StatusCode::OK, encode_records(topic, read.from));
+                let body = encode_records(topic, read.from);
+                if read.topic == OPERATOR_TOPIC {
+                    self.operator_bytes += body.len() as u64;
+                }
+                respond_with_bytes(read.reply, StatusCode::OK, body);
             } else {
                 self.pending_reads.push(read);
             }
