Read a change from the store in two daemons of each failure domain only

Cause: every daemon read every change, a complete desired state of about 0.8 MB, from the store. 49 of the 90 stand in the region without the store, behind 60 Mbit/s for all traffic, so each change took 5 s of that link. A daemon that heard of the change from a peer first fetched the complete state from it too, from one peer at a time and within 1 s.

Change: the daemons that the membership ranks as readers, two of each failure domain, follow the store. Peers send the routes that differ from the receiver's state, checked by a digest of the result. SyncPlan decides without I/O or clock: the next peer is asked at once when one fails, a second one after 0.4 s, other regions and the store after 0.8 s; a reader skips to the newest of several changes; a started daemon confirms with the store what it got from a peer. Membership carries the position in the store's log as its revision, so that failure domains taken out of service spread in the same way.

Conclusion: the cost of a change on the link between regions no longer grows with the number of daemons.

--- a/crates/relay/src/control.rs
+++ b/crates/relay/src/control.rs
@@ -1,40 +1,37 @@
-//! Control service: follows the operators' configuration in the platform's store and publishes it
-//! to the other services.
+//! Control service: follows the operators' configuration and publishes it to the other services.
 //!
-//! The version of the applied configuration never decreases. The store is read by long polling. The
-//! configuration is also fetched from any peer that reports a later version, so that a daemon still
-//! receives it while the store is unreachable or answers this daemon with an error.
+//! The version of the applied configuration never decreases. [`SyncPlan`] decides when the store is
+//! read and from which peers the configuration is fetched, so that a daemon still receives it while
+//! the store is unreachable or answers this daemon with an error.
 
+mod sync_plan;
+
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use cornelvalve_http1::SocketTimeouts;
 use cornelvalve_kernel::{Context, Mailbox, Registry, ServiceResult};
-use cornelvalve_model::Revision;
+use cornelvalve_model::{Moment, Revision};
+use smallvec::SmallVec;
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep, timeout};
 
+use crate::desired::changes::{ChangesError, DesiredUpdate, History, StateId};
 use crate::desired::{ControlView, DesiredState};
-use crate::hop::{self, FrameConnection, HopCall, HopReply};
-use crate::messages::{ControlMessage, GuardMessage, MembersMessage, RouterMessage, StatsMessage};
+use crate::hop::{self, ControlUpdate, FrameConnection, HopCall, HopReply};
+use crate::messages::{
+    ControlMessage, ControlSource, GuardMessage, MembersMessage, RouterMessage, StatsMessage,
+};
 use crate::names::{CONTROL, GUARD, MEMBERS, ROUTER, STATS};
 use crate::ports::{ControlChange, ControlChanges, ControlStore, StoreError};
-
-/// Longest time for which one read of the store waits for a change.
-const POLL_WAIT: Duration = Duration::from_secs(25);
-
-/// Pause after the first failed read; doubles with each further failure.
-const MIN_BACKOFF: Duration = Duration::from_millis(200);
-
-/// Longest pause after a failed read.
-const MAX_BACKOFF: Duration = Duration::from_millis(1600);
-
-/// Pause after a read that returned at once without changes, so that a store without long polling
-/// is not read in a busy loop.
-const EMPTY_PAUSE: Duration = Duration::from_millis(100);
+use sync_plan::{ReadEnd, Step, SyncPlan};
 
 /// Longest time that fetching the configuration from a peer may take.
-const PEER_TIMEOUT: Duration = Duration::from_secs(1);
+const FETCH_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Longest time between two wake-ups of the service; bounds the wait when nothing is due.
+const MAX_SLEEP: Duration = Duration::from_secs(30);
 
 /// Result of one read of the store.
 #[derive(Debug)]
@@ -47,6 +44,21 @@
     Failed(StoreError),
 }
 
+impl StoreRead {
+    /// Returns how the read ended.
+    fn end(&self) -> ReadEnd {
+        match self {
+            Self::View(_) => ReadEnd::Complete,
+            Self::Changes(changes) => ReadEnd::Changes {
+                empty: changes.changes.is_empty(),
+                more: changes.end > changes.position,
+            },
+            Self::Failed(StoreError::HistoryLost) => ReadEnd::HistoryLost,
+            Self::Failed(_) => ReadEnd::Failed,
+        }
+    }
+}
+
 /// Runs the control service until it is asked to stop.
 ///
 /// # Errors
@@ -57,32 +69,40 @@
     store: Arc<dyn ControlStore>,
     timeouts: SocketTimeouts,
 ) -> ServiceResult {
-    let own = context.registry.mailbox(CONTROL)?;
+    let clock = Arc::clone(&context.clock);
     let mut service = ControlService {
         view: Arc::new(ControlView::default()),
+        history: History::default(),
+        plan: SyncPlan::new(clock.now()),
         reachable: true,
         behind_since: None,
-        peer_fetch: None,
+        store,
+        read: None,
+        read_number: 0,
+        fetches: SmallVec::new(),
         timeouts,
         router: context.registry.mailbox(ROUTER)?,
         guard: context.registry.mailbox(GUARD)?,
         members: context.registry.mailbox(MEMBERS)?,
         stats: context.registry.mailbox(STATS)?,
-        own: own.clone(),
+        own: context.registry.mailbox(CONTROL)?,
     };
-    let reader = tokio::spawn(poll_store(store, own));
-    let reader = AbortOnDrop(reader);
+    // A restarted service does not know whether this daemon is a reader.
+    service.members.send(MembersMessage::Republish).await?;
     loop {
+        let now = clock.now();
+        service.advance(now);
+        let due = service.plan.next_due(now);
+        let pause = due.map_or(MAX_SLEEP, |due| due.since(now));
         tokio::select! {
-            () = context.stop.requested() => break,
+            () = context.stop.requested() => return Ok(()),
             message = context.inbox.recv() => match message {
-                Some(message) => service.handle(message).await,
-                None => break,
+                Some(message) => service.handle(message, clock.now()).await,
+                None => return Ok(()),
             },
+            () = sleep(pause) => {}
         }
     }
-    drop(reader);
-    Ok(())
 }
 
 /// Asks the control service to publish the current configuration again, for a service that has just
@@ -105,58 +125,25 @@
     }
 }
 
-/// Reads the store in a loop and sends each result to the control service, until that has stopped.
-async fn poll_store(store: Arc<dyn ControlStore>, control: Mailbox<ControlMessage>) {
-    let mut position = None;
-    let mut backoff = MIN_BACKOFF;
-    loop {
-        let started = Instant::now();
-        let result = match position {
-            None => store.view().await.map(StoreRead::View),
-            Some(at) => store.changes(at, POLL_WAIT).await.map(StoreRead::Changes),
-        };
-        let result = result.unwrap_or_else(StoreRead::Failed);
-        let mut pause = Duration::ZERO;
-        match &result {
-            StoreRead::View(view) => position = Some(view.position),
-            StoreRead::Changes(changes) => {
-                position = Some(changes.position);
-                if changes.changes.is_empty() && started.elapsed() < EMPTY_PAUSE {
-                    pause = EMPTY_PAUSE;
-                }
-            }
-            StoreRead::Failed(StoreError::HistoryLost) => {
-                // The store is reachable; the next read fetches the complete configuration.
-                position = None;
-                pause = EMPTY_PAUSE;
-            }
-            StoreRead::Failed(_) => pause = backoff,
-        }
-        backoff = match &result {
-            StoreRead::Failed(_) => (backoff * 2).min(MAX_BACKOFF),
-            _ => MIN_BACKOFF,
-        };
-        if control
-            .send(ControlMessage::Read(Box::new(result)))
-            .await
-            .is_err()
-        {
-            return;
-        }
-        sleep(pause).await;
-    }
-}
-
 /// State of the control service.
 struct ControlService {
     /// Configuration in force.
     view: Arc<ControlView>,
+    /// Desired state in force and what is known of earlier ones, from which peers get changes.
+    history: History,
+    plan: SyncPlan,
     /// Whether the store answered the last read.
     reachable: bool,
-    /// Moment at which a peer first reported a later version than the one in force.
+    /// Moment at which a peer first reported a later configuration than the one in force.
     behind_since: Option<Instant>,
-    /// Task that fetches the configuration from a peer.
-    peer_fetch: Option<AbortOnDrop>,
+    store: Arc<dyn ControlStore>,
+    /// Task that reads the store.
+    read: Option<AbortOnDrop>,
+    /// Number of the latest read. The result of an abandoned read may arrive after a new one has
+    /// started.
+    read_number: u64,
+    /// Tasks that fetch the configuration from peers.
+    fetches: SmallVec<[(SocketAddr, AbortOnDrop); 2]>,
     timeouts: SocketTimeouts,
     router: Mailbox<RouterMessage>,
     guard: Mailbox<GuardMessage>,
@@ -167,23 +154,104 @@
 }
 
 impl ControlService {
+    /// Carries out the steps of the plan that are due.
+    fn advance(&mut self, now: Moment) {
+        for step in self.plan.steps(now) {
+            match step {
+                Step::ReadAll => self.start_read(None),
+                Step::ReadChanges { position, wait } => self.start_read(Some((position, wait))),
+                Step::AbandonRead => self.read = None,
+                Step::Fetch(addr) => self.start_fetch(addr),
+            }
+        }
+    }
+
+    /// Reads the changes from a position on, or the complete configuration.
+    fn start_read(&mut self, changes: Option<(u64, Duration)>) {
+        self.read_number += 1;
+        let (number, store, own) = (self.read_number, Arc::clone(&self.store), self.own.clone());
+        let task = tokio::spawn(async move {
+            let result = match changes {
+                None => store.view().await.map(StoreRead::View),
+                Some((at, wait)) => store.changes(at, wait).await.map(StoreRead::Changes),
+            };
+            let result = Box::new(result.unwrap_or_else(StoreRead::Failed));
+            send_own(&own, ControlMessage::Read { number, result }).await;
+        });
+        self.read = Some(AbortOnDrop(task));
+    }
+
+    /// Fetches from a peer what this daemon lacks of its configuration.
+    fn start_fetch(&mut self, addr: SocketAddr) {
+        let (own, timeouts) = (self.own.clone(), self.timeouts);
+        let base = self.history.current_id();
+        let task = tokio::spawn(async move {
+            let fetch = timeout(FETCH_TIMEOUT, fetch_update(addr, base, timeouts)).await;
+            let update = match fetch {
+                Ok(Ok(update)) => Some(update),
+                Ok(Err(e)) => {
+                    log::info!(event = "peer-view-failed", peer:% = addr; "fetching the configuration from a peer failed: {e}");
+                    None
+                }
+                Err(_) => {
+                    log::info!(event = "peer-view-failed", peer:% = addr; "fetching the configuration from a peer timed out");
+                    None
+                }
+            };
+            send_own(&own, ControlMessage::FetchEnded { addr, update }).await;
+        });
+        self.fetches.push((addr, AbortOnDrop(task)));
+    }
+
     /// Handles one message.
-    async fn handle(&mut self, message: ControlMessage) {
+    async fn handle(&mut self, message: ControlMessage, now: Moment) {
         match message {
-            ControlMessage::Read(result) => self.handle_read(*result).await,
-            ControlMessage::PeerView(view) => {
-                self.peer_fetch = None;
-                self.merge(*view, "peer").await;
+            ControlMessage::Read { number, result } => {
+                if number == self.read_number {
+                    self.plan.read_ended(result.end(), now);
+                }
+                self.handle_read(*result).await;
+            }
+            ControlMessage::FetchEnded { addr, update } => {
+                self.fetches.retain(|(peer, _)| *peer != addr);
+                self.count_read(ControlSource::Peer, update.is_some());
+                if let Some(update) = update {
+                    self.apply_update(*update).await;
+                }
+                self.plan.fetch_ended(addr);
+            }
+            ControlMessage::PeerAhead {
+                addr,
+                position,
+                local,
+            } => {
+                if self.plan.record_peer(addr, position, local, now) {
+                    self.behind_since = Some(Instant::now());
+                    log::info!(event = "control-behind", peer:% = addr, version = self.version(), position = self.view.position, later = position; "a peer has a later configuration");
+                }
+            }
+            ControlMessage::Reader(reader) => {
+                log::info!(event = "control-reader", reader = reader; "this daemon follows the store, or gets changes from peers");
+                self.plan.set_reader(reader);
             }
-            ControlMessage::PeerAhead { addr, version } => self.fetch_from_peer(addr, version),
             ControlMessage::View { reply } => reply.send(Arc::clone(&self.view)),
+            ControlMessage::UpdateFrom { base, reply } => reply.send(self.update_from(base)),
             ControlMessage::Republish => self.publish().await,
         }
     }
 
+    /// Counts a read of the store or of a peer in the metrics.
+    fn count_read(&self, source: ControlSource, ok: bool) {
+        let message = StatsMessage::ControlRead { source, ok };
+        if let Err(e) = self.stats.try_send(message) {
+            log::debug!("read of the configuration is missing in the metrics: {e}");
+        }
+    }
+
     /// Applies the result of a read, and logs when the store becomes unreachable or reachable.
     async fn handle_read(&mut self, result: StoreRead) {
-        let failed = matches!(&result, StoreRead::Failed(e) if *e != StoreError::HistoryLost);
+        let failed = result.end() == ReadEnd::Failed;
+        self.count_read(ControlSource::Store, !failed);
         if failed == self.reachable {
             self.reachable = !failed;
             match &result {
@@ -222,12 +290,50 @@
         self.replace(view, source).await;
     }
 
+    /// Returns what a daemon lacks that has the desired state `base`, or none.
+    fn update_from(&self, base: Option<StateId>) -> ControlUpdate {
+        ControlUpdate {
+            position: self.view.position,
+            domains_out: self.view.domains_out.clone(),
+            desired: self.history.update_from(base),
+        }
+    }
+
+    /// Applies what a peer sent of its configuration.
+    async fn apply_update(&mut self, update: ControlUpdate) {
+        let desired = match update.desired {
+            DesiredUpdate::Unchanged => None,
+            DesiredUpdate::Complete(desired) => Some(desired),
+            // Another peer was faster.
+            DesiredUpdate::Changes(changes) if changes.version().0 <= self.version() => None,
+            DesiredUpdate::Changes(changes) => match self.history.apply(changes) {
+                Ok(desired) => Some(desired),
+                Err(e) => {
+                    log::info!(event = "peer-view-failed"; "configuration of a peer was not applied: {e}");
+                    if e != ChangesError::OtherBase {
+                        // The next fetch asks for the complete state.
+                        self.history.forget();
+                    }
+                    return;
+                }
+            },
+        };
+        let view = ControlView {
+            desired,
+            domains_out: update.domains_out,
+            position: update.position,
+        };
+        self.merge(view, "peer").await;
+    }
+
     /// Applies changes that were read from the store.
     async fn apply(&mut self, changes: ControlChanges) {
         let mut view = ControlView::clone(&self.view);
         for change in changes.changes {
             match change {
-                ControlChange::Desired(desired) => replace_if_newer(&mut view, Some(*desired)),
+                ControlChange::Desired(desired) => {
+                    replace_if_newer(&mut view, Some(desired.into()))
+                }
                 ControlChange::DomainOut(domain) => {
                     if !view.domains_out.contains(&domain) {
                         view.domains_out.push(domain);
@@ -245,9 +351,22 @@
 
     /// Replaces the current configuration and publishes it if its content changed.
     async fn replace(&mut self, view: ControlView, source: &str) {
-        let same = view.desired == self.view.desired && view.domains_out == self.view.domains_out;
+        let same_state = view.desired.as_ref().map(|d| d.version)
+            == self.view.desired.as_ref().map(|d| d.version);
+        let same = same_state && view.domains_out == self.view.domains_out;
+        if !same_state
+            && let Some(desired) = &view.desired
+            && let Err(e) = self.history.push(desired)
+        {
+            log::warn!(event = "changes-unavailable"; "changes since earlier desired states cannot be sent to peers: {e}");
+        }
+        self.plan.record_applied(view.position);
+        let moved = view.position > self.view.position;
         self.view = Arc::new(view);
         if same {
+            if moved {
+                self.report_position().await;
+            }
             return;
         }
         let out = self.view.domains_out.len();
@@ -264,52 +383,32 @@
             self.guard.send(GuardMessage::Control(view())).await,
             self.router.send(RouterMessage::Control(view())).await,
             self.stats.send(StatsMessage::Control(view())).await,
-            // Membership calls the version of the desired state a revision.
-            self.members
-                .send(MembersMessage::VersionApplied(Revision(self.version())))
-                .await,
         ];
         for error in results.into_iter().filter_map(Result::err) {
             log::error!(event = "publish-failed"; "publishing the configuration failed: {error}; a service requests the configuration when it restarts");
         }
+        self.report_position().await;
     }
 
-    /// Fetches the configuration from a peer with a later version, unless a fetch is in progress.
-    fn fetch_from_peer(&mut self, addr: std::net::SocketAddr, version: crate::desired::Version) {
-        let busy = self.peer_fetch.as_ref().is_some_and(|f| !f.0.is_finished());
-        if version.0 <= self.version() {
-            return;
-        }
-        if self.behind_since.is_none() {
-            self.behind_since = Some(Instant::now());
-            log::info!(event = "control-behind", peer:% = addr, version = self.version(), later = version.0; "a peer has a later configuration");
+    /// Reports the position of the configuration, which membership calls a revision, to the other
+    /// daemons.
+    async fn report_position(&self) {
+        let message = MembersMessage::ConfigurationApplied(Revision(self.view.position));
+        if let Err(e) = self.members.send(message).await {
+            log::error!(event = "publish-failed"; "position of the configuration was not reported: {e}; it is reported again after the next change");
         }
-        if busy {
-            return;
-        }
-        let (own, timeouts) = (self.own.clone(), self.timeouts);
-        let task = tokio::spawn(async move {
-            match timeout(PEER_TIMEOUT, fetch_view(addr, timeouts)).await {
-                Ok(Ok(view)) => {
-                    let sent = own.send(ControlMessage::PeerView(view)).await;
-                    if let Err(e) = sent {
-                        log::warn!(event = "peer-view-dropped"; "configuration from a peer was dropped: {e}");
-                    }
-                }
-                Ok(Err(e)) => {
-                    log::info!(event = "peer-view-failed", peer:% = addr; "fetching the configuration from a peer failed: {e}")
-                }
-                Err(_) => {
-                    log::info!(event = "peer-view-failed", peer:% = addr; "fetching the configuration from a peer timed out")
-                }
-            }
-        });
-        self.peer_fetch = Some(AbortOnDrop(task));
+    }
+}
+
+/// Sends a message of a task to the control service, which owns the task.
+async fn send_own(own: &Mailbox<ControlMessage>, message: ControlMessage) {
+    if let Err(e) = own.send(message).await {
+        log::warn!(event = "read-dropped"; "result of a read of the configuration was dropped: {e}");
     }
 }
 
 /// Replaces the desired state of `view` if `other` has a later version.
-fn replace_if_newer(view: &mut ControlView, other: Option<DesiredState>) {
+fn replace_if_newer(view: &mut ControlView, other: Option<Arc<DesiredState>>) {
     let known = view.desired.as_ref().map(|d| d.version);
     if let Some(desired) = other
         && known.is_none_or(|k| k < desired.version)
@@ -318,15 +417,18 @@
     }
 }
 
-/// Fetches the configuration of the daemon at `addr`.
-async fn fetch_view(
+/// Fetches what the daemon at `addr` has beyond the desired state `base`.
+async fn fetch_update(
     addr: std::net::SocketAddr,
+    base: Option<StateId>,
     timeouts: SocketTimeouts,
-) -> hop::Result<Box<ControlView>> {
+) -> hop::Result<Box<ControlUpdate>> {
     let mut connection = FrameConnection::open(addr, timeouts).await?;
-    connection.send(&hop::encode(&HopCall::Control)?).await?;
+    connection
+        .send(&hop::encode(&HopCall::ControlSince(base))?)
+        .await?;
     match connection.receive().await? {
-        HopReply::Control(view) => Ok(view),
+        HopReply::ControlUpdate(update) => Ok(update),
         other => Err(hop::HopError::Malformed(format!("unexpected {other:?}"))),
     }
 }
--- /dev/null
+++ b/crates/relay/src/control/sync_plan.rs
@@ -0,0 +1,323 @@
+//! Decides when a daemon reads the configuration from the store and from which peers it fetches it.
+//!
+//! In each failure domain two daemons are *readers*, which follow the store by long polling. They
+//! notify others of each change, which fetch it from them and notify further daemons. A change
+//! therefore crosses the link to the store's region a few times only, however many daemons there
+//! are. A daemon that its peers leave behind reads the store itself.
+//!
+//! Configurations are compared by their position: the position in the store's log up to which they
+//! include all changes.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use cornelvalve_model::Moment;
+use smallvec::SmallVec;
+
+/// Longest time for which one read of a reader waits for a change.
+const POLL_WAIT: Duration = Duration::from_secs(25);
+
+/// Time between two reads of a daemon that is not a reader. They find a change of which no peer has
+/// notified it.
+const CHECK_INTERVAL: Duration = Duration::from_secs(25);
+
+/// Pause after the first failed read; doubles with each further failure.
+const MIN_BACKOFF: Duration = Duration::from_millis(200);
+
+/// Longest pause after a failed read.
+const MAX_BACKOFF: Duration = Duration::from_millis(1600);
+
+/// Pause after a read that returned at once without changes, so that a store without long polling
+/// is not read in a busy loop.
+const EMPTY_PAUSE: Duration = Duration::from_millis(100);
+
+/// Time for which a daemon that is behind waits for peers of its region, before it fetches from
+/// other regions or reads the store.
+const LOCAL_PATIENCE: Duration = Duration::from_millis(800);
+
+/// Time without an answer of one peer after which a second one is asked as well.
+const HEDGE_DELAY: Duration = Duration::from_millis(400);
+
+/// Largest number of peers that are asked at the same time.
+const MAX_FETCHES: usize = 2;
+
+/// Number of peers with a later configuration that are remembered.
+const MAX_SOURCES: usize = 8;
+
+/// What a daemon must do to stay up to date.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Step {
+    /// Read the complete configuration from the store.
+    ReadAll,
+    /// Read the changes from this position on, waiting up to `wait` for the first one.
+    ReadChanges {
+        /// Position of the first change to read.
+        position: u64,
+        /// Time to wait for it.
+        wait: Duration,
+    },
+    /// Abandon the running read of the store.
+    AbandonRead,
+    /// Fetch from the peer at this address what this daemon lacks.
+    Fetch(SocketAddr),
+}
+
+/// Steps in the order in which they must be carried out.
+pub(super) type Steps = SmallVec<[Step; 4]>;
+
+/// How a read of the store ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum ReadEnd {
+    /// The complete configuration was read.
+    Complete,
+    /// Changes were read.
+    Changes {
+        /// Whether there were none.
+        empty: bool,
+        /// Whether the store has further ones.
+        more: bool,
+    },
+    /// The store no longer has the changes.
+    HistoryLost,
+    /// The read failed.
+    Failed,
+}
+
+/// Running read of the store.
+#[derive(Clone, Copy, Debug)]
+struct Read {
+    /// Position of this daemon's configuration when the read started.
+    position: Option<u64>,
+    /// Whether the store waits for a change.
+    waits: bool,
+    started: Moment,
+}
+
+/// Peer that has a later configuration.
+#[derive(Clone, Copy, Debug)]
+struct Source {
+    addr: SocketAddr,
+    /// Position of its configuration.
+    position: u64,
+    /// Whether it is in the region of this daemon.
+    local: bool,
+}
+
+/// Running fetch from a peer.
+#[derive(Clone, Copy, Debug)]
+struct Fetch {
+    addr: SocketAddr,
+    started: Moment,
+}
+
+/// Plan by which one daemon keeps its configuration up to date.
+#[derive(Debug)]
+pub(super) struct SyncPlan {
+    /// Whether this daemon follows the store.
+    reader: bool,
+    /// Position of the configuration; `None` before the first one.
+    position: Option<u64>,
+    /// Whether the store has answered a read since the start of this daemon.
+    store_read: bool,
+    /// Whether the next read must be a complete one.
+    read_all: bool,
+    read: Option<Read>,
+    /// Earliest moment of the next read.
+    retry_at: Moment,
+    /// Moment at which the last successful read ended.
+    last_read: Moment,
+    /// Pause after the next failed read.
+    backoff: Duration,
+    /// Peers with a later configuration, in the order in which they reported it.
+    sources: SmallVec<[Source; MAX_SOURCES]>,
+    fetches: SmallVec<[Fetch; MAX_FETCHES]>,
+    /// Moment since which a peer is known to have a later configuration.
+    behind_since: Option<Moment>,
+}
+
+impl SyncPlan {
+    /// Creates the plan of a daemon that has no configuration yet.
+    pub(super) fn new(now: Moment) -> Self {
+        Self {
+            reader: false,
+            position: None,
+            store_read: false,
+            read_all: false,
+            read: None,
+            retry_at: now,
+            last_read: now,
+            backoff: MIN_BACKOFF,
+            sources: SmallVec::new(),
+            fetches: SmallVec::new(),
+            behind_since: None,
+        }
+    }
+
+    /// Returns the steps that are due, which the caller must carry out.
+    pub(super) fn steps(&mut self, now: Moment) -> Steps {
+        let mut steps = Steps::new();
+        if self.read.is_some_and(|r| self.is_superfluous(&r)) {
+            self.read = None;
+            steps.push(Step::AbandonRead);
+        }
+        while let Some(addr) = self.next_fetch(now) {
+            let started = now;
+            self.fetches.push(Fetch { addr, started });
+            steps.push(Step::Fetch(addr));
+        }
+        if self.next_read().is_some_and(|due| due <= now) {
+            steps.push(self.start_read(now));
+        }
+        steps
+    }
+
+    /// Returns the next moment at which a step may be due; `None` if one is due only after another
+    /// event.
+    pub(super) fn next_due(&self, now: Moment) -> Option<Moment> {
+        let patience = self.behind_since.map(|b| b + LOCAL_PATIENCE);
+        let hedge = self.fetches.last().map(|f| f.started + HEDGE_DELAY);
+        let hedge = hedge.filter(|_| self.fetches.len() < MAX_FETCHES);
+        let later = patience.into_iter().chain(hedge).filter(|due| *due > now);
+        self.next_read().into_iter().chain(later).min()
+    }
+
+    /// Returns whether a running read is no longer needed.
+    fn is_superfluous(&self, read: &Read) -> bool {
+        // If a peer was faster, reading the rest would load the link in vain.
+        self.position > read.position || (read.waits && !self.reader)
+    }
+
+    /// Returns the moment at which the next read of the store is due; `None` while one is running.
+    fn next_read(&self) -> Option<Moment> {
+        if self.read.is_some() {
+            return None;
+        }
+        // After its start, a daemon confirms a configuration that it got from a peer.
+        if self.reader || !self.store_read {
+            return Some(self.retry_at);
+        }
+        let due = match self.behind_since {
+            Some(since) => since + LOCAL_PATIENCE,
+            None => self.last_read + CHECK_INTERVAL,
+        };
+        Some(due.max(self.retry_at))
+    }
+
+    /// Starts a read of the store.
+    fn start_read(&mut self, now: Moment) -> Step {
+        let waits = self.reader && self.store_read;
+        let from = self.position.filter(|_| !self.read_all);
+        self.read = Some(Read {
+            position: self.position,
+            waits: waits && from.is_some(),
+            started: now,
+        });
+        match from {
+            Some(position) => Step::ReadChanges {
+                position,
+                wait: if waits { POLL_WAIT } else { Duration::ZERO },
+            },
+            None => Step::ReadAll,
+        }
+    }
+
+    /// Returns the peer from which to fetch now, if there is one.
+    fn next_fetch(&self, now: Moment) -> Option<SocketAddr> {
+        let latest = self.fetches.last();
+        let hedge = latest.is_none_or(|f| now.since(f.started) >= HEDGE_DELAY);
+        if !hedge || self.fetches.len() >= MAX_FETCHES {
+            return None;
+        }
+        let patient = self
+            .behind_since
+            .is_some_and(|b| now.since(b) < LOCAL_PATIENCE);
+        let asked = |s: &&Source| self.fetches.iter().any(|f| f.addr == s.addr);
+        let usable = self.sources.iter().filter(|s| s.local || !patient);
+        let best = usable.filter(|s| !asked(s));
+        best.max_by_key(|s| (s.local, s.position)).map(|s| s.addr)
+    }
+
+    /// Sets whether this daemon follows the store.
+    pub(super) fn set_reader(&mut self, reader: bool) {
+        self.reader = reader;
+    }
+
+    /// Records the position of a peer's configuration; returns whether this daemon is behind since
+    /// now.
+    pub(super) fn record_peer(
+        &mut self,
+        addr: SocketAddr,
+        position: u64,
+        local: bool,
+        now: Moment,
+    ) -> bool {
+        if self.position.is_some_and(|p| position <= p) {
+            return false;
+        }
+        self.sources.retain(|s| s.addr != addr);
+        if self.sources.len() == MAX_SOURCES {
+            self.sources.remove(0);
+        }
+        self.sources.push(Source {
+            addr,
+            position,
+            local,
+        });
+        let first = self.behind_since.is_none();
+        self.behind_since.get_or_insert(now);
+        first
+    }
+
+    /// Records the end of a fetch. A peer from which nothing was received is not asked again until
+    /// it reports its position again.
+    pub(super) fn fetch_ended(&mut self, addr: SocketAddr) {
+        self.fetches.retain(|f| f.addr != addr);
+        self.sources.retain(|s| s.addr != addr);
+    }
+
+    /// Records the end of a read of the store.
+    pub(super) fn read_ended(&mut self, end: ReadEnd, now: Moment) {
+        let started = self.read.take().map_or(now, |r| r.started);
+        let pause = match end {
+            ReadEnd::Complete => Duration::ZERO,
+            // Only the newest of several changes matters, which may each be large.
+            ReadEnd::Changes { more: true, .. } => Duration::ZERO,
+            ReadEnd::Changes { empty, .. } if empty && now.since(started) < EMPTY_PAUSE => {
+                EMPTY_PAUSE
+            }
+            ReadEnd::Changes { .. } => Duration::ZERO,
+            ReadEnd::HistoryLost => EMPTY_PAUSE,
+            ReadEnd::Failed => self.backoff,
+        };
+        self.retry_at = now + pause;
+        self.backoff = match end {
+            ReadEnd::Failed => (self.backoff * 2).min(MAX_BACKOFF),
+            _ => MIN_BACKOFF,
+        };
+        match end {
+            ReadEnd::Failed => {}
+            ReadEnd::HistoryLost | ReadEnd::Changes { more: true, .. } => self.read_all = true,
+            ReadEnd::Complete | ReadEnd::Changes { .. } => {
+                self.read_all = false;
+                self.store_read = true;
+                self.last_read = now;
+                // Peers that claim to have more than the store are asked, but the store is not read
+                // again at once.
+                self.behind_since = self.behind_since.filter(|_| !self.sources.is_empty());
+                self.behind_since = self.behind_since.map(|_| now);
+            }
+        }
+    }
+
+    /// Records the position of the configuration that is now in force.
+    pub(super) fn record_applied(&mut self, position: u64) {
+        self.position = self.position.max(Some(position));
+        self.sources.retain(|s| s.position > position);
+        if self.sources.is_empty() {
+            self.behind_since = None;
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/relay/src/control/sync_plan/tests.rs
@@ -0,0 +1,203 @@
+use super::*;
+
+const CHANGED: ReadEnd = ReadEnd::Changes {
+    empty: false,
+    more: false,
+};
+
+fn at(ms: u64) -> Moment {
+    Moment::from_millis(ms)
+}
+
+fn peer(number: u16) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, 1], number))
+}
+
+/// Returns the plan of a daemon that has read the configuration up to position 5 at its start.
+fn started(reader: bool) -> SyncPlan {
+    let mut plan = SyncPlan::new(at(0));
+    assert_eq!(plan.steps(at(0)).as_slice(), [Step::ReadAll]);
+    plan.read_ended(ReadEnd::Complete, at(10));
+    plan.record_applied(5);
+    plan.set_reader(reader);
+    plan
+}
+
+/// Returns the steps of a plan at its next due moments up to `end`.
+fn steps_until(plan: &mut SyncPlan, start: u64, end: u64) -> Vec<(u64, Step)> {
+    let mut all = Vec::new();
+    for ms in start..end {
+        all.extend(plan.steps(at(ms)).into_iter().map(|step| (ms, step)));
+    }
+    all
+}
+
+// Guards against a daemon that holds a read of the store although others notify it.
+#[test]
+fn only_readers_wait_for_changes_at_the_store() {
+    let poll = Step::ReadChanges {
+        position: 5,
+        wait: POLL_WAIT,
+    };
+    assert_eq!(started(true).steps(at(10)).as_slice(), [poll]);
+    let mut other = started(false);
+    assert_eq!(steps_until(&mut other, 10, 20_000), []);
+    // A daemon that is no longer a reader ends its read.
+    let mut plan = started(true);
+    plan.steps(at(10));
+    plan.set_reader(false);
+    assert_eq!(plan.steps(at(20)).as_slice(), [Step::AbandonRead]);
+}
+
+// Guards against a change that no peer reports.
+#[test]
+fn a_daemon_that_hears_nothing_checks_the_store() {
+    let steps = steps_until(&mut started(false), 10, 30_000);
+    let check = Step::ReadChanges {
+        position: 5,
+        wait: Duration::ZERO,
+    };
+    assert_eq!(steps, [(25_010, check)]);
+}
+
+// Guards against reports that are dropped while a fetch runs, and against a fetch that fails and is
+// not followed by another one.
+#[test]
+fn the_next_peer_is_asked_at_once_after_a_fetch_failed() {
+    let mut plan = started(false);
+    assert!(plan.record_peer(peer(1), 6, true, at(100)));
+    assert_eq!(plan.steps(at(100)).as_slice(), [Step::Fetch(peer(1))]);
+    assert!(!plan.record_peer(peer(2), 6, true, at(110)));
+    assert!(plan.steps(at(110)).is_empty());
+    plan.fetch_ended(peer(1));
+    assert_eq!(plan.steps(at(120)).as_slice(), [Step::Fetch(peer(2))]);
+}
+
+// Guards against a daemon that waits for one peer that does not answer.
+#[test]
+fn a_second_peer_is_asked_while_the_first_does_not_answer() {
+    let mut plan = started(false);
+    plan.record_peer(peer(1), 6, true, at(100));
+    plan.record_peer(peer(2), 6, true, at(100));
+    plan.record_peer(peer(3), 6, true, at(100));
+    let steps = steps_until(&mut plan, 100, 800);
+    let fetches = [(100, Step::Fetch(peer(3))), (500, Step::Fetch(peer(2)))];
+    assert_eq!(steps, fetches);
+}
+
+// Guards against a daemon that stays behind because its peers do not answer.
+#[test]
+fn the_store_is_read_if_no_peer_answers() {
+    let mut plan = started(false);
+    plan.record_peer(peer(1), 6, true, at(100));
+    let steps = steps_until(&mut plan, 100, 2000);
+    let read = Step::ReadChanges {
+        position: 5,
+        wait: Duration::ZERO,
+    };
+    assert_eq!(steps, [(100, Step::Fetch(peer(1))), (900, read)]);
+}
+
+// Guards against a store that is read without pause because a peer claims to have more than it.
+#[test]
+fn the_store_is_read_with_pauses_while_a_peer_claims_to_have_more() {
+    let mut plan = started(false);
+    plan.record_peer(peer(1), 6, true, at(100));
+    let mut reads = 0;
+    for ms in 100..10_000 {
+        for step in plan.steps(at(ms)) {
+            if matches!(step, Step::ReadChanges { .. }) {
+                reads += 1;
+                let end = ReadEnd::Changes {
+                    empty: true,
+                    more: false,
+                };
+                plan.read_ended(end, at(ms));
+            }
+        }
+    }
+    assert!((2..=13).contains(&reads), "{reads} reads");
+}
+
+// Guards against copies that cross the link between regions although a peer of the region has one.
+#[test]
+fn peers_of_other_regions_are_asked_last() {
+    let mut plan = started(false);
+    plan.record_peer(peer(1), 7, false, at(100));
+    assert!(plan.steps(at(100)).is_empty());
+    plan.record_peer(peer(2), 6, true, at(200));
+    assert_eq!(plan.steps(at(200)).as_slice(), [Step::Fetch(peer(2))]);
+    plan.fetch_ended(peer(2));
+    assert!(plan.steps(at(300)).is_empty());
+    assert!(plan.steps(at(900)).contains(&Step::Fetch(peer(1))));
+}
+
+// Guards against a daemon on a slow link that reads each of many large changes in turn.
+#[test]
+fn only_the_newest_of_several_changes_is_read() {
+    let mut plan = started(true);
+    plan.steps(at(10));
+    let end = ReadEnd::Changes {
+        empty: false,
+        more: true,
+    };
+    plan.read_ended(end, at(500));
+    plan.record_applied(6);
+    assert_eq!(plan.steps(at(500)).as_slice(), [Step::ReadAll]);
+    plan.read_ended(ReadEnd::Complete, at(900));
+    plan.record_applied(9);
+    let poll = Step::ReadChanges {
+        position: 9,
+        wait: POLL_WAIT,
+    };
+    assert_eq!(plan.steps(at(900)).as_slice(), [poll]);
+}
+
+// Guards against reading what a peer has sent already.
+#[test]
+fn a_read_is_abandoned_when_a_peer_was_faster() {
+    let mut plan = started(true);
+    plan.steps(at(10));
+    plan.record_peer(peer(1), 6, true, at(100));
+    assert_eq!(plan.steps(at(100)).as_slice(), [Step::Fetch(peer(1))]);
+    plan.record_applied(6);
+    plan.fetch_ended(peer(1));
+    let poll = Step::ReadChanges {
+        position: 6,
+        wait: POLL_WAIT,
+    };
+    assert_eq!(plan.steps(at(120)).as_slice(), [Step::AbandonRead, poll]);
+    plan.read_ended(CHANGED, at(200));
+    plan.record_applied(7);
+    assert!(!plan.steps(at(200)).contains(&Step::AbandonRead));
+}
+
+// Guards against a restarted daemon that keeps an older configuration of a peer that is behind.
+#[test]
+fn a_started_daemon_confirms_the_configuration_of_a_peer() {
+    let mut plan = SyncPlan::new(at(0));
+    plan.steps(at(0));
+    plan.record_peer(peer(1), 4, true, at(50));
+    assert_eq!(plan.steps(at(50)).as_slice(), [Step::Fetch(peer(1))]);
+    plan.record_applied(4);
+    plan.fetch_ended(peer(1));
+    let read = Step::ReadChanges {
+        position: 4,
+        wait: Duration::ZERO,
+    };
+    assert_eq!(plan.steps(at(60)).as_slice(), [Step::AbandonRead, read]);
+}
+
+// Guards against a store that fails and is called without pause.
+#[test]
+fn failed_reads_are_repeated_with_growing_pauses() {
+    let mut plan = SyncPlan::new(at(0));
+    let mut reads = Vec::new();
+    for ms in 0..5000 {
+        if !plan.steps(at(ms)).is_empty() {
+            reads.push(ms);
+            plan.read_ended(ReadEnd::Failed, at(ms));
+        }
+    }
+    assert_eq!(reads, [0, 200, 600, 1400, 3000, 4600]);
+}
--- a/crates/relay/src/desired.rs
+++ b/crates/relay/src/desired.rs
@@ -1,5 +1,8 @@
 //! Configuration that operators set: routes, services, limits, and failure domains out of service.
 
+pub(crate) mod changes;
+
+use std::sync::Arc;
 use std::time::Duration;
 
 use cornelvalve_model::{FailureDomain, Region, ServiceName};
@@ -113,7 +116,7 @@
     /// Version of this state.
     pub version: Version,
     /// All routes, in no particular order.
-    pub routes: Vec<RouteSpec>,
+    pub routes: Vec<Arc<RouteSpec>>,
     /// All services.
     pub services: Vec<ServiceSpec>,
     /// Limits on callers' requests and connections.
@@ -126,7 +129,7 @@
     ///
     /// A port in `host` is ignored. Returns `None` if no route matches.
     #[must_use]
-    pub fn route(&self, host: &str, target: &str) -> Option<(usize, &RouteSpec)> {
+    pub fn route(&self, host: &str, target: &str) -> Option<(usize, &Arc<RouteSpec>)> {
         let path = target.split(['?', '#']).next().unwrap_or_default();
         let host = host.rsplit_once(':').map_or(host, |(name, port)| {
             let is_port = port.bytes().all(|b| b.is_ascii_digit());
@@ -153,7 +156,7 @@
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct ControlView {
     /// Latest desired state; `None` until one has been read.
-    pub desired: Option<DesiredState>,
+    pub desired: Option<Arc<DesiredState>>,
     /// Failure domains out of service.
     pub domains_out: DomainsOut,
     /// Position in the store's log up to which this view includes all changes.
--- a/crates/relay/src/guard/tests/cold.rs
+++ b/crates/relay/src/guard/tests/cold.rs
@@ -45,11 +45,11 @@
         cold_duration: COLD_DURATION,
     };
     let mut view = ControlView {
-        desired: Some(DesiredState {
+        desired: Some(Arc::new(DesiredState {
             version: Version(1),
             services: vec![spec],
             ..DesiredState::default()
-        }),
+        })),
         ..ControlView::default()
     };
     if domain_out {
--- a/crates/relay/src/hop.rs
+++ b/crates/relay/src/hop.rs
@@ -26,7 +26,8 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
-use crate::desired::ControlView;
+use crate::desired::changes::{DesiredUpdate, StateId};
+use crate::desired::{ControlView, DomainsOut};
 use crate::ports::Cause;
 
 /// Result alias of this module.
@@ -231,8 +232,12 @@
 pub(crate) enum HopCall {
     /// Asks the daemon to run a request at its upstream.
     Run(Box<HopRequest>),
-    /// Asks for the daemon's view of the configuration.
+    /// Asks for the daemon's complete view of the configuration. Daemons of earlier releases send
+    /// it.
     Control,
+    /// Asks for what the sender lacks of the daemon's configuration. The sender has this desired
+    /// state, or none.
+    ControlSince(Option<StateId>),
 }
 
 /// Message sent in reply to a [`HopCall`].
@@ -249,6 +254,19 @@
     },
     /// The daemon's view of the configuration.
     Control(Box<ControlView>),
+    /// What the other daemon lacks of this daemon's configuration.
+    ControlUpdate(Box<ControlUpdate>),
+}
+
+/// Configuration of a daemon, as far as another daemon lacks it.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct ControlUpdate {
+    /// Position in the store's log up to which the configuration includes all changes.
+    pub(crate) position: u64,
+    /// All failure domains out of service.
+    pub(crate) domains_out: DomainsOut,
+    /// The desired state or its changes.
+    pub(crate) desired: DesiredUpdate,
 }
 
 /// Returns the frame of a message.
--- a/crates/relay/src/members.rs
+++ b/crates/relay/src/members.rs
@@ -9,7 +9,6 @@
 use cornelvalve_membership::{Action, Event, Membership, MembershipSettings};
 use cornelvalve_model::{Member, Moment, Revision, VmName};
 
-use crate::desired::Version;
 use crate::messages::{
     ControlMessage, DiscoveryMessage, MembersMessage, NoticesMessage, Recipient, RouterMessage,
     StatsMessage,
@@ -20,6 +19,10 @@
 /// each one knows only itself, and requests cannot wait until gossip has spread the members.
 const JOIN_FANOUT: usize = 24;
 
+/// Time after the start before this daemon can be a reader of the store. Until then it may not know
+/// the members that are readers already.
+const ROLE_DELAY: Duration = Duration::from_secs(1);
+
 /// Returns the settings of the gossip protocol: shorter periods than the defaults, for deployments
 /// in which a failure domain may be unreachable for only a few seconds.
 fn membership_settings() -> MembershipSettings {
@@ -56,6 +59,8 @@
         gossip: Gossip::new(&socket, membership, Box::new(Unlimited))?,
         own_vm,
         joined: false,
+        started: context.clock.now(),
+        sent_role: None,
         resend_all: false,
         router: context.registry.mailbox(ROUTER)?,
         control: context.registry.mailbox(CONTROL)?,
@@ -82,6 +87,9 @@
     own_vm: VmName,
     /// Whether the discovery service knows that other daemons were found.
     joined: bool,
+    started: Moment,
+    /// Whether this daemon is a reader of the store, as last sent to the control service.
+    sent_role: Option<bool>,
     /// Whether the router missed a message, so that all members must be published again.
     resend_all: bool,
     router: Mailbox<RouterMessage>,
@@ -98,8 +106,9 @@
             MembersMessage::Upstreams(upstreams) => {
                 self.apply(Event::SetUpstreams(upstreams), now).await;
             }
-            MembersMessage::VersionApplied(revision) => {
+            MembersMessage::ConfigurationApplied(revision) => {
                 self.apply(Event::SetRevision(revision), now).await;
+                self.apply(Event::NotifyRevision, now).await;
             }
             MembersMessage::Seeds(seeds) => {
                 self.apply(Event::AddSeeds(seeds.into_iter().collect()), now)
@@ -107,7 +116,10 @@
                 self.apply(Event::Tick, now).await;
             }
             MembersMessage::Leave => self.apply(Event::Leave, now).await,
-            MembersMessage::Republish => self.publish_all(),
+            MembersMessage::Republish => {
+                self.sent_role = None;
+                self.publish_all();
+            }
             MembersMessage::Tick => {
                 if self.resend_all {
                     self.publish_all();
@@ -134,21 +146,35 @@
         if !changed.is_empty() {
             self.publish(changed);
         }
+        self.publish_role(now);
+    }
+
+    /// Tells the control service whether this daemon is a reader of the store, if that has changed.
+    fn publish_role(&mut self, now: Moment) {
+        let reader = self.gossip.membership().is_reader();
+        if self.sent_role == Some(reader) || now.since(self.started) < ROLE_DELAY {
+            return;
+        }
+        match self.control.try_send(ControlMessage::Reader(reader)) {
+            Ok(()) => self.sent_role = Some(reader),
+            Err(e) => log::debug!("role of this daemon was not passed on: {e}; retrying"),
+        }
     }
 
-    /// Informs the control service that a peer has a later version of the configuration, which
-    /// membership calls a revision.
+    /// Informs the control service that a peer has a later configuration, whose position is called
+    /// a revision by the membership.
     fn report_revision(&self, vm: &VmName, revision: Revision) {
         let Some(member) = self.gossip.membership().get(vm) else {
             return;
         };
         let message = ControlMessage::PeerAhead {
             addr: member.peer_addr,
-            version: Version(revision.0),
+            position: revision.0,
+            local: member.region == self.gossip.membership().own_record().region,
         };
         if let Err(e) = self.control.try_send(message) {
             log::debug!(
-                "later configuration version of {vm} was not passed on: {e}; the next gossip probe reports it again"
+                "later configuration of {vm} was not passed on: {e}; the next gossip probe reports it again"
             );
         }
     }
--- a/crates/relay/src/messages.rs
+++ b/crates/relay/src/messages.rs
@@ -14,7 +14,9 @@
 use smallvec::SmallVec;
 use tokio::sync::watch;
 
+use crate::desired::changes::StateId;
 use crate::desired::{CallerLimits, ControlView, RouteSpec, Version};
+use crate::hop::ControlUpdate;
 use crate::ports::{Cause, PeerAddrs};
 
 pub(crate) use guard::{
@@ -36,21 +38,42 @@
 #[derive(Debug)]
 pub(crate) enum ControlMessage {
     /// A read from the store has finished.
-    Read(Box<crate::control::StoreRead>),
-    /// A peer sent its view of the configuration.
-    PeerView(Box<ControlView>),
-    /// A peer has applied a later version than this daemon.
+    Read {
+        /// Number of the read.
+        number: u64,
+        /// Its result.
+        result: Box<crate::control::StoreRead>,
+    },
+    /// A fetch from a peer has ended.
+    FetchEnded {
+        /// Address of the peer.
+        addr: SocketAddr,
+        /// What this daemon lacks of the peer's configuration; `None` if the fetch failed.
+        update: Option<Box<ControlUpdate>>,
+    },
+    /// A peer may have a later configuration than this daemon.
     PeerAhead {
         /// Address of the peer.
         addr: SocketAddr,
-        /// Version that the peer has applied.
-        version: Version,
+        /// Position of the peer's configuration.
+        position: u64,
+        /// Whether the peer is in the region of this daemon.
+        local: bool,
     },
+    /// Whether this daemon is one of those that follow the store.
+    Reader(bool),
     /// Asks for the current view of the configuration.
     View {
         /// Receives the view.
         reply: ReplySender<Arc<ControlView>>,
     },
+    /// Asks for what a daemon lacks that has the desired state `base`, or none.
+    UpdateFrom {
+        /// State that the other daemon has.
+        base: Option<StateId>,
+        /// Receives the update.
+        reply: ReplySender<ControlUpdate>,
+    },
     /// Requests that the current view be sent to all services again.
     Republish,
 }
@@ -67,14 +90,15 @@
 pub(crate) enum MembersMessage {
     /// Current state of the upstream beside this daemon; empty if there is none.
     Upstreams(SmallVec<[Upstream; 1]>),
-    /// This daemon has applied a version of the configuration; the membership spreads its number as
+    /// This daemon has applied the configuration up to a position, which the membership spreads as
     /// a revision.
-    VersionApplied(Revision),
+    ConfigurationApplied(Revision),
     /// Addresses of daemons found in the store, through which to join the others.
     Seeds(PeerAddrs),
     /// This daemon is leaving. It is sent again when the daemon has stopped.
     Leave,
-    /// Requests that all members be sent to the router again.
+    /// Requests that all members be sent to the router again, and the role of this daemon to the
+    /// control service.
     Republish,
     /// Periodic tick.
     Tick,
@@ -105,7 +129,7 @@
 #[derive(Debug)]
 pub(crate) struct ResolvedRoute {
     /// Route that matched the request.
-    pub(crate) route: RouteSpec,
+    pub(crate) route: Arc<RouteSpec>,
     /// Service chosen among those of the route.
     pub(crate) service: ServiceName,
     /// Version of the desired state that the route was taken from.
@@ -288,6 +312,17 @@
     Tick(Tick),
 }
 
+/// Where a part of the configuration was read.
+#[derive(Clone, Copy, Debug, derive_more::Display, PartialEq, Eq)]
+pub(crate) enum ControlSource {
+    /// The platform's store.
+    #[display("store")]
+    Store,
+    /// Another daemon.
+    #[display("peer")]
+    Peer,
+}
+
 /// Messages to the stats service.
 #[derive(Debug)]
 pub(crate) enum StatsMessage {
@@ -305,6 +340,13 @@
     },
     /// The configuration changed.
     Control(Arc<ControlView>),
+    /// A read of the configuration has ended.
+    ControlRead {
+        /// Where it was read.
+        source: ControlSource,
+        /// Whether the read succeeded.
+        ok: bool,
+    },
     /// Number of daemons that accept requests, including this one.
     MemberCount(u64),
     /// The daemon is stopping and no longer ready.
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -67,6 +67,15 @@
                 let reply = HopReply::Control(Box::new(view.as_ref().clone()));
                 connection.send(&hop::encode(&reply)?).await
             }
+            HopCall::ControlSince(base) => {
+                let update = self
+                    .control
+                    .ask(|reply| ControlMessage::UpdateFrom { base, reply })
+                    .await;
+                let update = update.map_err(|e| HopError::Malformed(e.to_string()))?;
+                let reply = HopReply::ControlUpdate(Box::new(update));
+                connection.send(&hop::encode(&reply)?).await
+            }
         }
     }
 
--- a/crates/relay/src/ports.rs
+++ b/crates/relay/src/ports.rs
@@ -61,6 +61,9 @@
     pub changes: Vec<ControlChange>,
     /// Position from which the next read continues.
     pub position: u64,
+    /// Position after the last change that the store has; greater than `position` if there are
+    /// further changes.
+    pub end: u64,
 }
 
 /// Record in the store with which a daemon announces itself.
--- a/crates/relay/src/router/state.rs
+++ b/crates/relay/src/router/state.rs
@@ -210,7 +210,7 @@
         let service = chosen.map(|s| s.service.clone()).ok_or(Cause::NoUpstream)?;
         let resolved = ResolvedRoute {
             work: work_key(&route.name),
-            route: route.clone(),
+            route: Arc::clone(route),
             service,
             version: desired.version,
         };
--- a/crates/relay/src/stats.rs
+++ b/crates/relay/src/stats.rs
@@ -47,6 +47,8 @@
     /// Version of the desired state in force.
     version: IntGauge,
     domains_out: IntGauge,
+    /// Reads of the configuration, by source and result.
+    control_reads: IntCounterVec,
     /// Daemons that accept requests, this one included.
     members: IntGauge,
 }
@@ -83,6 +85,10 @@
                 "domains_out",
                 "Failure domains out of service",
             ))?,
+            control_reads: IntCounterVec::new(
+                opts("control_reads_total", "Reads of the configuration"),
+                &["source", "result"],
+            )?,
             members: IntGauge::with_opts(opts(
                 "members",
                 "Daemons that take work, this one included",
@@ -96,6 +102,7 @@
         registry.register(Box::new(metrics.cold_starts.clone()))?;
         registry.register(Box::new(metrics.version.clone()))?;
         registry.register(Box::new(metrics.domains_out.clone()))?;
+        registry.register(Box::new(metrics.control_reads.clone()))?;
         registry.register(Box::new(metrics.members.clone()))?;
         Ok(metrics)
     }
@@ -190,6 +197,11 @@
                 let rate = if rate_known { "known" } else { "unknown" };
                 self.metrics.cold_starts.with_label_values(&[rate]).inc();
             }
+            StatsMessage::ControlRead { source, ok } => {
+                let result = if ok { "ok" } else { "failed" };
+                let labels = [&*source.to_string(), result];
+                self.metrics.control_reads.with_label_values(&labels).inc();
+            }
             StatsMessage::Scrape { reply } => reply.send(self.metrics.text()),
             StatsMessage::Ready { reply } => reply.send(self.configured && !self.stopping),
             StatsMessage::MemberCount(count) => self.metrics.members.set(gauge(count)),
