Send small changes of the configuration in the notice itself

Cause: the link of that VM was full in one direction. Its datagrams still arrived within 0.1 s, but no TCP connection was set up within 0.4 s (peers) or 1 s (store), and every try began anew: 20 fetches and one read in a row ended with 'connect timed out'.

Change: a notice by datagram carries the latest change, if it fits into one, to four daemons of the region, which apply it if they have the state that it starts from and send it on; otherwise they fetch. Connections for the configuration get 2 s to be set up. A hedged fetch and the store run beside it, so a longer timeout delays nobody.

What fills the link stays to be mended: bodies are sent before the other daemon has agreed to run the request.

--- a/crates/relay/src/control.rs
+++ b/crates/relay/src/control.rs
@@ -17,13 +17,16 @@
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep, timeout};
 
-use crate::desired::changes::{ChangesError, DesiredUpdate, History, StateId};
+use crate::desired::changes::{
+    ChangesError, DesiredUpdate, History, Result as ChangesResult, StateId,
+};
 use crate::desired::{ControlView, DesiredState};
 use crate::hop::{self, ControlUpdate, FrameConnection, HopCall, HopReply};
 use crate::messages::{
-    ControlMessage, ControlSource, GuardMessage, MembersMessage, RouterMessage, StatsMessage,
+    ControlMessage, ControlSource, GuardMessage, MembersMessage, NoticesMessage, RouterMessage,
+    StatsMessage,
 };
-use crate::names::{CONTROL, GUARD, MEMBERS, ROUTER, STATS};
+use crate::names::{CONTROL, GUARD, MEMBERS, NOTICES, ROUTER, STATS};
 use crate::ports::{ControlChange, ControlChanges, ControlStore, StoreError};
 use sync_plan::{ReadEnd, Step, SyncPlan};
 
@@ -85,6 +88,7 @@
         guard: context.registry.mailbox(GUARD)?,
         members: context.registry.mailbox(MEMBERS)?,
         stats: context.registry.mailbox(STATS)?,
+        notices: context.registry.mailbox(NOTICES)?,
         own: context.registry.mailbox(CONTROL)?,
     };
     // A restarted service does not know whether this daemon is a reader.
@@ -149,6 +153,7 @@
     guard: Mailbox<GuardMessage>,
     members: Mailbox<MembersMessage>,
     stats: Mailbox<StatsMessage>,
+    notices: Mailbox<NoticesMessage>,
     /// Mailbox of this service.
     own: Mailbox<ControlMessage>,
 }
@@ -215,8 +220,14 @@
             ControlMessage::FetchEnded { addr, update } => {
                 self.fetches.retain(|(peer, _)| *peer != addr);
                 self.count_read(ControlSource::Peer, update.is_some());
-                if let Some(update) = update {
-                    self.apply_update(*update).await;
+                if let Some(update) = update
+                    && let Err(e) = self.apply_update(*update, "peer").await
+                {
+                    log::info!(event = "peer-view-failed", peer:% = addr; "configuration of a peer was not applied: {e}");
+                    if e != ChangesError::OtherBase {
+                        // The next fetch asks for the complete state.
+                        self.history.forget();
+                    }
                 }
                 self.plan.fetch_ended(addr);
             }
@@ -224,11 +235,9 @@
                 addr,
                 position,
                 local,
-            } => {
-                if self.plan.record_peer(addr, position, local, now) {
-                    self.behind_since = Some(Instant::now());
-                    log::info!(event = "control-behind", peer:% = addr, version = self.version(), position = self.view.position, later = position; "a peer has a later configuration");
-                }
+            } => self.record_peer(addr, position, local, now),
+            ControlMessage::Notice { addr, update } => {
+                self.handle_notice(addr, *update, now).await;
             }
             ControlMessage::Reader(reader) => {
                 log::info!(event = "control-reader", reader = reader; "this daemon follows the store, or gets changes from peers");
@@ -292,38 +301,88 @@
 
     /// Returns what a daemon lacks that has the desired state `base`, or none.
     fn update_from(&self, base: Option<StateId>) -> ControlUpdate {
+        ControlUpdate {
+            desired: self.history.update_from(base),
+            ..self.unchanged()
+        }
+    }
+
+    /// Returns the configuration as an update for a daemon that has the same desired state.
+    fn unchanged(&self) -> ControlUpdate {
         ControlUpdate {
             position: self.view.position,
             domains_out: self.view.domains_out.clone(),
-            desired: self.history.update_from(base),
+            state: self.history.current_id(),
+            desired: DesiredUpdate::Unchanged,
+        }
+    }
+
+    /// Handles a notice in which a peer sent the latest change of its configuration.
+    async fn handle_notice(&mut self, addr: SocketAddr, update: ControlUpdate, now: Moment) {
+        let position = update.position;
+        if position <= self.view.position {
+            return;
+        }
+        if self.apply_update(update, "notice").await.is_err() {
+            // More than the latest change is missing.
+            self.record_peer(addr, position, true, now);
         }
     }
 
     /// Applies what a peer sent of its configuration.
-    async fn apply_update(&mut self, update: ControlUpdate) {
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ChangesError`] if the update does not fit the configuration of this daemon, which
+    /// then stays in force.
+    async fn apply_update(&mut self, update: ControlUpdate, source: &str) -> ChangesResult<()> {
+        let peer_version = update.state.map_or(0, |s| s.version.0);
         let desired = match update.desired {
+            DesiredUpdate::Unchanged if peer_version > self.version() => {
+                return Err(ChangesError::OtherBase);
+            }
             DesiredUpdate::Unchanged => None,
             DesiredUpdate::Complete(desired) => Some(desired),
             // Another peer was faster.
             DesiredUpdate::Changes(changes) if changes.version().0 <= self.version() => None,
-            DesiredUpdate::Changes(changes) => match self.history.apply(changes) {
-                Ok(desired) => Some(desired),
-                Err(e) => {
-                    log::info!(event = "peer-view-failed"; "configuration of a peer was not applied: {e}");
-                    if e != ChangesError::OtherBase {
-                        // The next fetch asks for the complete state.
-                        self.history.forget();
-                    }
-                    return;
-                }
-            },
+            DesiredUpdate::Changes(changes) => Some(self.history.apply(changes)?),
         };
         let view = ControlView {
             desired,
             domains_out: update.domains_out,
             position: update.position,
         };
-        self.merge(view, "peer").await;
+        self.merge(view, source).await;
+        Ok(())
+    }
+
+    /// Records the position of a peer's configuration.
+    fn record_peer(&mut self, addr: SocketAddr, position: u64, local: bool, now: Moment) {
+        if self.plan.record_peer(addr, position, local, now) {
+            self.behind_since = Some(Instant::now());
+            log::info!(event = "control-behind", peer:% = addr, version = self.version(), position = self.view.position, later = position; "a peer has a later configuration");
+        }
+    }
+
+    /// Sends the latest change to a few daemons, which need no connection to get it then.
+    fn send_notice(&self, new_state: bool) {
+        let desired = if new_state {
+            self.history.latest_change()
+        } else {
+            Some(DesiredUpdate::Unchanged)
+        };
+        let known = self.view.desired.is_none() || self.history.current_id().is_some();
+        let Some(desired) = desired.filter(|_| known) else {
+            return;
+        };
+        let update = ControlUpdate {
+            desired,
+            ..self.unchanged()
+        };
+        let message = NoticesMessage::Control(Box::new(update));
+        if let Err(e) = self.notices.try_send(message) {
+            log::debug!("change was not sent to other daemons: {e}; they fetch it");
+        }
     }
 
     /// Applies changes that were read from the store.
@@ -371,6 +430,7 @@
         }
         let out = self.view.domains_out.len();
         let behind = self.behind_since.take().map(|since| since.elapsed());
+        self.send_notice(!same_state);
         log::info!(event = "control-changed", version = self.version(), position = self.view.position, domains_out = out, source = source, behind_ms = behind.map(|b| b.as_millis() as u64); "new configuration is in force");
         self.publish().await;
     }
@@ -432,3 +492,6 @@
         other => Err(hop::HopError::Malformed(format!("unexpected {other:?}"))),
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/relay/src/desired/changes.rs
+++ b/crates/relay/src/desired/changes.rs
@@ -148,6 +148,8 @@
             }
             Err(e) => {
                 self.forget();
+                let (state, hashes) = (Arc::clone(state), Vec::new());
+                self.current = Some(Current { state, hashes });
                 Err(e)
             }
         }
@@ -162,9 +164,8 @@
         self.current = Some(Current { state, hashes });
     }
 
-    /// Forgets all states, so that the next update from a peer is a complete state.
+    /// Forgets the routes of all states, so that updates from and for peers are complete states.
     pub(crate) fn forget(&mut self) {
-        self.current = None;
         self.recent.clear();
     }
 
@@ -189,6 +190,15 @@
         changes.map_or_else(complete, DesiredUpdate::Changes)
     }
 
+    /// Returns what a daemon needs that has the state before the current one; `None` if there is no
+    /// such state.
+    pub(crate) fn latest_change(&self) -> Option<DesiredUpdate> {
+        let current = self.current.as_ref()?;
+        let previous = self.recent.iter().rev().nth(1)?;
+        let changes = self.changes_since(previous.id, current);
+        changes.map(DesiredUpdate::Changes)
+    }
+
     /// Returns the difference between a recent state and the current one; `None` if the former is
     /// not remembered.
     fn changes_since(&self, base: StateId, current: &Current) -> Option<DesiredChanges> {
--- a/crates/relay/src/hop.rs
+++ b/crates/relay/src/hop.rs
@@ -265,6 +265,9 @@
     pub(crate) position: u64,
     /// All failure domains out of service.
     pub(crate) domains_out: DomainsOut,
+    /// Desired state of the sender, which the receiver must have after the update; `None` if the
+    /// sender has none.
+    pub(crate) state: Option<StateId>,
     /// The desired state or its changes.
     pub(crate) desired: DesiredUpdate,
 }
--- a/crates/relay/src/messages.rs
+++ b/crates/relay/src/messages.rs
@@ -60,6 +60,13 @@
         /// Whether the peer is in the region of this daemon.
         local: bool,
     },
+    /// A peer sent the latest change of its configuration.
+    Notice {
+        /// Address of the peer.
+        addr: SocketAddr,
+        /// The change.
+        update: Box<ControlUpdate>,
+    },
     /// Whether this daemon is one of those that follow the store.
     Reader(bool),
     /// Asks for the current view of the configuration.
@@ -105,13 +112,15 @@
 }
 
 /// Messages to the service that sends notices: UDP datagrams that tell other daemons the load of
-/// the upstream and the requests that may have crashed it.
+/// the upstream, the requests that may have crashed it, and small changes of the configuration.
 #[derive(Debug)]
 pub(crate) enum NoticesMessage {
     /// The load of the upstream changed enough for the other daemons of the region to be notified.
     Load(LoadReport),
     /// Requests that may have crashed the upstream.
     CrashSuspects(Vec<SharedSuspect>),
+    /// The latest change of the configuration, which is sent unless it is too large.
+    Control(Box<ControlUpdate>),
     /// All other daemons that accept requests, replacing the previous list.
     Recipients(Vec<Recipient>),
 }
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -84,6 +84,14 @@
     keepalive: Duration::from_secs(1),
 };
 
+/// Timeouts of connections over which the configuration is fetched from other daemons. They are long,
+/// because packets may wait for a second on a VM's link that is full of requests.
+const CONTROL_TIMEOUTS: SocketTimeouts = SocketTimeouts {
+    connect: Duration::from_secs(2),
+    unacknowledged: Duration::from_secs(3),
+    keepalive: Duration::from_secs(1),
+};
+
 /// Error of a daemon that could not be started.
 #[derive(Debug, Display, Error)]
 #[display("{listener} address {addr} cannot be bound: {source}; free it or set another one")]
@@ -424,7 +432,7 @@
         let (region, port) = (own.region.clone(), own.peer_addr.port());
         builder
             .add_service(CONTROL, options, move |context| {
-                run_control(context, Arc::clone(&control_store), PEER_TIMEOUTS)
+                run_control(context, Arc::clone(&control_store), CONTROL_TIMEOUTS)
             })
             .add_service(DISCOVERY, options, move |context| {
                 run_discovery(
--- a/crates/relay/src/notices.rs
+++ b/crates/relay/src/notices.rs
@@ -1,5 +1,6 @@
-//! Notices service: informs other daemons of significant changes of the local upstream's load and
-//! of requests that may have crashed it. Each notice is one UDP datagram.
+//! Notices service: informs other daemons of significant changes of the local upstream's load, of
+//! requests that may have crashed it, and of small changes of the configuration. Each notice is one
+//! UDP datagram.
 //!
 //! Responses carry the load too, but a daemon that gets few responses from an upstream would not
 //! notice that it has become slow or recovered. A lost notice is not sent again: the next change of
@@ -17,9 +18,9 @@
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
 
-use crate::hop::HopLoad;
-use crate::messages::{GuardMessage, NoticesMessage, Recipient, RouterMessage};
-use crate::names::{GUARD, ROUTER};
+use crate::hop::{ControlUpdate, HopLoad};
+use crate::messages::{ControlMessage, GuardMessage, NoticesMessage, Recipient, RouterMessage};
+use crate::names::{CONTROL, GUARD, ROUTER};
 
 /// Size of the receive buffer in bytes. The notices of other daemons are smaller; a longer datagram
 /// is truncated and then dropped as malformed.
@@ -34,6 +35,10 @@
 /// responses.
 const MAX_LOAD_RECIPIENTS: usize = 64;
 
+/// Number of daemons of the region to which a change of the configuration is sent. They send it on,
+/// so it reaches almost all daemons; the others fetch it.
+const CONTROL_FANOUT: usize = 4;
+
 /// Offset of the UDP port for notices from the TCP port on which a daemon accepts other daemons.
 pub(crate) const NOTICES_PORT_OFFSET: u16 = 1;
 
@@ -53,6 +58,8 @@
     Load(HopLoad),
     /// Requests that may have crashed the sender's upstream.
     Suspects(Vec<SharedSuspect>),
+    /// Latest change of the sender's configuration.
+    Control(Box<ControlUpdate>),
 }
 
 /// Runs the notices service until it is asked to stop.
@@ -61,7 +68,8 @@
 ///
 /// # Errors
 ///
-/// Returns an error if the socket cannot be set up, or if the router or the guard does not exist.
+/// Returns an error if the socket cannot be set up, or if the router, the guard or the control
+/// service does not exist.
 pub(crate) async fn run_notices(
     mut context: Context<NoticesMessage>,
     socket: Arc<StdSocket>,
@@ -73,6 +81,7 @@
         socket: UdpSocket::from_std(socket.try_clone()?)?,
         router: context.registry.mailbox(ROUTER)?,
         guard: context.registry.mailbox(GUARD)?,
+        control: context.registry.mailbox(CONTROL)?,
         region,
         port,
         seed,
@@ -102,6 +111,7 @@
     socket: UdpSocket,
     router: Mailbox<RouterMessage>,
     guard: Mailbox<GuardMessage>,
+    control: Mailbox<ControlMessage>,
     region: Region,
     port: u16,
     /// Seed for the choice of `load_recipients`, different in each daemon.
@@ -117,11 +127,13 @@
     async fn handle(&mut self, message: NoticesMessage) {
         match message {
             NoticesMessage::Recipients(recipients) => {
-                self.load_recipients = choose_load_recipients(self.seed, &self.region, &recipients);
+                self.load_recipients =
+                    choose_recipients(self.seed, &self.region, &recipients, MAX_LOAD_RECIPIENTS);
                 self.recipients = recipients;
             }
             NoticesMessage::Load(load) => self.send_load(load).await,
             NoticesMessage::CrashSuspects(suspects) => self.send_suspects(&suspects).await,
+            NoticesMessage::Control(update) => self.send_change(update).await,
         }
     }
 
@@ -151,6 +163,21 @@
         }
     }
 
+    /// Sends a change of the configuration to a few daemons of this region, different ones for each
+    /// change, unless it is too large for a datagram.
+    async fn send_change(&self, update: Box<ControlUpdate>) {
+        let seed = self.seed.wrapping_add(update.position);
+        let Some(datagram) = self.encode(NoticeBody::Control(update)) else {
+            return;
+        };
+        if datagram.len() > MAX_DATAGRAM_BYTES {
+            return;
+        }
+        for addr in choose_recipients(seed, &self.region, &self.recipients, CONTROL_FANOUT) {
+            self.send(&datagram, addr).await;
+        }
+    }
+
     /// Encodes a notice; logs a failure and returns `None`.
     fn encode(&self, body: NoticeBody) -> Option<Vec<u8>> {
         let port = self.port;
@@ -180,11 +207,15 @@
                 return;
             }
         };
+        let addr = SocketAddr::new(from.ip(), notice.port);
         let forwarded = match notice.body {
             NoticeBody::Load(load) => self.router.try_send(RouterMessage::PeerLoad {
-                addr: SocketAddr::new(from.ip(), notice.port),
+                addr,
                 load: load.into(),
             }),
+            NoticeBody::Control(update) => self
+                .control
+                .try_send(ControlMessage::Notice { addr, update }),
             NoticeBody::Suspects(suspects) => {
                 self.guard.try_send(GuardMessage::CrashSuspects(suspects))
             }
@@ -197,21 +228,25 @@
     }
 }
 
-/// Chooses the daemons of the region that are informed of the load, at most
-/// [`MAX_LOAD_RECIPIENTS`].
+/// Chooses at most `count` daemons of the region.
 ///
-/// Uses rendezvous hashing, so that every daemon is informed by about as many others, and a change
-/// of the members changes few choices.
-fn choose_load_recipients(seed: u64, region: &Region, recipients: &[Recipient]) -> Vec<SocketAddr> {
+/// Uses rendezvous hashing, so that every daemon is chosen by about as many others, and a change of
+/// the members changes few choices.
+fn choose_recipients(
+    seed: u64,
+    region: &Region,
+    recipients: &[Recipient],
+    count: usize,
+) -> Vec<SocketAddr> {
     let in_region = recipients.iter().filter(|r| r.region == *region);
     let mut in_region: Vec<SocketAddr> = in_region.map(|r| r.addr).collect();
-    if in_region.len() > MAX_LOAD_RECIPIENTS {
+    if in_region.len() > count {
         let rank = |addr: &SocketAddr| {
             let addr = addr.to_string();
             Fingerprint::of(&[&seed.to_le_bytes(), addr.as_bytes()])
         };
         in_region.sort_by_cached_key(rank);
-        in_region.truncate(MAX_LOAD_RECIPIENTS);
+        in_region.truncate(count);
     }
     in_region
 }
--- a/crates/relay/src/notices/tests.rs
+++ b/crates/relay/src/notices/tests.rs
@@ -5,15 +5,17 @@
 use std::time::Duration;
 
 use cornelvalve_kernel::{Kernel, Mailbox, ServiceOptions, SystemClock};
-use cornelvalve_model::{Fingerprint, Region};
+use cornelvalve_model::{FailureDomain, Fingerprint, Region};
 use cornelvalve_policy::{HomeRegions, LoadReport, SharedSuspect};
 use smallvec::smallvec;
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
-use super::{MAX_LOAD_RECIPIENTS, NOTICES_PORT_OFFSET, choose_load_recipients, run_notices};
-use crate::messages::{GuardMessage, NoticesMessage, Recipient, RouterMessage};
-use crate::names::{GUARD, NOTICES, ROUTER};
+use super::{MAX_LOAD_RECIPIENTS, NOTICES_PORT_OFFSET, choose_recipients, run_notices};
+use crate::desired::changes::DesiredUpdate;
+use crate::hop::ControlUpdate;
+use crate::messages::{ControlMessage, GuardMessage, NoticesMessage, Recipient, RouterMessage};
+use crate::names::{CONTROL, GUARD, NOTICES, ROUTER};
 use crate::testing::forward_messages;
 
 /// Longest time to wait for a notice; long, because the computer may be heavily loaded.
@@ -26,6 +28,7 @@
     notices: Mailbox<NoticesMessage>,
     router: mpsc::UnboundedReceiver<RouterMessage>,
     guard: mpsc::UnboundedReceiver<GuardMessage>,
+    control: mpsc::UnboundedReceiver<ControlMessage>,
     _kernel: Kernel,
 }
 
@@ -39,6 +42,7 @@
         let socket = Arc::new(socket);
         let (to_router, router) = mpsc::unbounded_channel();
         let (to_guard, guard) = mpsc::unbounded_channel();
+        let (to_control, control) = mpsc::unbounded_channel();
         let options = ServiceOptions::default();
         let kernel = Kernel::builder(Arc::new(SystemClock::new()))
             .add_service(ROUTER, options, move |context| {
@@ -47,6 +51,9 @@
             .add_service(GUARD, options, move |context| {
                 forward_messages(context, to_guard.clone())
             })
+            .add_service(CONTROL, options, move |context| {
+                forward_messages(context, to_control.clone())
+            })
             .add_service(NOTICES, options, move |context| {
                 run_notices(context, Arc::clone(&socket), region.clone(), addr.port(), 1)
             })
@@ -56,6 +63,7 @@
             notices: kernel.mailbox(NOTICES).expect("service exists"),
             router,
             guard,
+            control,
             _kernel: kernel,
         }
     }
@@ -152,7 +160,7 @@
         .collect();
     let mut received = vec![0; usize::from(DAEMONS)];
     for seed in 0..u64::from(DAEMONS) {
-        let chosen = choose_load_recipients(seed, &region("east"), &recipients);
+        let chosen = choose_recipients(seed, &region("east"), &recipients, MAX_LOAD_RECIPIENTS);
         assert_eq!(chosen.len(), MAX_LOAD_RECIPIENTS);
         for addr in chosen {
             received[usize::from(addr.port())] += 1;
@@ -164,5 +172,31 @@
             .iter()
             .all(|count| *count > MAX_LOAD_RECIPIENTS / 4)
     );
-    assert!(choose_load_recipients(1, &region("west"), &recipients).is_empty());
+    assert!(choose_recipients(1, &region("west"), &recipients, MAX_LOAD_RECIPIENTS).is_empty());
+}
+
+fn change(position: u64, domains: usize) -> Box<ControlUpdate> {
+    let names = (0..domains).map(|i| FailureDomain::new(&format!("domain-{i}")).unwrap());
+    Box::new(ControlUpdate {
+        position,
+        domains_out: names.collect(),
+        state: None,
+        desired: DesiredUpdate::Unchanged,
+    })
+}
+
+// Guards against a change that a daemon gets only over a new connection, and against a datagram that
+// is too large to be received.
+#[tokio::test]
+async fn small_changes_of_the_configuration_are_sent_in_a_notice() {
+    let (sender, mut receiver) = (Fixture::start("east"), Fixture::start("east"));
+    let recipients = vec![recipient(&receiver, "east")];
+    sender.send(NoticesMessage::Recipients(recipients)).await;
+    sender.send(NoticesMessage::Control(change(7, 500))).await;
+    sender.send(NoticesMessage::Control(change(8, 1))).await;
+    let received = timeout(RECEIVE_TIMEOUT, receiver.control.recv()).await;
+    let Some(ControlMessage::Notice { addr, update }) = received.expect("notice arrives") else {
+        panic!("another message");
+    };
+    assert_eq!((addr, update.position), (sender.addr, 8));
 }
