Refuse a request without a route as not run while a later configuration exists

A caller does not repeat a request after 404.

Cause: the router decided by the configuration in force alone; only the control service knew of a later one.

Conclusion: an added route is not denied by a daemon that knows that it lacks a version.

--- a/crates/relay/src/control.rs
+++ b/crates/relay/src/control.rs
@@ -79,6 +79,7 @@
         plan: SyncPlan::new(clock.now()),
         reachable: true,
         behind_since: None,
+        published_behind: false,
         store,
         read: None,
         read_number: 0,
@@ -96,6 +97,7 @@
     loop {
         let now = clock.now();
         service.advance(now);
+        service.publish_behind().await;
         let due = service.plan.next_due(now);
         let pause = due.map_or(MAX_SLEEP, |due| due.since(now));
         tokio::select! {
@@ -140,6 +142,8 @@
     reachable: bool,
     /// Moment at which a peer first reported a later configuration than the one in force.
     behind_since: Option<Instant>,
+    /// Whether a later configuration exists, as last sent to the router.
+    published_behind: bool,
     store: Arc<dyn ControlStore>,
     /// Task that reads the store.
     read: Option<AbortOnDrop>,
@@ -245,7 +249,10 @@
             }
             ControlMessage::View { reply } => reply.send(Arc::clone(&self.view)),
             ControlMessage::UpdateFrom { base, reply } => reply.send(self.update_from(base)),
-            ControlMessage::Republish => self.publish().await,
+            ControlMessage::Republish => {
+                self.published_behind = false;
+                self.publish().await;
+            }
         }
     }
 
@@ -364,6 +371,20 @@
         }
     }
 
+    /// Informs the router whether a later configuration exists, if that has changed.
+    async fn publish_behind(&mut self) {
+        let behind = self.plan.is_behind();
+        if behind == self.published_behind {
+            return;
+        }
+        match self.router.send(RouterMessage::Behind(behind)).await {
+            Ok(()) => self.published_behind = behind,
+            Err(e) => {
+                log::error!(event = "publish-failed"; "the router was not told whether a later configuration exists: {e}; retrying");
+            }
+        }
+    }
+
     /// Sends the latest change to a few daemons, which need no connection to get it then.
     fn send_notice(&self, new_state: bool) {
         let desired = if new_state {
--- a/crates/relay/src/control/sync_plan.rs
+++ b/crates/relay/src/control/sync_plan.rs
@@ -268,6 +268,11 @@
         first
     }
 
+    /// Returns whether a peer is known to have a later configuration.
+    pub(super) fn is_behind(&self) -> bool {
+        self.behind_since.is_some()
+    }
+
     /// Records the end of a fetch. A peer from which nothing was received is not asked again until
     /// it reports its position again.
     pub(super) fn fetch_ended(&mut self, addr: SocketAddr) {
--- a/crates/relay/src/control/tests.rs
+++ b/crates/relay/src/control/tests.rs
@@ -92,11 +92,24 @@
         self.control.send(message).await.expect("service runs");
     }
 
+    /// Waits for the next message to the router.
+    async fn next_message(&mut self) -> RouterMessage {
+        let received = timeout(RECEIVE_TIMEOUT, self.router.recv()).await;
+        received.expect("a message is sent").expect("service runs")
+    }
+
     /// Waits for the next configuration in force.
     async fn next_view(&mut self) -> Arc<ControlView> {
-        let received = timeout(RECEIVE_TIMEOUT, self.router.recv()).await;
-        match received.expect("configuration is published") {
-            Some(RouterMessage::Control(view)) => view,
+        match self.next_message().await {
+            RouterMessage::Control(view) => view,
+            other => panic!("unexpected {other:?}"),
+        }
+    }
+
+    /// Waits until the router is told whether a later configuration exists.
+    async fn next_behind(&mut self) -> bool {
+        match self.next_message().await {
+            RouterMessage::Behind(behind) => behind,
             other => panic!("unexpected {other:?}"),
         }
     }
@@ -163,3 +176,18 @@
     let view = fixture.control.ask(|reply| ControlMessage::View { reply });
     assert_eq!(view.await.expect("service answers").position, 1);
 }
+
+// Guards against an answer that a route does not exist while the daemon knows that it lacks a later
+// version.
+#[tokio::test]
+async fn the_router_is_told_while_a_later_configuration_exists() {
+    let mut fixture = Fixture::start();
+    let mut updates = updates(3);
+    fixture.notify(updates.remove(0)).await;
+    assert_eq!(fixture.next_view().await.position, 1);
+    // The change before this one was missed.
+    fixture.notify(updates.remove(1)).await;
+    assert!(fixture.next_behind().await);
+    fixture.notify(updates.remove(0)).await;
+    assert_eq!(fixture.next_view().await.position, 2);
+}
--- a/crates/relay/src/entry/forward.rs
+++ b/crates/relay/src/entry/forward.rs
@@ -16,8 +16,8 @@
 use crate::desired::IdempotencyLevel;
 use crate::hop::{HopHeaders, HopOutcome, HopRequest, HopResponse};
 use crate::messages::{
-    RequestOutcome, RequestRecord, ResolvedRoute, RouterMessage, SelectedUpstream, SelectionQuery,
-    ShutdownStage, StatsMessage,
+    DEFAULT_RETRY_AFTER, RequestOutcome, RequestRecord, ResolvedRoute, RouterMessage,
+    SelectedUpstream, SelectionQuery, ShutdownStage, StatsMessage,
 };
 use crate::ports::{Cause, ErrorResponse};
 
@@ -103,7 +103,10 @@
         Ok(Err(cause)) => {
             log::info!(event = "request-refused", request = metadata.attempt.as_deref(), cause:% = cause, target = request.target.as_ref(); "request could not be routed");
             record.end(RequestOutcome::Refused(cause), None);
-            return entry.error_reply(&refusal(cause));
+            return entry.error_reply(&ErrorResponse {
+                retry_after: (cause == Cause::StaleConfiguration).then_some(DEFAULT_RETRY_AFTER),
+                ..refusal(cause)
+            });
         }
         Err(e) => {
             log::warn!(event = "router-unavailable", request = metadata.attempt.as_deref(); "router did not answer, refusing the request: {e}");
--- a/crates/relay/src/messages.rs
+++ b/crates/relay/src/messages.rs
@@ -282,6 +282,8 @@
     },
     /// The configuration changed.
     Control(Arc<ControlView>),
+    /// Whether a later configuration exists that this daemon does not have.
+    Behind(bool),
 }
 
 /// Messages to the monitor, which probes the health of the upstream.
--- a/crates/relay/src/ports.rs
+++ b/crates/relay/src/ports.rs
@@ -203,6 +203,9 @@
     /// A service inside the daemon did not answer.
     #[display("internal")]
     Internal,
+    /// A later configuration than the one of this daemon exists, which may allow the request.
+    #[display("stale-configuration")]
+    StaleConfiguration,
 }
 
 /// Response that the load balancer itself gives to a caller, in place of an upstream's.
--- a/crates/relay/src/router.rs
+++ b/crates/relay/src/router.rs
@@ -78,5 +78,6 @@
             retry_fraction,
         } => state.record_local_load(load, retry_fraction, now),
         RouterMessage::Control(view) => state.set_control(view),
+        RouterMessage::Behind(behind) => state.set_behind(behind),
     }
 }
--- a/crates/relay/src/router/state.rs
+++ b/crates/relay/src/router/state.rs
@@ -85,6 +85,8 @@
     reports: mpsc::UnboundedSender<AttemptReport>,
     /// Current configuration.
     view: Arc<ControlView>,
+    /// Whether a later configuration exists.
+    behind: bool,
     endpoints: BTreeMap<VmName, Endpoint>,
     /// For each daemon, whether it accepts requests.
     daemons: BTreeMap<VmName, bool>,
@@ -114,6 +116,7 @@
             placement,
             reports,
             view: Arc::default(),
+            behind: false,
             endpoints: BTreeMap::new(),
             daemons: BTreeMap::new(),
             round_robin: WeightedRoundRobin::default(),
@@ -129,6 +132,11 @@
         self.round_robin.reset();
     }
 
+    /// Sets whether a later configuration exists.
+    pub(super) fn set_behind(&mut self, behind: bool) {
+        self.behind = behind;
+    }
+
     /// Records members that were added or changed, and forgets the removed ones.
     pub(super) fn update_members(&mut self, members: Vec<Member>, removed: &[VmName]) {
         for member in members {
@@ -197,7 +205,8 @@
     /// # Errors
     ///
     /// Returns [`Cause::NoDesiredState`] if no configuration is known yet, [`Cause::NoRoute`] if no
-    /// route matches, and [`Cause::NoUpstream`] if the route has no service.
+    /// route matches, [`Cause::StaleConfiguration`] if a later configuration may have a route, and
+    /// [`Cause::NoUpstream`] if the route has no service.
     pub(super) fn resolve_route(
         &mut self,
         host: &str,
@@ -205,7 +214,12 @@
         now: Moment,
     ) -> Result<Arc<ResolvedRoute>, Cause> {
         let desired = self.view.desired.as_ref().ok_or(Cause::NoDesiredState)?;
-        let (_, route) = desired.route(host, target).ok_or(Cause::NoRoute)?;
+        let unmatched = if self.behind {
+            Cause::StaleConfiguration
+        } else {
+            Cause::NoRoute
+        };
+        let (_, route) = desired.route(host, target).ok_or(unmatched)?;
         let chosen = route.weighted_services.get(self.round_robin.next(route));
         let service = chosen.map(|s| s.service.clone()).ok_or(Cause::NoUpstream)?;
         let resolved = ResolvedRoute {
@@ -350,3 +364,6 @@
 fn milliseconds(ms: f64) -> Duration {
     Duration::from_secs_f64(ms.max(0.0) / 1000.0)
 }
+
+#[cfg(test)]
+mod tests;
