Check a request against the version that the daemon beside the upstream has

What callers could see: a request run by the service, or in the region, from which a later version had moved its route, or on a route that had been dropped, because the daemon that took the request had an older version. The route was chosen once, at the entry, and looked at by nobody again, neither after a wait nor at the second daemon.

Change: a hop carries the version of the route. A guard that has a later one finds the route again and refuses the call as not run (stale-configuration) if its service or region is not among those of the route. The entry takes the route anew if it has the later version by then, and otherwise refuses with 503 at once. Hop messages change: daemons of this and earlier releases cannot exchange requests.

Conclusion: one daemon on the way that knows a change is enough.

--- a/crates/relay/src/entry.rs
+++ b/crates/relay/src/entry.rs
@@ -3,6 +3,7 @@
 
 mod attempt;
 mod forward;
+mod recorder;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
--- a/crates/relay/src/entry/forward.rs
+++ b/crates/relay/src/entry/forward.rs
@@ -12,12 +12,13 @@
 use smallvec::SmallVec;
 use tokio::time::{Instant, sleep_until, timeout_at};
 
+use super::recorder::RequestRecorder;
 use super::{EntryContext, refusal};
 use crate::desired::IdempotencyLevel;
 use crate::hop::{HopHeaders, HopOutcome, HopRequest, HopResponse};
 use crate::messages::{
-    DEFAULT_RETRY_AFTER, RequestOutcome, RequestRecord, ResolvedRoute, RouterMessage,
-    SelectedUpstream, SelectionQuery, ShutdownStage, StatsMessage,
+    DEFAULT_RETRY_AFTER, RequestOutcome, ResolvedRoute, RouterMessage, SelectedUpstream,
+    SelectionQuery, ShutdownStage,
 };
 use crate::ports::{Cause, ErrorResponse};
 
@@ -84,7 +85,6 @@
     let started = entry.clock.now();
     let mut record = RequestRecorder::begin(entry, started);
     let metadata = entry.dialect.caller_metadata(&request.headers);
-    let host = request.headers.get(HOST).and_then(|h| h.to_str().ok());
     if *entry.stage.borrow() >= ShutdownStage::Refusing {
         log::info!(event = "request-refused", request = metadata.attempt.as_deref(), cause:% = Cause::Leaving; "request refused: daemon is stopping");
         record.end(RequestOutcome::Refused(Cause::Leaving), None);
@@ -93,12 +93,7 @@
             ..refusal(Cause::Leaving)
         });
     }
-    let answer = entry.router.ask(|reply| RouterMessage::ResolveRoute {
-        host: host.unwrap_or_default().into(),
-        target: request.target.clone(),
-        reply,
-    });
-    let resolved = match answer.await {
+    let resolved = match resolve_route(entry, &request).await {
         Ok(Ok(resolved)) => resolved,
         Ok(Err(cause)) => {
             log::info!(event = "request-refused", request = metadata.attempt.as_deref(), cause:% = cause, target = request.target.as_ref(); "request could not be routed");
@@ -148,6 +143,20 @@
     forwarded.finish(result, &mut record)
 }
 
+/// Asks the router for the route of a request.
+async fn resolve_route(
+    entry: &EntryContext,
+    request: &Request,
+) -> cornelvalve_kernel::Result<Result<Arc<ResolvedRoute>, Cause>> {
+    let host = request.headers.get(HOST).and_then(|h| h.to_str().ok());
+    let answer = entry.router.ask(|reply| RouterMessage::ResolveRoute {
+        host: host.unwrap_or_default().into(),
+        target: request.target.clone(),
+        reply,
+    });
+    answer.await
+}
+
 /// Reason for a second attempt while the first one is still in progress.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum SecondAttemptReason {
@@ -214,6 +223,11 @@
                     }
                     continue;
                 }
+                // The daemon there has a later version, which this one may have got meanwhile.
+                HopOutcome::NotRun {
+                    cause: Cause::StaleConfiguration,
+                    ..
+                } if self.follow_later_version().await => continue,
                 HopOutcome::NotRun {
                     cause,
                     reached_upstream,
@@ -233,6 +247,18 @@
         }
     }
 
+    /// Takes the route from the configuration in force if that is later than the one it was taken
+    /// from; returns whether it is.
+    async fn follow_later_version(&mut self) -> bool {
+        let resolved = resolve_route(self.entry, self.request).await;
+        let resolved = resolved.ok().and_then(Result::ok);
+        let Some(resolved) = resolved.filter(|r| r.version > self.resolved.version) else {
+            return false;
+        };
+        self.resolved = resolved;
+        true
+    }
+
     /// Makes an attempt at the selected upstream and returns its outcome with the VM.
     ///
     /// If the attempt takes long or is not acknowledged in time, and the request is idempotent, a
@@ -353,14 +379,14 @@
         reached_upstream: bool,
         retry_after: Duration,
     ) -> bool {
-        if matches!(cause, Cause::Overloaded) || reached_upstream {
+        if matches!(cause, Cause::Overloaded | Cause::StaleConfiguration) || reached_upstream {
             let least = self.retry_after.map_or(retry_after, |r| r.min(retry_after));
             self.retry_after = Some(least);
         }
         self.last_refusal = cause;
         let result = match cause {
-            // Every other daemon would refuse it as well.
-            Cause::CrashSuspect => AttemptResult::RefusedPermanently,
+            // Every other daemon would refuse it as well, or will soon.
+            Cause::CrashSuspect | Cause::StaleConfiguration => AttemptResult::RefusedPermanently,
             _ if reached_upstream => AttemptResult::RefusedByUpstream,
             Cause::Elsewhere => AttemptResult::HandedBack,
             _ => AttemptResult::RefusedByDaemon,
@@ -421,12 +447,18 @@
         selected: &SelectedUpstream,
         expected_elsewhere: Option<Duration>,
     ) -> HopRequest {
-        let ResolvedRoute { route, service, .. } = &*self.resolved;
+        let ResolvedRoute {
+            route,
+            service,
+            version,
+            ..
+        } = &*self.resolved;
         HopRequest {
             attempt_id: self.attempt_id.clone(),
             service: service.clone(),
             caller: self.entry.own_service.clone(),
             route: route.name.clone(),
+            version: *version,
             is_retry: self.attempts.upstream_attempts() > 0,
             home_regions: route.home_regions.clone(),
             priority: route.priority,
@@ -491,49 +523,3 @@
         }
     }
 }
-
-/// Counts the outcome of a request, even if the caller disconnects and the request is dropped.
-struct RequestRecorder<'a> {
-    entry: &'a EntryContext,
-    started: Moment,
-    ended: bool,
-}
-
-impl<'a> RequestRecorder<'a> {
-    /// Counts the start of a request.
-    fn begin(entry: &'a EntryContext, started: Moment) -> Self {
-        send_stats(entry, StatsMessage::RequestStarted);
-        Self {
-            entry,
-            started,
-            ended: false,
-        }
-    }
-
-    /// Counts the outcome of the request.
-    fn end(&mut self, outcome: RequestOutcome, attempts: Option<&Attempts>) {
-        self.ended = true;
-        let hand_backs = attempts.map_or(0, |a| a.handed_back().len());
-        let record = RequestRecord {
-            outcome,
-            latency: self.entry.clock.now().since(self.started),
-            upstream_attempts: attempts.map_or(0, |a| u32::from(a.upstream_attempts())),
-            hand_backs: u32::try_from(hand_backs).unwrap_or(u32::MAX),
-        };
-        send_stats(self.entry, StatsMessage::RequestFinished(record));
-    }
-}
-
-impl Drop for RequestRecorder<'_> {
-    fn drop(&mut self) {
-        if !self.ended {
-            self.end(RequestOutcome::CallerDisconnected, None);
-        }
-    }
-}
-
-fn send_stats(entry: &EntryContext, message: StatsMessage) {
-    if let Err(e) = entry.stats.try_send(message) {
-        log::debug!("statistics of a request were dropped: {e}");
-    }
-}
--- a/crates/relay/src/guard/admission.rs
+++ b/crates/relay/src/guard/admission.rs
@@ -97,6 +97,9 @@
         if !call.home_regions.is_empty() && !call.home_regions.contains(&self.settings.region) {
             return Err(Cause::NoUpstream);
         }
+        if !self.is_allowed_by_later_version(call) {
+            return Err(Cause::StaleConfiguration);
+        }
         // Every reason for which the upstream cannot take this call now; the sender tries another
         // upstream.
         if call.service != self.settings.service || !self.accepts_requests() {
@@ -108,6 +111,23 @@
         Ok(())
     }
 
+    /// Returns whether this guard may run a call whose route was taken from an earlier version than
+    /// the one that it knows. The route may have moved to another service or region since, or have
+    /// been removed.
+    fn is_allowed_by_later_version(&self, call: &AdmissionRequest) -> bool {
+        let later = self.view.desired.as_ref();
+        let Some(later) = later.filter(|d| call.version < d.version) else {
+            return true;
+        };
+        let Some((_, route)) = later.route(&call.host, &call.target) else {
+            return false;
+        };
+        let mut services = route.weighted_services.iter();
+        let homes = &route.home_regions;
+        services.any(|s| s.service == self.settings.service)
+            && (homes.is_empty() || homes.contains(&self.settings.region))
+    }
+
     /// Removes calls whose senders no longer wait.
     fn remove_abandoned(&mut self, now: Moment) {
         for id in self.calls.take_abandoned() {
--- a/crates/relay/src/guard/tests.rs
+++ b/crates/relay/src/guard/tests.rs
@@ -1,6 +1,7 @@
 //! Tests of the guard service with stand-ins for the other services, under Tokio's paused time.
 
 mod cold;
+mod versions;
 
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
@@ -16,7 +17,7 @@
 use tokio::time::advance;
 
 use super::{GuardSettings, run_guard};
-use crate::desired::ControlView;
+use crate::desired::{ControlView, Version};
 use crate::messages::{
     AdmissionDecision, AdmissionRequest, GuardMessage, MonitorMessage, NoticesMessage,
     PermitOutcome, PermitReport,
@@ -213,6 +214,9 @@
 ) -> GuardMessage {
     let call = AdmissionRequest {
         service: service(),
+        host: "a.example".into(),
+        target: "/read/x".into(),
+        version: Version(1),
         home_regions: SmallVec::new(),
         work: WorkKey(1),
         is_retry: false,
--- a/crates/relay/src/hop.rs
+++ b/crates/relay/src/hop.rs
@@ -18,7 +18,7 @@
 use cornelvalve_model::{Fingerprint, Region, ServiceName};
 use cornelvalve_policy::LoadReport;
 use derive_more::{Display, Error};
-use http::header::{HeaderMap, HeaderName, HeaderValue};
+use http::header::{HOST, HeaderMap, HeaderName, HeaderValue};
 use http::{Method, StatusCode};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -27,7 +27,7 @@
 use tokio::net::TcpStream;
 
 use crate::desired::changes::{DesiredUpdate, StateId};
-use crate::desired::{ControlView, DomainsOut};
+use crate::desired::{ControlView, DomainsOut, Version};
 use crate::ports::Cause;
 
 /// Result alias of this module.
@@ -101,6 +101,8 @@
     pub(crate) caller: ServiceName,
     /// Name of the route that matched the request.
     pub(crate) route: Box<str>,
+    /// Version of the desired state that the route was taken from.
+    pub(crate) version: Version,
     /// Whether the request was sent to an upstream before.
     pub(crate) is_retry: bool,
     /// Regions in which the request may be served; any if empty.
@@ -136,6 +138,15 @@
         ])
     }
 
+    /// Returns the value of the `Host` header; empty if there is none.
+    pub(crate) fn host(&self) -> &str {
+        let mut headers = self.headers.0.iter();
+        let host = headers.find(|(name, _)| name == HOST.as_str());
+        host.map_or("", |(_, value)| {
+            std::str::from_utf8(value).unwrap_or_default()
+        })
+    }
+
     /// Returns the HTTP method. The sender takes it from a parsed request, so it is always valid;
     /// the fallback is `GET`.
     pub(crate) fn method(&self) -> Method {
--- a/crates/relay/src/messages/guard.rs
+++ b/crates/relay/src/messages/guard.rs
@@ -9,7 +9,7 @@
 use cornelvalve_policy::{CallResult, GateCallId, LoadReport, SharedSuspect, WorkKey};
 use smallvec::SmallVec;
 
-use crate::desired::ControlView;
+use crate::desired::{ControlView, Version};
 use crate::ports::{Cause, CheckIn, HealthReport, UpstreamLoad};
 
 /// Asks the guard to admit a call to the upstream.
@@ -17,6 +17,12 @@
 pub(crate) struct AdmissionRequest {
     /// Service to which the call is addressed.
     pub(crate) service: ServiceName,
+    /// Host of the request.
+    pub(crate) host: Box<str>,
+    /// Target of the request.
+    pub(crate) target: Box<str>,
+    /// Version of the desired state that the route of the request was taken from.
+    pub(crate) version: Version,
     /// Regions in which the request may be served; any if empty.
     pub(crate) home_regions: SmallVec<[Region; 2]>,
     /// Key under which the duration of such requests is learned.
--- a/crates/relay/src/runner.rs
+++ b/crates/relay/src/runner.rs
@@ -81,6 +81,9 @@
         let deadline = now + request.time_left;
         let call = AdmissionRequest {
             service: request.service.clone(),
+            host: request.host().into(),
+            target: request.target.clone(),
+            version: request.version,
             home_regions: request.home_regions.clone(),
             work: work_key(&request.route),
             is_retry: request.is_retry,
