Report a started daemon as ready once no peer has a later configuration

Change: the control service tells the stats service as well while a later configuration exists, and the daemon is ready from the moment on at which it has a desired state and knows of no later one. Later it stays ready while it is behind.

Conclusion: a restart does not take callers back to an older version.

--- a/crates/relay/src/control.rs
+++ b/crates/relay/src/control.rs
@@ -142,7 +142,7 @@
     reachable: bool,
     /// Moment at which a peer first reported a later configuration than the one in force.
     behind_since: Option<Instant>,
-    /// Whether a later configuration exists, as last sent to the router.
+    /// Whether a later configuration exists, as last published.
     published_behind: bool,
     store: Arc<dyn ControlStore>,
     /// Task that reads the store.
@@ -371,17 +371,20 @@
         }
     }
 
-    /// Informs the router whether a later configuration exists, if that has changed.
+    /// Informs the router and the stats service whether a later configuration exists, if that has
+    /// changed.
     async fn publish_behind(&mut self) {
         let behind = self.plan.is_behind();
         if behind == self.published_behind {
             return;
         }
-        match self.router.send(RouterMessage::Behind(behind)).await {
-            Ok(()) => self.published_behind = behind,
-            Err(e) => {
-                log::error!(event = "publish-failed"; "the router was not told whether a later configuration exists: {e}; retrying");
-            }
+        self.published_behind = behind;
+        let results = [
+            self.router.send(RouterMessage::Behind(behind)).await,
+            self.stats.send(StatsMessage::Behind(behind)).await,
+        ];
+        for error in results.into_iter().filter_map(Result::err) {
+            log::error!(event = "publish-failed"; "a service was not told whether a later configuration exists: {error}; it requests the configuration when it restarts");
         }
     }
 
--- a/crates/relay/src/messages.rs
+++ b/crates/relay/src/messages.rs
@@ -351,6 +351,8 @@
     },
     /// The configuration changed.
     Control(Arc<ControlView>),
+    /// Whether a later configuration exists that this daemon does not have.
+    Behind(bool),
     /// A read of the configuration has ended.
     ControlRead {
         /// Where it was read.
--- a/crates/relay/src/stats.rs
+++ b/crates/relay/src/stats.rs
@@ -157,6 +157,8 @@
         metrics: Metrics::new()?,
         running: 0,
         configured: false,
+        behind: false,
+        caught_up: false,
         stopping: false,
     };
     loop {
@@ -178,6 +180,11 @@
     running: u64,
     /// Whether a desired state has been received.
     configured: bool,
+    /// Whether a later configuration exists that this daemon does not have.
+    behind: bool,
+    /// Whether this daemon has had a desired state and no peer a later one. The first state that a
+    /// restarted daemon reads may be older than the one that it had before.
+    caught_up: bool,
     /// Whether the daemon is stopping.
     stopping: bool,
 }
@@ -203,7 +210,11 @@
                 self.metrics.control_reads.with_label_values(&labels).inc();
             }
             StatsMessage::Scrape { reply } => reply.send(self.metrics.text()),
-            StatsMessage::Ready { reply } => reply.send(self.configured && !self.stopping),
+            StatsMessage::Ready { reply } => reply.send(self.is_ready()),
+            StatsMessage::Behind(behind) => {
+                self.behind = behind;
+                self.caught_up |= self.configured && !behind;
+            }
             StatsMessage::MemberCount(count) => self.metrics.members.set(gauge(count)),
             StatsMessage::Control(view) => self.apply_configuration(&view, limits),
             StatsMessage::Stopping => self.stopping = true,
@@ -213,12 +224,18 @@
         }
     }
 
+    /// Returns whether the daemon is ready to serve callers.
+    fn is_ready(&self) -> bool {
+        self.caught_up && !self.stopping
+    }
+
     /// Updates the metrics and the limits on callers from the operators' current configuration.
     fn apply_configuration(&mut self, view: &ControlView, limits: &watch::Sender<CallerLimits>) {
         let out = view.domains_out.len() as u64;
         self.metrics.domains_out.set(gauge(out));
         if let Some(desired) = &view.desired {
             self.configured = true;
+            self.caught_up |= !self.behind;
             self.metrics.version.set(gauge(desired.version.0));
             limits.send_replace(desired.limits);
         }
@@ -229,3 +246,6 @@
 fn gauge(value: u64) -> i64 {
     i64::try_from(value).unwrap_or(i64::MAX)
 }
+
+#[cfg(test)]
+mod tests;
