Skip a desired state that contradicts itself

The previous one stays in force, with a log line that names the reason.

Conclusion: an invalid state is not taken, whoever wrote it.

--- a/crates/relay/src/control.rs
+++ b/crates/relay/src/control.rs
@@ -491,13 +491,17 @@
     }
 }
 
-/// Replaces the desired state of `view` if `other` has a later version.
+/// Replaces the desired state of `view` if `other` has a later version and is valid.
 fn replace_if_newer(view: &mut ControlView, other: Option<Arc<DesiredState>>) {
     let known = view.desired.as_ref().map(|d| d.version);
-    if let Some(desired) = other
-        && known.is_none_or(|k| k < desired.version)
-    {
-        view.desired = Some(desired);
+    let Some(desired) = other.filter(|o| known.is_none_or(|k| k < o.version)) else {
+        return;
+    };
+    match desired.check() {
+        Ok(()) => view.desired = Some(desired),
+        Err(reason) => {
+            log::warn!(event = "record-skipped", version = desired.version.0, reason:% = reason; "invalid desired state skipped; the previous configuration stays in force");
+        }
     }
 }
 
--- a/crates/relay/src/desired.rs
+++ b/crates/relay/src/desired.rs
@@ -1,6 +1,7 @@
 //! Configuration that operators set: routes, services, limits, and failure domains out of service.
 
 pub(crate) mod changes;
+mod check;
 
 use std::sync::Arc;
 use std::time::Duration;
