Decode and log the limit and the departure that upstreams name in their responses

Neither the logs nor the metrics showed that a target named a limit or said that it leaves, so a flooded target could not be told from a busy one. The adapter decodes both headers once; the guard logs a change (upstream-limit, upstream-leaving) and exports the limit as cornelvalve_upstream_limit. The stand-in of a target sends both. Nothing else changes: the guard does not act on them yet.

--- a/crates/relay/src/guard/admission.rs
+++ b/crates/relay/src/guard/admission.rs
@@ -144,6 +144,9 @@
     /// Records the end of an admitted request and starts the calls that may now run.
     pub(super) fn finish(&mut self, report: PermitReport, now: Moment) {
         if let Some(call) = self.calls.end(report.id) {
+            if let Some(answer) = report.signals {
+                self.apply_signals(answer, call.instance.as_deref(), now);
+            }
             self.crashes.record_end(call, report.outcome, now);
         }
         if let Some(load) = report.load {
@@ -182,7 +185,7 @@
         match action {
             GateAction::Start(id) => {
                 let instance = self.process.as_ref().map(|p| Arc::clone(&p.instance));
-                let Some(reply) = self.calls.start(id, now) else {
+                let Some(reply) = self.calls.start(id, instance.clone(), now) else {
                     return self.gate.finish(id, false, now);
                 };
                 let cold = self.gate.is_cold(now);
@@ -193,6 +196,7 @@
                     id,
                     outcome: PermitOutcome::Cancelled,
                     load: None,
+                    signals: None,
                 };
                 reply.send(AdmissionDecision::Admitted(Permit {
                     addr: self.settings.addr,
--- a/crates/relay/src/guard/calls.rs
+++ b/crates/relay/src/guard/calls.rs
@@ -1,6 +1,7 @@
 //! Bookkeeping of the calls that asked the guard for admission, from their arrival to their end.
 
 use std::collections::HashMap;
+use std::sync::Arc;
 
 use cornelvalve_kernel::ReplySender;
 use cornelvalve_model::{Fingerprint, Moment};
@@ -23,6 +24,8 @@
     is_retry: bool,
     fingerprint: Fingerprint,
     home_regions: HomeRegions,
+    /// Process that runs it; `None` while it waits, or if the process is unknown.
+    instance: Option<Arc<str>>,
     /// Start of its run; `None` while it waits.
     started: Option<Moment>,
 }
@@ -31,6 +34,8 @@
 pub(super) struct EndedCall {
     pub(super) fingerprint: Fingerprint,
     pub(super) home_regions: HomeRegions,
+    /// Process that ran it; `None` if it is unknown.
+    pub(super) instance: Option<Arc<str>>,
     /// Start of its run.
     pub(super) started: Moment,
 }
@@ -65,6 +70,7 @@
             is_retry: call.is_retry,
             fingerprint: call.fingerprint,
             home_regions,
+            instance: None,
             started: None,
         };
         self.records.insert(id, record);
@@ -87,17 +93,21 @@
         std::mem::take(&mut self.awaiting_load)
     }
 
-    /// Marks a call as running and returns the channel for its admission.
+    /// Marks a call as running at this process and returns the channel for its admission.
     ///
     /// Returns `None` and removes the call if its sender no longer waits.
     pub(super) fn start(
         &mut self,
         id: GateCallId,
+        instance: Option<Arc<str>>,
         now: Moment,
     ) -> Option<ReplySender<AdmissionDecision>> {
         let reply = self.undecided.remove(&id).filter(|r| !r.is_abandoned());
         match self.records.get_mut(&id) {
-            Some(record) if reply.is_some() => record.started = Some(now),
+            Some(record) if reply.is_some() => {
+                record.instance = instance;
+                record.started = Some(now);
+            }
             _ => {
                 self.records.remove(&id);
             }
@@ -119,6 +129,7 @@
         Some(EndedCall {
             fingerprint: record.fingerprint,
             home_regions: record.home_regions,
+            instance: record.instance,
             started: record.started?,
         })
     }
--- a/crates/relay/src/guard/reports.rs
+++ b/crates/relay/src/guard/reports.rs
@@ -6,7 +6,8 @@
 
 use super::state::GuardState;
 use super::upstream::{CheckInEffect, UpstreamProcess};
-use crate::ports::{Cause, CheckIn, HealthReport, UpstreamLoad};
+use crate::messages::{AnswerSignals, StatsMessage};
+use crate::ports::{Cause, CheckIn, HealthReport, RateLimitSignal, UpstreamLoad};
 
 impl GuardState {
     /// Applies a check-in unless it is out of date or comes from another upstream.
@@ -105,6 +106,11 @@
         match &mut self.process {
             Some(process) if *process.instance == *instance => {
                 process.apply_health(report, requested, now);
+                let answer = AnswerSignals {
+                    sent: requested,
+                    signals: report.signals,
+                };
+                self.apply_signals(answer, Some(instance), now);
             }
             _ => {
                 let old = self.process.take();
@@ -118,6 +124,35 @@
         }
     }
 
+    /// Applies what a response of the process `instance` says about it.
+    pub(super) fn apply_signals(
+        &mut self,
+        answer: AnswerSignals,
+        instance: Option<&str>,
+        now: Moment,
+    ) {
+        let Some(process) = &mut self.process else {
+            return;
+        };
+        if instance != Some(process.instance.as_ref()) {
+            return;
+        }
+        let before = process.rate_limit;
+        process.apply_rate_limit(&answer);
+        if process.rate_limit != before {
+            let (instance, after) = (process.instance.as_ref(), process.rate_limit);
+            log::info!(event = "upstream-limit", instance = instance, limit = after.value(), valid = after != RateLimitSignal::Invalid, limit_before = before.value(), recent_starts = self.gate.recent_starts(now); "upstream named another limit on its requests per second, or none");
+            let message = StatsMessage::UpstreamLimit(after.value());
+            if let Err(e) = self.channels.stats.try_send(message) {
+                log::debug!("limit of the upstream is missing in the metrics: {e}");
+            }
+        }
+        if answer.signals.leaving && !process.said_leaving {
+            process.said_leaving = true;
+            log::info!(event = "upstream-leaving", instance = process.instance.as_ref(), state:% = process.state; "upstream said in a response that it is leaving");
+        }
+    }
+
     /// Records whether the upstream accepts connections and reacts to a change.
     pub(super) fn set_unreachable(&mut self, unreachable: bool, now: Moment) {
         if unreachable == self.unreachable {
--- a/crates/relay/src/guard/tests.rs
+++ b/crates/relay/src/guard/tests.rs
@@ -23,7 +23,7 @@
     PermitOutcome, PermitReport,
 };
 use crate::names::{CONTROL, GUARD, MEMBERS, MONITOR, NOTICES, ROUTER, STATS};
-use crate::ports::{Cause, HealthReport, UpstreamLoad};
+use crate::ports::{Cause, HealthReport, UpstreamLoad, UpstreamSignals};
 use crate::testing::forward_messages;
 
 /// Age at which load information is too old to admit a call, so that the upstream is probed first.
@@ -158,6 +158,7 @@
             id,
             outcome: PermitOutcome::Lost,
             load: None,
+            signals: None,
         });
         self.wait_for_probe().await;
         self.send_health(None).await;
@@ -203,6 +204,7 @@
             slots: 4,
             slowdown: Some(1.0),
         }),
+        signals: UpstreamSignals::default(),
     }
 }
 
@@ -308,6 +310,7 @@
             id,
             outcome: PermitOutcome::Lost,
             load: None,
+            signals: None,
         });
         fixture.send_health(None).await;
         fixture.report_healthy_as(process).await;
--- a/crates/relay/src/guard/tests/cold.rs
+++ b/crates/relay/src/guard/tests/cold.rs
@@ -167,6 +167,7 @@
         id,
         outcome: PermitOutcome::Answered,
         load: Some(normal_load()),
+        signals: None,
     });
 }
 
--- a/crates/relay/src/guard/upstream.rs
+++ b/crates/relay/src/guard/upstream.rs
@@ -8,7 +8,8 @@
 
 use cornelvalve_model::{Moment, UpstreamState};
 
-use crate::ports::{AnnouncedState, CheckIn, HealthReport};
+use crate::messages::AnswerSignals;
+use crate::ports::{AnnouncedState, CheckIn, HealthReport, RateLimitSignal};
 
 /// Upstream process, as last reported.
 #[derive(Clone, Debug)]
@@ -35,6 +36,12 @@
     /// Moment at which something other than the health path last told that the process is cold.
     /// Only a response to a later probe may say otherwise.
     cold_learned: Moment,
+    /// Limit on the rate of requests that its responses name.
+    pub(super) rate_limit: RateLimitSignal,
+    /// Moment of the request whose response named `rate_limit`.
+    limit_as_of: Moment,
+    /// Whether a response said that it is leaving.
+    pub(super) said_leaving: bool,
 }
 
 /// Effect of a check-in on the known process.
@@ -62,6 +69,9 @@
             warm_at: None,
             earliest_warm: None,
             cold_learned: Moment::default(),
+            rate_limit: RateLimitSignal::Unlimited,
+            limit_as_of: Moment::default(),
+            said_leaving: false,
         };
         process.extend_cold(check_in.cold_remaining, now);
         process
@@ -91,6 +101,9 @@
             warm_at: None,
             earliest_warm: None,
             cold_learned: Moment::default(),
+            rate_limit: RateLimitSignal::Unlimited,
+            limit_as_of: Moment::default(),
+            said_leaving: false,
         };
         process.apply_health(report, requested, now);
         process
@@ -120,6 +133,17 @@
         }
     }
 
+    /// Applies the limit that a response names, or that it names none.
+    ///
+    /// Responses overtake each other: one to an earlier request than the response that is known is
+    /// ignored.
+    pub(super) fn apply_rate_limit(&mut self, answer: &AnswerSignals) {
+        if answer.sent >= self.limit_as_of {
+            self.limit_as_of = answer.sent;
+            self.rate_limit = answer.signals.rate_limit;
+        }
+    }
+
     /// Treats the process as cold for at least this time from now on.
     pub(super) fn extend_cold(&mut self, remaining: Duration, now: Moment) {
         if !remaining.is_zero() {
--- a/crates/relay/src/messages.rs
+++ b/crates/relay/src/messages.rs
@@ -20,7 +20,8 @@
 use crate::ports::{Cause, PeerAddrs};
 
 pub(crate) use guard::{
-    AdmissionDecision, AdmissionRequest, GuardMessage, Permit, PermitOutcome, PermitReport,
+    AdmissionDecision, AdmissionRequest, AnswerSignals, GuardMessage, Permit, PermitOutcome,
+    PermitReport,
 };
 
 /// Retry delay sent with a refusal when it is unknown when the upstream will have capacity.
@@ -351,6 +352,8 @@
     },
     /// The configuration changed.
     Control(Arc<ControlView>),
+    /// Requests per second that the upstream accepts; `None` if it names no limit.
+    UpstreamLimit(Option<f64>),
     /// Whether a later configuration exists that this daemon does not have.
     Behind(bool),
     /// A read of the configuration has ended.
--- a/crates/relay/src/messages/guard.rs
+++ b/crates/relay/src/messages/guard.rs
@@ -10,7 +10,7 @@
 use smallvec::SmallVec;
 
 use crate::desired::{ControlView, Version};
-use crate::ports::{Cause, CheckIn, HealthReport, UpstreamLoad};
+use crate::ports::{Cause, CheckIn, HealthReport, UpstreamLoad, UpstreamSignals};
 
 /// Asks the guard to admit a call to the upstream.
 #[derive(Clone, Debug)]
@@ -90,6 +90,17 @@
     pub(crate) outcome: PermitOutcome,
     /// Load that the upstream reported in its response.
     pub(crate) load: Option<UpstreamLoad>,
+    /// What the response says about the upstream; `None` if there was no valid response.
+    pub(crate) signals: Option<AnswerSignals>,
+}
+
+/// What a response says about the upstream that sent it.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct AnswerSignals {
+    /// Moment from which the request was sent; the response is not older.
+    pub(crate) sent: Moment,
+    /// What the response says.
+    pub(crate) signals: UpstreamSignals,
 }
 
 /// How an admitted request ended.
--- a/crates/relay/src/ports.rs
+++ b/crates/relay/src/ports.rs
@@ -141,6 +141,38 @@
     pub slowdown: Option<f64>,
 }
 
+/// What a response of an upstream says about the rate of requests that the upstream accepts.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub enum RateLimitSignal {
+    /// It names no limit.
+    #[default]
+    Unlimited,
+    /// The upstream accepts this number of requests per second from all callers together.
+    PerSecond(f64),
+    /// It names a limit that is not a number of requests per second.
+    Invalid,
+}
+
+impl RateLimitSignal {
+    /// Returns the limit in requests per second; `None` if there is none, or it is invalid.
+    #[must_use]
+    pub fn value(self) -> Option<f64> {
+        match self {
+            Self::PerSecond(limit) => Some(limit),
+            Self::Unlimited | Self::Invalid => None,
+        }
+    }
+}
+
+/// What every response of an upstream says about the upstream.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct UpstreamSignals {
+    /// Limit on the rate of its requests.
+    pub rate_limit: RateLimitSignal,
+    /// Whether it is leaving and accepts no new requests.
+    pub leaving: bool,
+}
+
 /// Outcome of a request, as an upstream's response reports it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ResponseOutcome {
@@ -242,6 +274,9 @@
     /// Decodes the load that an upstream reports; returns `None` if there is none.
     fn load(&self, headers: &HeaderMap) -> Option<UpstreamLoad>;
 
+    /// Decodes what a response says about the upstream that sent it.
+    fn signals(&self, headers: &HeaderMap) -> UpstreamSignals;
+
     /// Returns how long the upstream keeps an idle connection open; `None` if it does not say.
     fn keep_alive(&self, headers: &HeaderMap) -> Option<Duration>;
 
@@ -264,6 +299,8 @@
     pub cold_remaining: Option<Duration>,
     /// Load of the upstream; `None` if not reported.
     pub load: Option<UpstreamLoad>,
+    /// What the response says about the upstream.
+    pub signals: UpstreamSignals,
 }
 
 /// State that an upstream announces in its check-ins.
--- a/crates/relay/src/runner.rs
+++ b/crates/relay/src/runner.rs
@@ -13,10 +13,12 @@
 use crate::connector::Connector;
 use crate::hop::{HopHeaders, HopOutcome, HopRequest, HopResponse};
 use crate::messages::{
-    AdmissionDecision, AdmissionRequest, DEFAULT_RETRY_AFTER, GuardMessage, Permit, PermitOutcome,
-    PermitReport, PoolMessage, work_key,
+    AdmissionDecision, AdmissionRequest, AnswerSignals, DEFAULT_RETRY_AFTER, GuardMessage, Permit,
+    PermitOutcome, PermitReport, PoolMessage, work_key,
+};
+use crate::ports::{
+    Cause, Dialect, ResponseOutcome, UpstreamLoad, UpstreamMetadata, UpstreamSignals,
 };
-use crate::ports::{Cause, Dialect, ResponseOutcome, UpstreamLoad, UpstreamMetadata};
 
 /// Requests with less time left until their deadline are not sent to the upstream.
 const MIN_TIME_LEFT: Duration = Duration::from_millis(5);
@@ -46,6 +48,8 @@
     permit_outcome: PermitOutcome,
     /// Load that the upstream reported in its response.
     load: Option<UpstreamLoad>,
+    /// What the response says about the upstream; `None` if there was no valid response.
+    signals: Option<UpstreamSignals>,
     /// Moment from which the request was sent; `None` if it was not sent.
     sent: Option<Moment>,
 }
@@ -60,6 +64,7 @@
             },
             permit_outcome,
             load: None,
+            signals: None,
             sent: None,
         }
     }
@@ -69,6 +74,7 @@
             outcome: HopOutcome::Unknown { cause },
             permit_outcome,
             load: None,
+            signals: None,
             sent: None,
         }
     }
@@ -149,6 +155,10 @@
             id: permit.id,
             outcome: result.permit_outcome,
             load: result.load,
+            signals: result
+                .sent
+                .zip(result.signals)
+                .map(|(sent, signals)| AnswerSignals { sent, signals }),
         });
         let work = work_key(&request.route);
         let answer = self.guard.ask(|reply| GuardMessage::Load { work, reply });
@@ -264,6 +274,7 @@
     /// Returns what a response says about the request and about the upstream.
     fn classify(&self, response: Response, attempt_id: Option<&str>) -> ExchangeResult {
         let load = self.dialect.load(&response.headers);
+        let signals = self.dialect.signals(&response.headers);
         let result = match self.dialect.classify_response(&response, attempt_id) {
             ResponseOutcome::Answer { failed } => ExchangeResult {
                 outcome: HopOutcome::Answered(self.hop_response(response, failed)),
@@ -273,6 +284,7 @@
                     PermitOutcome::Answered
                 },
                 load: None,
+                signals: None,
                 sent: None,
             },
             ResponseOutcome::NotRun => {
@@ -286,7 +298,16 @@
                 ExchangeResult::unknown(Cause::SpoiledAnswer, PermitOutcome::Lost)
             }
         };
-        ExchangeResult { load, ..result }
+        // A response of another process, or one that is not the upstream's, says nothing about it.
+        let valid = !matches!(
+            result.permit_outcome,
+            PermitOutcome::OtherInstance | PermitOutcome::Lost
+        );
+        ExchangeResult {
+            load,
+            signals: valid.then_some(signals),
+            ..result
+        }
     }
 
     /// Returns the response in the form that is sent to the other daemon.
--- a/crates/relay/src/stats.rs
+++ b/crates/relay/src/stats.rs
@@ -7,7 +7,9 @@
 
 use cornelvalve_kernel::{Context, ServiceResult};
 use derive_more::{Display, Error};
-use prometheus::{Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry};
+use prometheus::{
+    Gauge, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+};
 use tokio::sync::watch;
 
 use crate::control::request_republish;
@@ -44,6 +46,8 @@
     latency: Histogram,
     /// Requests admitted to the upstream while it was cold, by whether its rate was known.
     cold_starts: IntCounterVec,
+    /// Requests per second that the upstream accepts; infinite if it names no limit.
+    upstream_limit: Gauge,
     /// Version of the desired state in force.
     version: IntGauge,
     domains_out: IntGauge,
@@ -80,6 +84,10 @@
                 opts("cold_starts_total", "Requests admitted to a cold upstream"),
                 &["rate"],
             )?,
+            upstream_limit: Gauge::with_opts(opts(
+                "upstream_limit",
+                "Requests per second that the upstream accepts",
+            ))?,
             version: IntGauge::with_opts(opts("version", "Version of the desired state"))?,
             domains_out: IntGauge::with_opts(opts(
                 "domains_out",
@@ -100,10 +108,12 @@
         registry.register(Box::new(metrics.hand_backs.clone()))?;
         registry.register(Box::new(metrics.latency.clone()))?;
         registry.register(Box::new(metrics.cold_starts.clone()))?;
+        registry.register(Box::new(metrics.upstream_limit.clone()))?;
         registry.register(Box::new(metrics.version.clone()))?;
         registry.register(Box::new(metrics.domains_out.clone()))?;
         registry.register(Box::new(metrics.control_reads.clone()))?;
         registry.register(Box::new(metrics.members.clone()))?;
+        metrics.upstream_limit.set(f64::INFINITY);
         Ok(metrics)
     }
 
@@ -209,6 +219,10 @@
                 let labels = [&*source.to_string(), result];
                 self.metrics.control_reads.with_label_values(&labels).inc();
             }
+            StatsMessage::UpstreamLimit(limit) => {
+                let limit = limit.unwrap_or(f64::INFINITY);
+                self.metrics.upstream_limit.set(limit);
+            }
             StatsMessage::Scrape { reply } => reply.send(self.metrics.text()),
             StatsMessage::Ready { reply } => reply.send(self.is_ready()),
             StatsMessage::Behind(behind) => {
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -11,7 +11,7 @@
 pub use log::{LogFaults, LogHandle, LogOptions, LogStandIn, LoseBy};
 pub use platform::{
     CheckInRequest, PlatformStoreHandle, READY_PATH, ReceivedRequest, RouteConfig, SettingsFile,
-    StoreMode, TargetHandle, TargetMode, TargetOptions, caller_headers, desired_state,
+    Signals, StoreMode, TargetHandle, TargetMode, TargetOptions, caller_headers, desired_state,
     has_target_signature,
 };
 pub use upstream::{
--- a/crates/standins/src/platform.rs
+++ b/crates/standins/src/platform.rs
@@ -21,7 +21,7 @@
     has_target_signature,
 };
 pub use store::{PlatformStoreHandle, StoreMode};
-pub use target::{ReceivedRequest, TargetHandle, TargetMode, TargetOptions};
+pub use target::{ReceivedRequest, Signals, TargetHandle, TargetMode, TargetOptions};
 
 /// Options of the stand-ins' HTTP servers; larger than tests need, so that only the daemon's own
 /// limits take effect.
--- a/crates/standins/src/platform/target.rs
+++ b/crates/standins/src/platform/target.rs
@@ -72,6 +72,10 @@
     SetSlowdown(u16),
     SetCold(Duration),
     SetLeaving,
+    /// Sets the headers that all responses have.
+    SetSignals(Signals),
+    /// Requests the headers that all responses have.
+    Signals(oneshot::Sender<Signals>),
     /// Requests what the health path reports.
     Health(oneshot::Sender<Health>),
     /// Requests the number of running requests and the slowdown in percent.
@@ -79,6 +83,15 @@
     ReceivedRequests(oneshot::Sender<Vec<ReceivedRequest>>),
 }
 
+/// What all responses of a target say about it.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Signals {
+    /// Requests per second that it accepts, as it writes them; `None` if it names no limit.
+    pub limit: Option<String>,
+    /// Whether it says that it is leaving.
+    pub leaving: bool,
+}
+
 /// What the health path reports besides the load.
 #[derive(Clone, Copy, Debug, Default)]
 struct Health {
@@ -142,6 +155,11 @@
         self.send(Message::SetLeaving);
     }
 
+    /// Sets what all responses say about the target. The target itself rejects nothing.
+    pub fn set_signals(&self, signals: Signals) {
+        self.send(Message::SetSignals(signals));
+    }
+
     /// Returns the requests that the target has received.
     pub async fn received_requests(&self) -> Vec<ReceivedRequest> {
         let (sender, reply) = oneshot::channel();
@@ -169,6 +187,7 @@
     let (mut mode, mut running, mut slowdown) = (TargetMode::Serving, 0_u16, 100_u16);
     let mut cold_until = Instant::now();
     let mut leaving = false;
+    let mut signals = Signals::default();
     while let Some(message) = inbox.recv().await {
         match message {
             Message::RequestStarted(mut request, reply) => {
@@ -184,6 +203,10 @@
             Message::SetSlowdown(percent) => slowdown = percent,
             Message::SetCold(duration) => cold_until = Instant::now() + duration,
             Message::SetLeaving => leaving = true,
+            Message::SetSignals(new_signals) => signals = new_signals,
+            Message::Signals(reply) => {
+                let _ = reply.send(signals.clone());
+            }
             Message::Health(reply) => {
                 let _ = reply.send(Health {
                     leaving,
@@ -219,10 +242,13 @@
     fn handle(&self, request: Request) -> BoxFuture<'static, OutgoingResponse> {
         let (options, sender) = (Arc::clone(&self.options), self.sender.clone());
         Box::pin(async move {
-            if request.method == Method::GET && &*request.target == "/health" {
-                return health(&options, &sender).await;
-            }
-            run(&options, sender, &request).await
+            let mut response = if request.method == Method::GET && &*request.target == "/health" {
+                health(&options, &sender).await
+            } else {
+                run(&options, sender.clone(), &request).await
+            };
+            set_signals(&mut response.headers, &sender).await;
+            response
         })
     }
 }
@@ -253,6 +279,19 @@
     set_header(headers, "x-server-load", &load);
 }
 
+/// Sets the headers that all responses have.
+async fn set_signals(headers: &mut HeaderMap, sender: &mpsc::UnboundedSender<Message>) {
+    let (reply_sender, reply) = oneshot::channel();
+    let _ = sender.send(Message::Signals(reply_sender));
+    let signals = reply.await.unwrap_or_default();
+    if let Some(limit) = &signals.limit {
+        set_header(headers, "server-limit", limit);
+    }
+    if signals.leaving {
+        set_header(headers, "server-leaving", "1");
+    }
+}
+
 /// Returns the response to a health check.
 async fn health(
     options: &TargetOptions,
