Start no more requests a second than an upstream in need names

Cause: nothing read the limit. Class: a gate that knows two limits on starts, slots and coldness, and takes what it was not told for unlimited.

The wait for the limit is part of the expected wait, so calls are handed back or refused at once, as not run, with the cause upstream-limit and the real wait.

Conclusion: the limit holds at the one place through which all requests go.

--- a/crates/policy/src/gate.rs
+++ b/crates/policy/src/gate.rs
@@ -23,6 +23,7 @@
 //! daemon for hosted platforms (crate `relay`) uses this gate; the general daemon (crate `daemon`)
 //! uses [`AdmissionController`](crate::AdmissionController).
 
+mod rate_limit;
 mod start_limit;
 mod types;
 
@@ -32,6 +33,7 @@
 use cornelvalve_model::Moment;
 use smallvec::SmallVec;
 
+use rate_limit::RateLimit;
 use start_limit::StartLimit;
 pub use start_limit::{ColdRate, ColdTolerance};
 pub use types::{GateAction, GateActions, GateCall, GateCallId, GateLoad, GateRefusal, WorkKey};
@@ -120,6 +122,8 @@
     /// Factor by which calls now take longer than their baseline duration.
     slowdown: f64,
     start_limit: StartLimit,
+    /// Limit that the upstream itself names; `None` if it names none.
+    rate_limit: Option<RateLimit>,
     running: HashMap<GateCallId, Running>,
     queue: Vec<Waiting>,
     /// Fraction of the recent time during which calls waited: an exponential moving average.
@@ -138,6 +142,7 @@
             slots: slots.max(1),
             slowdown: 1.0,
             start_limit: StartLimit::unlimited(),
+            rate_limit: None,
             running: HashMap::new(),
             queue: Vec::new(),
             pressure: 0.0,
@@ -170,6 +175,34 @@
         self.advance(now)
     }
 
+    /// Sets the number of starts per second that the upstream accepts, or that it names no limit, and
+    /// returns the actions that follow.
+    ///
+    /// Waiting calls that another upstream would now finish earlier are handed back.
+    pub fn set_rate_limit(&mut self, per_second: Option<f64>, now: Moment) -> GateActions {
+        match (&mut self.rate_limit, per_second) {
+            (Some(limit), Some(per_second)) => limit.set(per_second, now),
+            (limit, per_second) => *limit = per_second.map(|p| RateLimit::new(p, now)),
+        }
+        let mut actions = GateActions::new();
+        self.hand_back_calls(now, &mut actions);
+        actions.extend(self.advance(now));
+        actions
+    }
+
+    /// Returns the time until the limit that the upstream names allows another start after `ahead`
+    /// others.
+    fn rate_wait(&self, ahead: usize, now: Moment) -> Duration {
+        let limit = self.rate_limit.as_ref();
+        limit.map_or(Duration::ZERO, |l| l.wait(ahead, now))
+    }
+
+    /// Returns whether the limits on starts allow one now.
+    fn allows_start(&self, now: Moment) -> bool {
+        let limit = self.rate_limit.as_ref();
+        self.start_limit.allows_start(now) && limit.is_none_or(|l| l.allows_start(now))
+    }
+
     /// Returns whether the upstream should be asked if it is warm, because the starts since it last
     /// confirmed that will soon reach the limit of a cold upstream.
     #[must_use]
@@ -222,8 +255,7 @@
             || wait > max_wait
             || wait + self.baseline_duration(call.work) > time_left
         {
-            let drain_time = self.drain_time(now);
-            let refusal = GateRefusal::Overloaded { drain_time };
+            let refusal = self.late_refusal(now);
             actions.push(GateAction::Refuse(call.id, refusal));
         } else {
             self.queue.push(Waiting { call, arrived: now });
@@ -278,14 +310,13 @@
     pub fn advance(&mut self, now: Moment) -> GateActions {
         let mut actions = GateActions::new();
         self.update_pressure(now);
-        let drain_time = self.drain_time(now);
+        let refusal = self.late_refusal(now);
         let waiting = std::mem::take(&mut self.queue);
         let (too_late, kept): (Vec<_>, Vec<_>) = waiting
             .into_iter()
             .partition(|w| self.latest_start(w) < now);
         self.queue = kept;
         for Waiting { call, .. } in too_late {
-            let refusal = GateRefusal::Overloaded { drain_time };
             actions.push(GateAction::Refuse(call.id, refusal));
         }
         self.start_ready_calls(now, &mut actions);
@@ -308,7 +339,10 @@
         // A call is refused only after its latest start, so without the extra millisecond the gate
         // would still be due after it was advanced.
         let first = due.min()? + Duration::from_millis(1);
-        let next_release = self.start_limit.next_release(now);
+        let cold_release = self.start_limit.next_release(now);
+        let limit_release = self.rate_limit.as_ref().and_then(|l| l.next_release(now));
+        // If both limits hold calls back, the later one decides.
+        let next_release = cold_release.max(limit_release);
         let next_start = next_release.filter(|_| self.running.len() < self.slots);
         Some(next_start.map_or(first, |start| start.min(first)))
     }
@@ -398,7 +432,7 @@
     /// Returns the time for which a new call would wait at the current speed.
     fn expected_wait(&self, call: &GateCall, now: Moment) -> Duration {
         let free = self.running.len() < self.slots && self.queue.is_empty();
-        if free && self.start_limit.allows_start(now) {
+        if free && self.allows_start(now) {
             return Duration::ZERO;
         }
         let key = self.sort_key(call, now);
@@ -407,7 +441,8 @@
         let ahead: SmallVec<[Duration; 16]> =
             ahead.map(|c| self.baseline_duration(c.work)).collect();
         let slot_wait = self.completion_time(self.remaining_time(now), ahead.iter().sum());
-        slot_wait.max(self.start_limit.wait(ahead.len(), now))
+        let limit_wait = self.rate_wait(ahead.len(), now);
+        slot_wait.max(limit_wait.max(self.start_limit.wait(ahead.len(), now)))
     }
 
     /// Returns the number of starts within the window that the limit of a cold upstream covers.
@@ -416,6 +451,17 @@
         self.start_limit.recent_starts(now)
     }
 
+    /// Returns the refusal of a call that cannot start in time.
+    fn late_refusal(&self, now: Moment) -> GateRefusal {
+        let drain_time = self.drain_time(now);
+        let wait = self.rate_wait(self.queue.len(), now);
+        if !wait.is_zero() && wait >= drain_time {
+            GateRefusal::Limited { wait }
+        } else {
+            GateRefusal::Overloaded { drain_time }
+        }
+    }
+
     /// Returns the time until all calls that now run or wait have ended.
     fn drain_time(&self, now: Moment) -> Duration {
         let waiting = self
@@ -424,7 +470,8 @@
             .map(|w| self.baseline_duration(w.call.work));
         let waiting: Duration = waiting.sum();
         let slot_time = self.completion_time(self.remaining_time(now), waiting);
-        slot_time.max(self.start_limit.wait(self.queue.len(), now))
+        let limit_time = self.rate_wait(self.queue.len(), now);
+        slot_time.max(limit_time.max(self.start_limit.wait(self.queue.len(), now)))
     }
 
     /// Returns the time in which all slots together finish the given remaining time of running
@@ -463,7 +510,7 @@
 
     /// Starts waiting calls in queue order while slots and the limit of a cold upstream allow it.
     fn start_ready_calls(&mut self, now: Moment, actions: &mut GateActions) {
-        while self.running.len() < self.slots && self.start_limit.allows_start(now) {
+        while self.running.len() < self.slots && self.allows_start(now) {
             let ready = self
                 .queue
                 .iter()
@@ -483,6 +530,9 @@
             };
             self.running.insert(call.id, running);
             self.start_limit.record_start();
+            if let Some(limit) = &mut self.rate_limit {
+                limit.record_start(now);
+            }
             actions.push(GateAction::Start(call.id));
         }
     }
--- a/crates/policy/src/gate/rate_limit.rs
+++ b/crates/policy/src/gate/rate_limit.rs
@@ -33,7 +33,7 @@
     /// `per_second` may be zero, which allows no start. A value that is not a number counts as
     /// zero.
     pub(super) fn new(per_second: f64, now: Moment) -> Self {
-        let per_second = per_second.max(0.0).min(MAX_PER_SECOND);
+        let per_second = usable(per_second);
         Self {
             per_second,
             tokens: if per_second > 0.0 { 1.0 } else { 0.0 },
@@ -45,7 +45,7 @@
     pub(super) fn set(&mut self, per_second: f64, now: Moment) {
         self.tokens = self.tokens(now);
         self.updated = now;
-        self.per_second = per_second.max(0.0).min(MAX_PER_SECOND);
+        self.per_second = usable(per_second);
         self.tokens = self.tokens.min(self.burst());
     }
 
@@ -92,5 +92,14 @@
     }
 }
 
+/// Returns a number of starts per second that is neither negative nor absurdly large.
+fn usable(per_second: f64) -> f64 {
+    if per_second.is_nan() {
+        0.0
+    } else {
+        per_second.clamp(0.0, MAX_PER_SECOND)
+    }
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/policy/src/gate/types.rs
+++ b/crates/policy/src/gate/types.rs
@@ -40,6 +40,11 @@
         /// Expected time until the call would have ended at this upstream.
         expected: Duration,
     },
+    /// The limit that the upstream names leaves no start for the call in time.
+    Limited {
+        /// Time until the limit allows a start after the waiting calls.
+        wait: Duration,
+    },
     /// The call would wait too long to be answered in time, or already has.
     Overloaded {
         /// Expected time until all calls that now run or wait have ended.
--- a/crates/policy/tests/all/simulation/mesh.rs
+++ b/crates/policy/tests/all/simulation/mesh.rs
@@ -328,7 +328,9 @@
                 }
                 GateAction::Refuse(GateCallId(number), refusal) => {
                     let returned = match refusal {
-                        GateRefusal::Overloaded { .. } => Returned::Refused,
+                        GateRefusal::Limited { .. } | GateRefusal::Overloaded { .. } => {
+                            Returned::Refused
+                        }
                         GateRefusal::FasterElsewhere { .. } => Returned::HandedBack,
                     };
                     self.send_back(number, guard, returned);
--- a/crates/relay/src/entry/forward.rs
+++ b/crates/relay/src/entry/forward.rs
@@ -379,7 +379,11 @@
         reached_upstream: bool,
         retry_after: Duration,
     ) -> bool {
-        if matches!(cause, Cause::Overloaded | Cause::StaleConfiguration) || reached_upstream {
+        if matches!(
+            cause,
+            Cause::Overloaded | Cause::StaleConfiguration | Cause::UpstreamLimit
+        ) || reached_upstream
+        {
             let least = self.retry_after.map_or(retry_after, |r| r.min(retry_after));
             self.retry_after = Some(least);
         }
--- a/crates/relay/src/guard.rs
+++ b/crates/relay/src/guard.rs
@@ -8,6 +8,7 @@
 mod calls;
 mod cold;
 mod crashes;
+mod named_limit;
 mod probing;
 mod reports;
 mod state;
--- a/crates/relay/src/guard/admission.rs
+++ b/crates/relay/src/guard/admission.rs
@@ -214,6 +214,9 @@
             GateAction::Refuse(id, GateRefusal::FasterElsewhere { expected }) => {
                 self.refuse(id, Cause::Elsewhere, expected, now);
             }
+            GateAction::Refuse(id, GateRefusal::Limited { wait }) => {
+                self.refuse(id, Cause::UpstreamLimit, wait, now);
+            }
             GateAction::Refuse(id, GateRefusal::Overloaded { drain_time }) => {
                 self.refuse(id, Cause::Overloaded, drain_time, now);
             }
--- a/crates/relay/src/guard/reports.rs
+++ b/crates/relay/src/guard/reports.rs
@@ -4,10 +4,11 @@
 
 use cornelvalve_model::Moment;
 
+use super::named_limit::LimitChange;
 use super::state::GuardState;
 use super::upstream::{CheckInEffect, UpstreamProcess};
 use crate::messages::{AnswerSignals, StatsMessage};
-use crate::ports::{Cause, CheckIn, HealthReport, RateLimitSignal, UpstreamLoad};
+use crate::ports::{Cause, CheckIn, HealthReport, UpstreamLoad};
 
 impl GuardState {
     /// Applies a check-in unless it is out of date or comes from another upstream.
@@ -44,6 +45,7 @@
             self.on_upstream_changed(now);
         }
         self.update_cold_limit(now);
+        self.update_rate_limit(now);
     }
 
     /// Compares the current process with the previous one. If it is another one, reports the
@@ -106,11 +108,6 @@
         match &mut self.process {
             Some(process) if *process.instance == *instance => {
                 process.apply_health(report, requested, now);
-                let answer = AnswerSignals {
-                    sent: requested,
-                    signals: report.signals,
-                };
-                self.apply_signals(answer, Some(instance), now);
             }
             _ => {
                 let old = self.process.take();
@@ -122,6 +119,11 @@
                 self.on_upstream_changed(now);
             }
         }
+        let answer = AnswerSignals {
+            sent: requested,
+            signals: report.signals,
+        };
+        self.apply_signals(answer, Some(instance), now);
     }
 
     /// Applies what a response of the process `instance` says about it.
@@ -137,19 +139,36 @@
         if instance != Some(process.instance.as_ref()) {
             return;
         }
-        let before = process.rate_limit;
-        process.apply_rate_limit(&answer);
-        if process.rate_limit != before {
-            let (instance, after) = (process.instance.as_ref(), process.rate_limit);
-            log::info!(event = "upstream-limit", instance = instance, limit = after.value(), valid = after != RateLimitSignal::Invalid, limit_before = before.value(), recent_starts = self.gate.recent_starts(now); "upstream named another limit on its requests per second, or none");
-            let message = StatsMessage::UpstreamLimit(after.value());
-            if let Err(e) = self.channels.stats.try_send(message) {
-                log::debug!("limit of the upstream is missing in the metrics: {e}");
+        let instance = process.instance.as_ref();
+        let limit_before = process.limit.named();
+        match process.limit.apply(&answer) {
+            LimitChange::Unchanged => {}
+            LimitChange::Changed => {
+                log::info!(event = "upstream-limit", instance = instance, limit = process.limit.named(), limit_before = limit_before, recent_starts = self.gate.recent_starts(now); "upstream named another limit on its requests per second, or none");
+            }
+            LimitChange::Invalid => {
+                log::warn!(event = "upstream-limit-invalid", instance = instance, limit_before = limit_before; "upstream named a limit that is not a number of requests per second; the previous one stays in force");
             }
         }
         if answer.signals.leaving && !process.said_leaving {
             process.said_leaving = true;
-            log::info!(event = "upstream-leaving", instance = process.instance.as_ref(), state:% = process.state; "upstream said in a response that it is leaving");
+            log::info!(event = "upstream-leaving", instance = instance, state:% = process.state; "upstream said in a response that it is leaving");
+        }
+        self.update_rate_limit(now);
+    }
+
+    /// Tells the gate which limit on starts is in force, if that has changed.
+    pub(super) fn update_rate_limit(&mut self, now: Moment) {
+        let limit = self.process.as_ref().and_then(|p| p.limit.enforced());
+        if limit == self.rate_limit {
+            return;
+        }
+        self.rate_limit = limit;
+        let actions = self.gate.set_rate_limit(limit, now);
+        self.apply_actions(actions, now);
+        let message = StatsMessage::UpstreamLimit(limit);
+        if let Err(e) = self.channels.stats.try_send(message) {
+            log::debug!("limit of the upstream is missing in the metrics: {e}");
         }
     }
 
--- a/crates/relay/src/guard/state.rs
+++ b/crates/relay/src/guard/state.rs
@@ -60,6 +60,8 @@
     pub(super) slots: usize,
     /// How many times longer than normal requests take at the upstream, as last reported.
     pub(super) slowdown: f64,
+    /// Limit on the starts per second that was last set at the gate; `None` if there is none.
+    pub(super) rate_limit: Option<f64>,
     /// Share of recent requests that failed.
     pub(super) failures: FailureRate,
     /// Current upstream process; `None` until a check-in or probe reports one.
@@ -95,6 +97,7 @@
             gate: Gate::new(DEFAULT_SLOTS),
             slots: DEFAULT_SLOTS,
             slowdown: 1.0,
+            rate_limit: None,
             failures: FailureRate::default(),
             process: None,
             replaced_instances: SmallVec::new(),
--- a/crates/relay/src/guard/upstream.rs
+++ b/crates/relay/src/guard/upstream.rs
@@ -8,8 +8,8 @@
 
 use cornelvalve_model::{Moment, UpstreamState};
 
-use crate::messages::AnswerSignals;
-use crate::ports::{AnnouncedState, CheckIn, HealthReport, RateLimitSignal};
+use super::named_limit::NamedLimit;
+use crate::ports::{AnnouncedState, CheckIn, HealthReport};
 
 /// Upstream process, as last reported.
 #[derive(Clone, Debug)]
@@ -36,10 +36,8 @@
     /// Moment at which something other than the health path last told that the process is cold.
     /// Only a response to a later probe may say otherwise.
     cold_learned: Moment,
-    /// Limit on the rate of requests that its responses name.
-    pub(super) rate_limit: RateLimitSignal,
-    /// Moment of the request whose response named `rate_limit`.
-    limit_as_of: Moment,
+    /// Limit on its requests per second that its responses name.
+    pub(super) limit: NamedLimit,
     /// Whether a response said that it is leaving.
     pub(super) said_leaving: bool,
 }
@@ -69,8 +67,7 @@
             warm_at: None,
             earliest_warm: None,
             cold_learned: Moment::default(),
-            rate_limit: RateLimitSignal::Unlimited,
-            limit_as_of: Moment::default(),
+            limit: NamedLimit::default(),
             said_leaving: false,
         };
         process.extend_cold(check_in.cold_remaining, now);
@@ -101,8 +98,7 @@
             warm_at: None,
             earliest_warm: None,
             cold_learned: Moment::default(),
-            rate_limit: RateLimitSignal::Unlimited,
-            limit_as_of: Moment::default(),
+            limit: NamedLimit::default(),
             said_leaving: false,
         };
         process.apply_health(report, requested, now);
@@ -133,17 +129,6 @@
         }
     }
 
-    /// Applies the limit that a response names, or that it names none.
-    ///
-    /// Responses overtake each other: one to an earlier request than the response that is known is
-    /// ignored.
-    pub(super) fn apply_rate_limit(&mut self, answer: &AnswerSignals) {
-        if answer.sent >= self.limit_as_of {
-            self.limit_as_of = answer.sent;
-            self.rate_limit = answer.signals.rate_limit;
-        }
-    }
-
     /// Treats the process as cold for at least this time from now on.
     pub(super) fn extend_cold(&mut self, remaining: Duration, now: Moment) {
         if !remaining.is_zero() {
--- a/crates/relay/src/ports.rs
+++ b/crates/relay/src/ports.rs
@@ -163,17 +163,6 @@
     Invalid,
 }
 
-impl RateLimitSignal {
-    /// Returns the limit in requests per second; `None` if there is none, or it is invalid.
-    #[must_use]
-    pub fn value(self) -> Option<f64> {
-        match self {
-            Self::PerSecond(limit) => Some(limit),
-            Self::Unlimited | Self::Invalid => None,
-        }
-    }
-}
-
 /// What every response of an upstream says about the upstream.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct UpstreamSignals {
@@ -248,6 +237,9 @@
     /// A later configuration than the one of this daemon exists, which may allow the request.
     #[display("stale-configuration")]
     StaleConfiguration,
+    /// The upstream accepts only a limited number of requests per second.
+    #[display("upstream-limit")]
+    UpstreamLimit,
 }
 
 /// Response that the load balancer itself gives to a caller, in place of an upstream's.
