Place requests by the limits that upstreams name

What callers saw with the guard obeying alone: requests went to the limited upstream first, waited or came back, and went there again in turn; with a limit on all upstreams they were refused after seven hops.

Cause: an entry did not know the limit, so an upstream that may not start anything looked idle.

Change: a load report carries the limit and the wait for it, to peers in each reply and, when the limit appears, changes by a fifth or ends, in a notice. The expected latency at an upstream includes that wait and what this daemon sent there since. If even the best upstream leaves no start in time, the request is refused at once (upstream-limit, not run, back after the shortest wait or 1 s). A limit is remembered for 2 s, so that daemons that get no notice find out when it has ended.

Conclusion: what a limit leaves over goes to other upstreams before it queues behind the limit.

--- a/crates/policy/src/gate.rs
+++ b/crates/policy/src/gate.rs
@@ -33,6 +33,7 @@
 use cornelvalve_model::Moment;
 use smallvec::SmallVec;
 
+use crate::placement::LoadRateLimit;
 use rate_limit::RateLimit;
 use start_limit::StartLimit;
 pub use start_limit::{ColdRate, ColdTolerance};
@@ -162,6 +163,17 @@
         }
     }
 
+    /// Returns the limit that the upstream names, with the time until it allows another call after
+    /// those that wait; `None` if there is none.
+    #[must_use]
+    pub fn load_rate_limit(&self, now: Moment) -> Option<LoadRateLimit> {
+        let limit = self.rate_limit.as_ref()?;
+        Some(LoadRateLimit {
+            per_second: limit.per_second(),
+            wait_ms: limit.wait(self.queue.len(), now).as_secs_f64() * 1000.0,
+        })
+    }
+
     /// Sets the number of calls that may run at once, and returns the actions that follow.
     pub fn set_slots(&mut self, slots: usize, now: Moment) -> GateActions {
         self.slots = slots.max(1);
--- a/crates/policy/src/gate/rate_limit.rs
+++ b/crates/policy/src/gate/rate_limit.rs
@@ -41,6 +41,11 @@
         }
     }
 
+    /// Returns the number of starts per second.
+    pub(super) fn per_second(&self) -> f64 {
+        self.per_second
+    }
+
     /// Changes the number of starts per second and keeps what is saved up of it.
     pub(super) fn set(&mut self, per_second: f64, now: Moment) {
         self.tokens = self.tokens(now);
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -58,8 +58,8 @@
 };
 pub use picker::{Candidate, LeastOutstanding, Picker, PowerOfTwo, RoundRobin};
 pub use placement::{
-    CallCost, Distance, LoadReport, LowestLatencyPlacement, Placement, PlacementTarget,
-    RankedTarget, RoundRobinPlacement, TargetOutcome, TargetRanking,
+    CallCost, Distance, LoadRateLimit, LoadReport, LowestLatencyPlacement, Placement,
+    PlacementTarget, RankedTarget, RoundRobinPlacement, TargetOutcome, TargetRanking,
 };
 pub use retry::{HedgeBudget, RetryBudget, RetryDecision, retry_decision};
 pub use retry_share::{RetryBudgetSettings, RetryBudgetShare};
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -84,6 +84,19 @@
 /// Difference between two failure rates above which the change is significant.
 const SIGNIFICANT_FAILURE_RATE_CHANGE: f64 = 0.04;
 
+/// Ratio between two limits on the calls per second from which the change is significant.
+const SIGNIFICANT_LIMIT_RATIO: f64 = 1.2;
+
+/// Calls per second below which two limits count as equal.
+const MIN_LIMIT_PER_SECOND: f64 = 0.01;
+
+/// Time for which a limit on the calls per second is remembered. After it, a call finds out whether
+/// the limit is still in force, as no report tells daemons of other regions that it has ended.
+const LIMIT_MEMORY: Duration = Duration::from_secs(2);
+
+/// Wait assumed at an upstream that accepts no calls, in milliseconds. It ranks after all others.
+const NO_START_WAIT_MS: f64 = 3_600_000.0;
+
 /// Network distance between this daemon and an upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Distance {
@@ -139,6 +152,36 @@
     pub failure_rate: f64,
     /// Whether the upstream is cold: it has started recently and still runs slowly.
     pub cold: bool,
+    /// Limit on its calls that the upstream names; `None` if it names none.
+    pub rate_limit: Option<LoadRateLimit>,
+}
+
+/// Limit on the calls per second at an upstream, as part of a load report.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct LoadRateLimit {
+    /// Calls per second that the upstream accepts.
+    pub per_second: f64,
+    /// Time until it accepts another call after those that wait, in milliseconds.
+    pub wait_ms: f64,
+}
+
+impl LoadRateLimit {
+    /// Returns the time until the upstream accepts a call, `elapsed` after the report and after
+    /// `ahead` calls that it does not include, in milliseconds.
+    fn wait_ms(&self, ahead: u16, elapsed: Duration) -> f64 {
+        if self.per_second <= 0.0 {
+            return NO_START_WAIT_MS;
+        }
+        let ahead_ms = f64::from(ahead) * 1000.0 / self.per_second;
+        (self.wait_ms + ahead_ms - elapsed.as_secs_f64() * 1000.0).max(0.0)
+    }
+
+    /// Returns whether the limit differs so much from `old` that daemons that know the old one
+    /// should be notified.
+    fn is_significant_change_from(&self, old: &Self) -> bool {
+        let ratio = self.per_second / old.per_second.max(MIN_LIMIT_PER_SECOND);
+        !(1.0 / SIGNIFICANT_LIMIT_RATIO..=SIGNIFICANT_LIMIT_RATIO).contains(&ratio)
+    }
 }
 
 impl LoadReport {
@@ -150,10 +193,19 @@
         let has_queue = |load: &Self| load.waiting > 0;
         !(1.0 / SIGNIFICANT_SLOWDOWN_RATIO..=SIGNIFICANT_SLOWDOWN_RATIO).contains(&ratio)
             || self.cold != old.cold
+            || self.has_other_limit(old)
             || (self.failure_rate - old.failure_rate).abs() > SIGNIFICANT_FAILURE_RATE_CHANGE
             // A queue that forms or empties is significant, unless only a single call waits.
             || (has_queue(self) != has_queue(old) && self.waiting != 1)
     }
+
+    /// Returns whether the limit on calls appeared, ended or changed significantly since `old`.
+    fn has_other_limit(&self, old: &Self) -> bool {
+        match (&self.rate_limit, &old.rate_limit) {
+            (Some(limit), Some(old)) => limit.is_significant_change_from(old),
+            (limit, old) => limit.is_some() != old.is_some(),
+        }
+    }
 }
 
 /// Upstream as a target of placement, with what this daemon knows about it.
@@ -252,6 +304,20 @@
         self.failures.rate(reported, now)
     }
 
+    /// Returns the expected time until the limit that the upstream names allows a call, in
+    /// milliseconds.
+    ///
+    /// Unlike the rest of a load report, the limit does not lose its weight with time while it is
+    /// remembered.
+    #[must_use]
+    pub fn limit_wait_ms(&self, now: Moment) -> f64 {
+        let reported = self.report.rate_limit.zip(self.reported_at);
+        let remembered = reported.filter(|(_, at)| now.since(*at) < LIMIT_MEMORY);
+        remembered.map_or(0.0, |(limit, at)| {
+            limit.wait_ms(self.unreported, now.since(at))
+        })
+    }
+
     /// Returns the largest random part of the expected latency, in milliseconds.
     fn max_jitter_ms(&self, call: &CallCost, now: Moment) -> f64 {
         let unknown = 1.0 - self.report_weight(now);
@@ -278,6 +344,7 @@
         let cold = if self.report.cold { 2.0 } else { 1.0 };
         let work_ms = call.work_ms * cold * (1.0 + queue + utilization);
         (work_ms * slowdown).min(work_ms + SLOW_PERIOD_REMAINING_MS)
+            + self.limit_wait_ms(now)
             + self.distance.round_trip_ms()
             + self.distance.bytes_penalty_ms(call.bytes)
             + self.estimated_failure_rate(average_failure_rate, now) * FAILURE_PENALTY_MS
--- a/crates/policy/tests/all/simulation.rs
+++ b/crates/policy/tests/all/simulation.rs
@@ -14,7 +14,7 @@
 
 use cornelvalve_policy::{LowestLatencyPlacement, Placement, RoundRobinPlacement};
 
-use load::{Load, Noise, Region, Shedding};
+use load::{Limits, Load, Noise, Region, Shedding};
 use mesh::{Mesh, Summary};
 
 /// Latency objective of the remote requests.
@@ -36,6 +36,7 @@
         deadline: DEADLINE,
         noise: Noise::NEIGHBOURS,
         shedding: Shedding::NONE,
+        limits: Limits::NONE,
         length: Duration::from_secs(20),
     }
 }
@@ -112,6 +113,7 @@
         deadline: Duration::from_millis(300),
         noise: Noise::NEIGHBOURS,
         shedding,
+        limits: Limits::NONE,
         length: Duration::from_secs(10),
     }
 }
@@ -156,3 +158,86 @@
     );
     assert!(result.in_time > 0.97, "{result:?}");
 }
+
+/// Requests to twelve upstreams of one region, some of which name a limit of 8 a second for the first
+/// 20 s. Without a limit, an upstream can end 60 requests a second.
+fn limited_requests(per_second: f64, one_in: usize) -> Load {
+    Load {
+        entries: vec![Region::North; 12],
+        upstreams: vec![Region::North; 12],
+        slots: 6,
+        duration: Duration::from_millis(100),
+        per_second,
+        objective: Duration::from_millis(400),
+        deadline: Duration::from_millis(2000),
+        noise: Noise {
+            fraction: 0.0,
+            slowdown: 1.0,
+            period: Duration::from_millis(500),
+        },
+        shedding: Shedding::NONE,
+        limits: Limits {
+            per_second: 8.0,
+            one_in,
+            until: Duration::from_secs(20),
+        },
+        length: Duration::from_secs(20),
+    }
+}
+
+/// Requests in 4 s that the users allow at a limit of 8 a second: one and a half times as many, and
+/// five more.
+const ALLOWED_STARTS: usize = 53;
+
+// Guards against an upstream in need that is overrun, and against callers who wait or are refused
+// because of it although other upstreams have room.
+#[test]
+fn requests_beyond_the_limit_of_one_upstream_are_served_elsewhere() {
+    for (one_in, per_second) in [(12, 200.0), (4, 200.0), (2, 200.0)] {
+        let load = limited_requests(per_second, one_in);
+        let result = simulate(&load, lowest_latency);
+        assert!(result.limited_starts <= ALLOWED_STARTS, "{result:?}");
+        assert_eq!(result.refused, 0.0, "{one_in}: {result:?}");
+        assert!(result.in_time > 0.99, "{one_in}: {result:?}");
+        // Few requests are sent to an upstream in vain.
+        assert!(result.offers < 1.3, "{one_in}: {result:?}");
+    }
+}
+
+// Guards against a limit that is left unused although the other upstreams are busy.
+#[test]
+fn a_limit_is_used_while_other_upstreams_are_busy() {
+    // The other half can end 360 requests a second.
+    let result = simulate(&limited_requests(400.0, 2), lowest_latency);
+    assert!(result.limited_starts <= ALLOWED_STARTS, "{result:?}");
+    assert!(result.limit_use > 0.9, "{result:?}");
+}
+
+// Guards against callers who wait behind limits that leave no start for them, and against limits that
+// are not used while callers are refused.
+#[test]
+fn requests_beyond_the_limits_of_all_upstreams_are_refused_at_once() {
+    // The upstreams accept 96 requests a second together.
+    let result = simulate(&limited_requests(200.0, 1), lowest_latency);
+    assert!(result.limited_starts <= ALLOWED_STARTS, "{result:?}");
+    assert!(result.limit_use > 0.95, "{result:?}");
+    assert!(result.refusal < Duration::from_millis(250), "{result:?}");
+}
+
+// Guards against a limit that is remembered after its end.
+#[test]
+fn upstreams_are_used_again_after_the_end_of_their_limits() {
+    let load = Load {
+        limits: Limits {
+            per_second: 0.0,
+            one_in: 1,
+            until: Duration::from_secs(5),
+        },
+        ..limited_requests(200.0, 1)
+    };
+    let result = simulate(&load, lowest_latency);
+    assert_eq!(result.limited_starts, 0, "{result:?}");
+    // A quarter of the time nobody can be served.
+    assert!(result.refused < 0.3, "{result:?}");
+    assert!(result.in_time > 0.7, "{result:?}");
+}
--- a/crates/policy/tests/all/simulation/load.rs
+++ b/crates/policy/tests/all/simulation/load.rs
@@ -62,6 +62,32 @@
     };
 }
 
+/// Limits that upstreams in need name.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Limits {
+    /// Requests per second that an upstream in need accepts.
+    pub(super) per_second: f64,
+    /// One in this number of upstreams is in need; zero means none.
+    pub(super) one_in: usize,
+    /// Time from which on they are not in need any more.
+    pub(super) until: Duration,
+}
+
+impl Limits {
+    /// No upstream names a limit.
+    pub(super) const NONE: Self = Self {
+        per_second: f64::INFINITY,
+        one_in: 0,
+        until: Duration::ZERO,
+    };
+
+    /// Returns the limit that an upstream names; `None` if it names none.
+    pub(super) fn at(&self, upstream: usize, now: Moment) -> Option<f64> {
+        let in_need = self.one_in > 0 && upstream.is_multiple_of(self.one_in);
+        (in_need && now < Moment::default() + self.until).then_some(self.per_second)
+    }
+}
+
 /// Requests of one kind to one service, and the upstreams of that service.
 #[derive(Clone, Debug)]
 pub(super) struct Load {
@@ -83,6 +109,8 @@
     pub(super) noise: Noise,
     /// Load shedding by the upstreams.
     pub(super) shedding: Shedding,
+    /// Limits that upstreams name.
+    pub(super) limits: Limits,
     /// Simulated time.
     pub(super) length: Duration,
 }
--- a/crates/policy/tests/all/simulation/mesh.rs
+++ b/crates/policy/tests/all/simulation/mesh.rs
@@ -37,8 +37,17 @@
     pub(super) offers: f64,
     /// Number of requests sent to the busiest upstream, relative to the mean of all upstreams.
     pub(super) busiest: f64,
+    /// Largest number of starts within [`LIMIT_SPAN`] at one upstream that names a limit.
+    pub(super) limited_starts: usize,
+    /// Starts at the upstreams that name a limit, relative to what they accept meanwhile.
+    pub(super) limit_use: f64,
+    /// Mean time from sending to a refusal.
+    pub(super) refusal: Duration,
 }
 
+/// Span in which starts at an upstream with a limit are counted.
+const LIMIT_SPAN: Duration = Duration::from_secs(4);
+
 /// Event of the simulation. Requests are identified by their number, guards by their index.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Event {
@@ -92,6 +101,10 @@
     offers: u64,
     /// Load report that was last sent to the entries of the region.
     reported: LoadReport,
+    /// Limit that the upstream names; `None` if it names none.
+    limit: Option<f64>,
+    /// Moments of the starts while it names a limit.
+    limited_starts: Vec<Moment>,
 }
 
 impl Guard {
@@ -105,6 +118,7 @@
             slowdown: self.slowdown,
             failure_rate: self.failures.rate(0.0, now),
             cold: false,
+            rate_limit: self.gate.load_rate_limit(now),
         }
     }
 }
@@ -125,6 +139,8 @@
     refused: u64,
     /// Sum of the times from sending to the end of all requests that have ended.
     latency: Duration,
+    /// Sum of the times from sending to refusal of all refused requests.
+    refusals: Duration,
 }
 
 impl<'a> Mesh<'a> {
@@ -143,6 +159,8 @@
             failures: FailureRate::default(),
             offers: 0,
             reported: LoadReport::default(),
+            limit: None,
+            limited_starts: Vec::new(),
         };
         Self {
             load,
@@ -156,6 +174,7 @@
             late: 0,
             refused: 0,
             latency: Duration::ZERO,
+            refusals: Duration::ZERO,
         }
     }
 
@@ -188,9 +207,40 @@
             mean: self.latency.div_f64(total),
             offers: offers as f64 / total,
             busiest: max.unwrap_or_default() as f64 / mean,
+            limited_starts: self.most_limited_starts(),
+            limit_use: self.limit_use(),
+            refusal: self.refusals.div_f64(self.refused.max(1) as f64),
         }
     }
 
+    /// Returns the largest number of starts within [`LIMIT_SPAN`] at an upstream with a limit.
+    fn most_limited_starts(&self) -> usize {
+        let most = |starts: &Vec<Moment>| {
+            let in_span = |from: &Moment| {
+                let span = starts.iter().skip_while(|s| *s < from);
+                span.take_while(|s| s.since(*from) < LIMIT_SPAN).count()
+            };
+            starts.iter().map(in_span).max().unwrap_or_default()
+        };
+        let guards = self.guards.iter();
+        guards
+            .map(|g| most(&g.limited_starts))
+            .max()
+            .unwrap_or_default()
+    }
+
+    /// Returns the starts at upstreams with a limit, relative to what they accept meanwhile.
+    fn limit_use(&self) -> f64 {
+        let limits = &self.load.limits;
+        let start = Moment::default();
+        let limited = (0..self.guards.len()).filter(|g| limits.at(*g, start).is_some());
+        let accepted = limited.count() as f64
+            * limits.per_second
+            * limits.until.min(self.load.length).as_secs_f64();
+        let starts: usize = self.guards.iter().map(|g| g.limited_starts.len()).sum();
+        starts as f64 / accepted.max(1.0)
+    }
+
     /// Schedules an event.
     fn schedule(&mut self, delay: Duration, event: Event) {
         self.event_count += 1;
@@ -222,6 +272,11 @@
                     state.slowdown = slowdown;
                     actions.extend(state.gate.set_slowdown(slowdown, self.now));
                 }
+                let limit = self.load.limits.at(guard, self.now);
+                if limit != state.limit {
+                    state.limit = limit;
+                    actions.extend(state.gate.set_rate_limit(limit, self.now));
+                }
                 actions.extend(state.gate.advance(self.now));
                 self.carry_out(guard, actions);
                 self.send_report(guard);
@@ -286,6 +341,12 @@
             return;
         };
         let guard = open[best.index];
+        let time_left = (request.sent + self.load.deadline).since(self.now);
+        let limit_wait = entry.targets[guard].limit_wait_ms(self.now);
+        if limit_wait >= time_left.as_secs_f64() * 1000.0 {
+            self.refuse(number);
+            return;
+        }
         entry.targets[guard].record_sent();
         let next = order.get(1).filter(|_| !must_keep);
         request.expected_elsewhere = next.map(|n| Duration::from_secs_f64(n.expected_ms / 1000.0));
@@ -322,6 +383,10 @@
                     self.carry_out(guard, finished);
                 }
                 GateAction::Start(GateCallId(number)) => {
+                    let state = &mut self.guards[guard];
+                    if state.limit.is_some() {
+                        state.limited_starts.push(self.now);
+                    }
                     let baseline = self.load.duration_of(number);
                     let duration = baseline.mul_f64(self.guards[guard].slowdown);
                     self.schedule(duration, Event::Done(number, guard));
@@ -406,7 +471,9 @@
     /// Refuses a request to its caller.
     fn refuse(&mut self, number: u64) {
         let request = self.requests.remove(&number).expect("request is open");
-        self.latency += self.now.since(request.sent);
+        let latency = self.now.since(request.sent);
+        self.latency += latency;
+        self.refusals += latency;
         self.refused += 1;
     }
 }
--- a/crates/relay/src/entry/forward.rs
+++ b/crates/relay/src/entry/forward.rs
@@ -52,6 +52,10 @@
 /// become known to this daemon.
 const NO_UPSTREAM_RETRY_AFTER: Duration = Duration::from_secs(1);
 
+/// Retry delay if all upstreams of the service name limits that leave no start in time, and none has
+/// said when it will.
+const LIMIT_RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// Minimum retry delay, which gives the queue that refused the request time to shrink.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(50);
 
@@ -409,6 +413,7 @@
             hedge_within: None,
             must_queue: attempts.hand_back_limit_reached(),
             body_bytes: self.request.body.len(),
+            time_left: self.time_left(),
         }
     }
 
@@ -485,6 +490,7 @@
         let not_run = !self.in_progress && !self.attempts.may_have_run();
         let retry_after = match cause {
             Cause::NoUpstream => NO_UPSTREAM_RETRY_AFTER,
+            Cause::UpstreamLimit => self.retry_after.unwrap_or(LIMIT_RETRY_AFTER),
             _ => self.retry_after.unwrap_or(MIN_RETRY_AFTER),
         };
         ForwardResult::Error(ErrorResponse {
--- a/crates/relay/src/guard/state.rs
+++ b/crates/relay/src/guard/state.rs
@@ -248,6 +248,7 @@
             slowdown: self.slowdown,
             failure_rate: self.failures.rate(0.0, now),
             cold: self.gate.is_cold(now),
+            rate_limit: self.gate.load_rate_limit(now),
         })
     }
 
--- a/crates/relay/src/hop.rs
+++ b/crates/relay/src/hop.rs
@@ -16,7 +16,7 @@
 use bytes::{Bytes, BytesMut};
 use cornelvalve_http1::{SocketTimeouts, connect};
 use cornelvalve_model::{Fingerprint, Region, ServiceName};
-use cornelvalve_policy::LoadReport;
+use cornelvalve_policy::{LoadRateLimit, LoadReport};
 use derive_more::{Display, Error};
 use http::header::{HOST, HeaderMap, HeaderName, HeaderValue};
 use http::{Method, StatusCode};
@@ -208,6 +208,9 @@
     slowdown_percent: u16,
     failure_percent: u8,
     cold: bool,
+    /// Calls per second that the upstream accepts, in hundredths, and the time in milliseconds until
+    /// it accepts another one; `None` if it names no limit.
+    limit: Option<(u32, u32)>,
 }
 
 impl From<LoadReport> for HopLoad {
@@ -221,6 +224,11 @@
             slowdown_percent: percent(report.slowdown),
             failure_percent: u8::try_from(percent(report.failure_rate)).unwrap_or(u8::MAX),
             cold: report.cold,
+            limit: report.rate_limit.map(|l| {
+                // Both saturate at the maximum of the integer.
+                let hundredths = (l.per_second * 100.0).ceil() as u32;
+                (hundredths, l.wait_ms.ceil() as u32)
+            }),
         }
     }
 }
@@ -234,6 +242,10 @@
             slowdown: f64::from(load.slowdown_percent) / 100.0,
             failure_rate: f64::from(load.failure_percent) / 100.0,
             cold: load.cold,
+            rate_limit: load.limit.map(|(hundredths, wait_ms)| LoadRateLimit {
+                per_second: f64::from(hundredths) / 100.0,
+                wait_ms: f64::from(wait_ms),
+            }),
         }
     }
 }
--- a/crates/relay/src/messages.rs
+++ b/crates/relay/src/messages.rs
@@ -177,6 +177,8 @@
     pub(crate) must_queue: bool,
     /// Size of the request body in bytes.
     pub(crate) body_bytes: usize,
+    /// Time left until the caller must be answered.
+    pub(crate) time_left: Duration,
 }
 
 /// Upstream selected for one attempt.
--- a/crates/relay/src/router/state.rs
+++ b/crates/relay/src/router/state.rs
@@ -246,7 +246,8 @@
     ///
     /// # Errors
     ///
-    /// Returns [`Cause::NoUpstream`] if no upstream may serve the request, and
+    /// Returns [`Cause::NoUpstream`] if no upstream may serve the request,
+    /// [`Cause::UpstreamLimit`] if the limits that the upstreams name leave no start in time, and
     /// [`Cause::Overloaded`] if a hedge would finish too late or the retry budget does not allow
     /// the attempt.
     pub(super) fn select_upstream(
@@ -271,6 +272,10 @@
             .unzip();
         let ranking = self.placement.order(&targets, &call, now);
         let best = ranking.first().ok_or(Cause::NoUpstream)?;
+        // The others would start it even later.
+        if milliseconds(targets[best.index].limit_wait_ms(now)) >= query.time_left {
+            return Err(Cause::UpstreamLimit);
+        }
         // The request is not handed back if it must be queued, or if the next best upstream is
         // suspected or has been unresponsive a short time ago.
         let next = ranking.get(1).filter(|_| !query.must_queue);
