Send no new requests to an upstream that says in a response that it is leaving

Cause: only check-ins and the first health response told the guard that a target leaves; a target that says so in its answers was used until its check-in arrived, or for good if it sends none.

Change: the guard treats the process as draining from the first such response on, whatever its check-ins say later; calls that have not started are refused at once and other daemons learn it through the membership. Only the guard starts requests there, so this binds all VMs. A daemon that starts beside such a target learns it with its first health response.

Conclusion: DRAIN holds from the first answer that names it.

--- a/crates/relay/src/guard/reports.rs
+++ b/crates/relay/src/guard/reports.rs
@@ -150,9 +150,10 @@
                 log::warn!(event = "upstream-limit-invalid", instance = instance, limit_before = limit_before; "upstream named a limit that is not a number of requests per second; the previous one stays in force");
             }
         }
-        if answer.signals.leaving && !process.said_leaving {
-            process.said_leaving = true;
-            log::info!(event = "upstream-leaving", instance = instance, state:% = process.state; "upstream said in a response that it is leaving");
+        let was_ready = process.is_ready();
+        if answer.signals.leaving && process.set_leaving() {
+            log::info!(event = "upstream-leaving", instance = process.instance.as_ref(), was_ready = was_ready; "upstream said in a response that it is leaving");
+            self.on_upstream_changed(now);
         }
         self.update_rate_limit(now);
     }
--- a/crates/relay/src/guard/upstream.rs
+++ b/crates/relay/src/guard/upstream.rs
@@ -38,8 +38,6 @@
     cold_learned: Moment,
     /// Limit on its requests per second that its responses name.
     pub(super) limit: NamedLimit,
-    /// Whether a response said that it is leaving.
-    pub(super) said_leaving: bool,
 }
 
 /// Effect of a check-in on the known process.
@@ -68,7 +66,6 @@
             earliest_warm: None,
             cold_learned: Moment::default(),
             limit: NamedLimit::default(),
-            said_leaving: false,
         };
         process.extend_cold(check_in.cold_remaining, now);
         process
@@ -99,7 +96,6 @@
             earliest_warm: None,
             cold_learned: Moment::default(),
             limit: NamedLimit::default(),
-            said_leaving: false,
         };
         process.apply_health(report, requested, now);
         process
@@ -129,6 +125,15 @@
         }
     }
 
+    /// Records that the process said in a response that it is leaving; returns whether that was not
+    /// known. A later check-in cannot undo it.
+    pub(super) fn set_leaving(&mut self) -> bool {
+        if self.state == UpstreamState::Ready {
+            self.state = UpstreamState::Draining;
+        }
+        !std::mem::replace(&mut self.leaving, true)
+    }
+
     /// Treats the process as cold for at least this time from now on.
     pub(super) fn extend_cold(&mut self, remaining: Duration, now: Moment) {
         if !remaining.is_zero() {
