Keep no connection on which the upstream refused a request

Cause: a refusal counted for the present request without the echo of its attempt, because not all refusals have one; and an equal echo proves nothing when the same identifier goes to the target again. The check for unread bytes before sending cannot see a response that arrives a moment later. A refused health check has the same effect on the pool that requests share.

Change: a connection goes back to the pool only after an answer, or after a health check that succeeded. A refusal can then be repeated only on a connection that carries nothing any more. It costs one connection setup for each refusal.

Evidence: a_repeated_refusal_does_not_count_for_a_later_request (with and without echo, 503 and 421, request and health check) fails before: status 503, and the request ran.

Conclusion: 'not run' is said only for the request that was refused.

--- a/crates/relay/src/monitor.rs
+++ b/crates/relay/src/monitor.rs
@@ -95,10 +95,12 @@
             }
         };
         let idle_for = self.dialect.keep_alive(&response.headers);
-        if response.keep_alive {
+        let report = self.dialect.health(&response);
+        // A refusal that the upstream writes once more must not meet a request on this connection.
+        if response.keep_alive && report.healthy {
             self.connector
                 .return_upstream(&self.pool, addr, connection, idle_for);
         }
-        Some(self.dialect.health(&response))
+        Some(report)
     }
 }
--- a/crates/relay/src/runner.rs
+++ b/crates/relay/src/runner.rs
@@ -264,11 +264,15 @@
         };
         let response = result?;
         let keep_alive = self.dialect.keep_alive(&response.headers);
-        if response.keep_alive {
+        let reusable = response.keep_alive;
+        let result = self.classify(response, attempt_id);
+        // A faulty upstream may write an earlier response once more. A refusal would then be taken
+        // for that of a later request, because not all refusals name the request.
+        if reusable && matches!(result.outcome, HopOutcome::Answered(_)) {
             self.connector
                 .return_upstream(&self.pool, permit.addr, connection, keep_alive);
         }
-        Ok(self.classify(response, attempt_id))
+        Ok(result)
     }
 
     /// Returns what a response says about the request and about the upstream.
