Test responses that end within their head or body, at every byte

It cannot happen here: the decoder of http1 returns an error for a head without its end, the entry sends a response only when it has it whole, and the general daemon ends the caller's response with an error (tests/all/outcome.rs, FailurePoint::InHeaders, InBody and InChunks).

--- a/crates/http1/tests/all/client.rs
+++ b/crates/http1/tests/all/client.rs
@@ -174,3 +174,30 @@
     let result = post(&mut connection, &Bytes::new(), |_| true).await;
     assert!(!matches!(result, Ok(_) | Err(ExchangeError::NotSent(_))));
 }
+
+// Guards against a response that looks complete although the server closed the connection within
+// its head: a head without the length of its body would make an empty body complete.
+#[tokio::test]
+async fn a_response_that_ends_within_its_head_or_body_is_an_error() {
+    for whole in [
+        "HTTP/1.1 200 OK\r\nx-a: b\r\ncontent-length: 4\r\n\r\nbody",
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\nx-a: b\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+        "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n",
+    ] {
+        for length in 0..whole.len() {
+            let addr = spawn_server(move |mut stream| async move {
+                read_some(&mut stream).await;
+                let cut = &whole.as_bytes()[..length];
+                stream.write_all(cut).await.expect("response is sent");
+            })
+            .await;
+            let mut connection = open(addr).await;
+            let result = post(&mut connection, &Bytes::new(), |_| true).await;
+            assert!(
+                !matches!(result, Ok(_) | Err(ExchangeError::NotSent(_))),
+                "{:?}: {result:?}",
+                &whole[..length]
+            );
+        }
+    }
+}
