Refuse what a stopping daemon cannot end as not run

What callers saw elsewhere (report of other operators): in a planned stop, requests that came late in the grace period were passed on and cut off at its end, among them such that may not be repeated (LOST). Here: with the platform's 6 s of grace, requests are taken for 2.6 s, so that only one that runs longer than 2.6 s is cut. With a grace period of 3 s they were taken until its end.

Cause: the time for which a stopping daemon takes requests did not depend on its grace period, and a request was taken with the whole time that its caller or route gives, however soon the daemon ends.

Change: requests are taken for at most half of the grace period, and only while twice their latency objective is left until all must be answered; otherwise they are refused at once, as not run, with a Retry-After. A request that is taken gets no more time than that, so its upstream knows when to stop.

--- a/crates/relay/src/entry/forward.rs
+++ b/crates/relay/src/entry/forward.rs
@@ -44,6 +44,10 @@
 /// missed.
 const MIN_HEDGE_TIME: Duration = Duration::from_millis(150);
 
+/// Time that must be left before a stopping daemon ends for it to serve a request, as a multiple of
+/// the latency objective. Few requests take longer, and one that does is cut off.
+const MIN_END_OBJECTIVES: f64 = 2.0;
+
 /// Retry delay sent by a daemon that is stopping: the time after which it has usually been
 /// restarted.
 const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(800);
@@ -113,10 +117,22 @@
             return entry.error_reply(&refusal(Cause::Internal));
         }
     };
-    let time_limit = metadata
+    let mut time_limit = metadata
         .time_left
         .unwrap_or(DEFAULT_TIMEOUT)
         .min(resolved.route.timeout);
+    if let Some(rest) = entry.time_until_end() {
+        let objective = resolved.route.latency_objective;
+        if rest < objective.mul_f64(MIN_END_OBJECTIVES) {
+            log::info!(event = "request-refused", request = metadata.attempt.as_deref(), cause:% = Cause::Leaving, rest_ms = rest.as_millis() as u64; "request refused: it may not end before the daemon does");
+            record.end(RequestOutcome::Refused(Cause::Leaving), None);
+            return entry.error_reply(&ErrorResponse {
+                retry_after: Some(STOPPING_RETRY_AFTER),
+                ..refusal(Cause::Leaving)
+            });
+        }
+        time_limit = time_limit.min(rest);
+    }
     let mut headers = request.headers.clone();
     entry.dialect.strip_headers(&mut headers);
     let mut forwarded = ForwardedRequest {
@@ -161,6 +177,17 @@
     answer.await
 }
 
+impl EntryContext {
+    /// Returns the time until a stopping daemon must have answered all requests; `None` if it is not
+    /// stopping.
+    fn time_until_end(&self) -> Option<Duration> {
+        match *self.stage.borrow() {
+            ShutdownStage::Ending(by) => Some(by.saturating_duration_since(Instant::now())),
+            _ => None,
+        }
+    }
+}
+
 /// Reason for a second attempt while the first one is still in progress.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum SecondAttemptReason {
--- a/crates/relay/src/messages.rs
+++ b/crates/relay/src/messages.rs
@@ -13,6 +13,7 @@
 use cornelvalve_policy::{LoadReport, SharedSuspect, TargetOutcome, WorkKey};
 use smallvec::SmallVec;
 use tokio::sync::watch;
+use tokio::time::Instant;
 
 use crate::desired::changes::StateId;
 use crate::desired::{CallerLimits, ControlView, RouteSpec, Version};
@@ -389,6 +390,8 @@
     /// Requests are served.
     #[default]
     Serving,
+    /// Requests are served that can be answered by this moment.
+    Ending(Instant),
     /// New requests are refused.
     Refusing,
     /// Requests that are still running are answered with an error at once.
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -55,6 +55,10 @@
 /// then, other daemons still send it requests.
 const SERVING_FRACTION: f64 = 0.75;
 
+/// Largest fraction of the grace period for which a stopping daemon takes requests; the rest is for
+/// those that are running.
+const MAX_DELAY_FRACTION: f64 = 0.5;
+
 /// Time reserved before [`EXIT_RESERVE`] for the last requests of callers, after the guard has
 /// drained.
 const CALLERS_RESERVE: Duration = Duration::from_millis(1200);
@@ -137,7 +141,7 @@
     /// Time from the stop request until the process is killed.
     pub grace_period: Duration,
     /// Minimum time from the stop request until requests of callers are refused, so that callers
-    /// notice that the daemon is not ready.
+    /// notice that the daemon is not ready; at most half of the grace period is used.
     pub shutdown_delay: Duration,
     /// Whether the whole system starts for the first time. The daemon then waits before it looks
     /// for others in the store, because they announce themselves there at the same time.
@@ -188,7 +192,9 @@
         let sockets = Sockets::bind(&settings.listen)?;
         let (draining, drain_receiver) = watch::channel(false);
         let (stage, stage_receiver) = watch::channel(ShutdownStage::default());
-        let (grace_period, shutdown_delay) = (settings.grace_period, settings.shutdown_delay);
+        let grace_period = settings.grace_period;
+        let longest_delay = grace_period.mul_f64(MAX_DELAY_FRACTION);
+        let shutdown_delay = settings.shutdown_delay.min(longest_delay);
         log::info!(event = "started", vm = settings.vm.as_str(), service = settings.service.as_str(), domain = settings.domain.as_str(), peers:% = settings.listen.peers; "daemon started");
         let seed = Fingerprint::of(&[
             settings.vm.as_str().as_bytes(),
@@ -228,6 +234,8 @@
         log::info!(event = "stopping", grace_ms = self.grace_period.as_millis() as u64; "daemon is stopping");
         self.notify(STATS, StatsMessage::Stopping).await;
         self.draining.send_replace(true);
+        let answer_by = end - RESPONSE_RESERVE;
+        self.stage.send_replace(ShutdownStage::Ending(answer_by));
         sleep_until(started + self.shutdown_delay.mul_f64(SERVING_FRACTION)).await;
         self.notify(MEMBERS, MembersMessage::Leave).await;
         // Requests running at the upstream may make calls through this daemon, so callers are
@@ -236,7 +244,7 @@
         let drained = drain.await.is_ok();
         sleep_until(started + self.shutdown_delay).await;
         self.stage.send_replace(ShutdownStage::Refusing);
-        let idle = timeout_at(end - RESPONSE_RESERVE, self.wait_until_idle()).await;
+        let idle = timeout_at(answer_by, self.wait_until_idle()).await;
         let idle = idle.is_ok();
         if !idle {
             self.stage.send_replace(ShutdownStage::Terminating);
