Keep the limits that upstreams name in the general daemon too

The product's own daemon meets back ends as well: it had no way to hear of a limit, and of a departure only by announcement. An upstream that named a limit of 4 a second got 319 requests in 3 s.

Change: cornelvalve-rate-limit and cornelvalve-leaving in an upstream's responses; the admission controller limits its starts and drains. The token bucket and the order of responses are shared with the daemon on the users' platform: policy::rate_limit, policy::named_limit and model::signals, moved there without change. A new incarnation needs no limit before its first response, because its cold limit is two requests.

Conclusion: both daemons keep what upstreams say.

--- a/crates/daemon/src/guard.rs
+++ b/crates/daemon/src/guard.rs
@@ -24,7 +24,7 @@
 use cornelvalve_kernel::{Context, ReplySender, ServiceResult, Tick};
 use cornelvalve_model::{
     Fingerprint, LoadHint, Moment, Nesting, Refusal, Revision, RouteName, ServiceName, TeamName,
-    Upstream,
+    Upstream, UpstreamSignals,
 };
 use cornelvalve_policy::{RequestId, StoredResponse, Ticket, TicketList};
 use smallvec::SmallVec;
@@ -103,6 +103,8 @@
     outcome: PermitOutcome,
     /// Time from sending the request to the response headers; `None` without a response.
     service_time: Option<Duration>,
+    /// What the response says about the upstream; `None` without a response.
+    signals: Option<UpstreamSignals>,
 }
 
 /// Permission to send one request to a local upstream.
@@ -117,6 +119,7 @@
     pub(crate) granted: Moment,
     id: RequestId,
     service_time: Option<Duration>,
+    signals: Option<UpstreamSignals>,
     report: CompletionSender<PermitReport>,
 }
 
@@ -141,12 +144,18 @@
         self.service_time = Some(service_time);
     }
 
+    /// Sets what the response says about the upstream.
+    pub(crate) fn set_signals(&mut self, signals: UpstreamSignals) {
+        self.signals = Some(signals);
+    }
+
     /// Creates the report with the given outcome.
     fn report_with(&self, outcome: PermitOutcome) -> PermitReport {
         PermitReport {
             id: self.id,
             outcome,
             service_time: self.service_time,
+            signals: self.signals,
         }
     }
 }
--- a/crates/daemon/src/guard/admission.rs
+++ b/crates/daemon/src/guard/admission.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use cornelvalve_kernel::ReplySender;
-use cornelvalve_model::{Moment, Reason, Refusal, ServiceName};
+use cornelvalve_model::{AnswerSignals, Moment, Reason, Refusal, ServiceName};
 use cornelvalve_policy::{
     AdmissionAction, AdmissionActions, AdmissionController, AdmissionEvent, InterruptedRequests,
     RequestId, RequestResult, StartDecision,
@@ -113,6 +113,7 @@
             id,
             outcome: PermitOutcome::Unused,
             service_time: None,
+            signals: None,
         };
         let permit = Permit {
             upstream,
@@ -120,6 +121,7 @@
             granted: now,
             id,
             service_time: None,
+            signals: None,
             report: CompletionSender::new(self.reports.clone(), unused),
         };
         if let Some(active) = self.requests.get_mut(id) {
@@ -193,6 +195,7 @@
             id,
             outcome,
             service_time,
+            signals,
         } = report;
         self.validator.detect_pause(now);
         let Some(active) = self.requests.remove(id) else {
@@ -201,6 +204,13 @@
         let service = active.request.service.clone();
         let service_time = service_time.unwrap_or_default();
         self.record_crash_evidence(&active, &outcome, now);
+        if let Some((sent, signals)) = active.granted.zip(signals) {
+            let event = AdmissionEvent::UpstreamSignals {
+                incarnation: active.incarnation,
+                answer: AnswerSignals { sent, signals },
+            };
+            self.handle_admission_event(&service, event, now);
+        }
         let result = match &outcome {
             PermitOutcome::Answered(_) => RequestResult::Success,
             PermitOutcome::ServerError(_) => RequestResult::Failure,
--- a/crates/daemon/src/peers/deliver.rs
+++ b/crates/daemon/src/peers/deliver.rs
@@ -143,8 +143,10 @@
     (outcome, error.refusal())
 }
 
-/// Removes the headers that only daemons may set, and adds the load.
-pub(super) fn sanitize_response(response: &mut Response<Body>, permit: &Permit) {
+/// Passes on to the guard what the response says about the upstream, removes the headers that only
+/// daemons may set, and adds the load.
+pub(super) fn sanitize_response(response: &mut Response<Body>, permit: &mut Permit) {
+    permit.set_signals(hop::decode_signals(response.headers()));
     // An upstream may pass on the headers of a nested call that was refused, although it has done
     // work itself; its response must not count as a refusal.
     hop::strip_internal_headers(response.headers_mut());
@@ -165,8 +167,8 @@
 }
 
 /// Returns the response with a body that reports the outcome of the request to the guard.
-fn finish_permit_on_end(mut response: Response<Body>, permit: Permit) -> Response<Body> {
-    sanitize_response(&mut response, &permit);
+fn finish_permit_on_end(mut response: Response<Body>, mut permit: Permit) -> Response<Body> {
+    sanitize_response(&mut response, &mut permit);
     let observer = PermitObserver {
         status: response.status(),
         permit: Some(permit),
--- a/crates/daemon/src/peers/ticketed.rs
+++ b/crates/daemon/src/peers/ticketed.rs
@@ -88,7 +88,7 @@
     match sent.await {
         Ok(mut response) => {
             permit.set_service_time(timer.response_time(started));
-            deliver::sanitize_response(&mut response, &permit);
+            deliver::sanitize_response(&mut response, &mut permit);
             stream_and_store(
                 response,
                 permit,
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -9,6 +9,7 @@
 mod member;
 mod outcome;
 mod request;
+mod signals;
 mod time;
 
 pub use change::{
@@ -22,4 +23,5 @@
 pub use member::{Member, MemberKey, MemberState, Upstream, UpstreamState};
 pub use outcome::{Outcome, Reason, Refusal};
 pub use request::{Fingerprint, IdempotencyKey, LoadHint, Nesting, TraceId};
+pub use signals::{AnswerSignals, RateLimitSignal, UpstreamSignals};
 pub use time::{Moment, WallTime};
--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -9,12 +9,13 @@
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::time::Duration;
 
-use cornelvalve_model::{Incarnation, LoadHint, Moment, Nesting, Reason};
+use cornelvalve_model::{AnswerSignals, Incarnation, LoadHint, Moment, Nesting, Reason};
 use smallvec::SmallVec;
 
 mod limit;
+mod upstream;
 
-use limit::Limit;
+use upstream::CurrentUpstream;
 
 /// Identifies a request within one guard.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -35,7 +36,7 @@
 }
 
 /// Input to the admission state machine.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug)]
 pub enum AdmissionEvent {
     /// A request arrived and needs admission.
     Arrived {
@@ -74,6 +75,13 @@
     UpstreamDraining,
     /// This daemon is leaving, that is, shutting down: no further request is admitted.
     DaemonLeaving,
+    /// A response of an incarnation of the upstream said something about it.
+    UpstreamSignals {
+        /// The incarnation that responded.
+        incarnation: Incarnation,
+        /// What it said.
+        answer: AnswerSignals,
+    },
     /// Time passed; queued requests are checked against their deadlines.
     Tick,
 }
@@ -118,16 +126,6 @@
     inner.trace == outer.trace && inner.depth > outer.depth
 }
 
-/// State of the latest known run of the upstream process.
-struct CurrentUpstream {
-    incarnation: Incarnation,
-    limit: Limit,
-    /// Number of requests running at this incarnation, whereas [`AdmissionController::running`]
-    /// includes earlier ones.
-    in_flight: u32,
-    draining: bool,
-}
-
 /// Operator settings of admission control.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct AdmissionSettings {
@@ -216,10 +214,20 @@
                 self.leaving = true;
                 self.refuse_queue(Reason::Draining, &mut actions);
             }
+            AdmissionEvent::UpstreamSignals {
+                incarnation,
+                answer,
+            } => {
+                let upstream = self.upstream.as_mut();
+                let upstream = upstream.filter(|u| u.incarnation == incarnation);
+                if upstream.is_some_and(|u| u.apply_signals(&answer, now)) {
+                    self.refuse_queue(Reason::Draining, &mut actions);
+                }
+            }
             AdmissionEvent::Tick => {}
         }
         self.refuse_expired(now, &mut actions);
-        self.dispatch(&mut actions);
+        self.dispatch(now, &mut actions);
         actions
     }
 
@@ -271,7 +279,7 @@
             actions.push(AdmissionAction::Refuse(id, reason));
         } else if deadline <= now {
             actions.push(AdmissionAction::Refuse(id, Reason::Deadline));
-        } else if self.is_overloaded(deadline.since(now), nesting) {
+        } else if self.is_overloaded(deadline.since(now), nesting, now) {
             actions.push(AdmissionAction::Refuse(id, Reason::Overloaded));
         } else {
             self.queue.push_back(Queued {
@@ -283,10 +291,13 @@
     }
 
     /// Returns whether the queue is full or a request that joins it now would miss its deadline.
-    fn is_overloaded(&self, time_left: Duration, nesting: Option<Nesting>) -> bool {
+    fn is_overloaded(&self, time_left: Duration, nesting: Option<Nesting>, now: Moment) -> bool {
         let Some(upstream) = &self.upstream else {
             return true;
         };
+        if upstream.rate_wait(self.queue.len(), now) >= time_left {
+            return true;
+        }
         let limit = u32::from(upstream.limit.current());
         let ahead = u32::try_from(self.queue.len()).unwrap_or(u32::MAX);
         let active = upstream
@@ -354,12 +365,8 @@
             current => {
                 let running = self.running.values();
                 let running = running.filter(|r| r.incarnation == incarnation).count();
-                *current = Some(CurrentUpstream {
-                    incarnation,
-                    limit: Limit::new(slots),
-                    in_flight: u32::try_from(running).unwrap_or(u32::MAX),
-                    draining: false,
-                });
+                let in_flight = u32::try_from(running).unwrap_or(u32::MAX);
+                *current = Some(CurrentUpstream::new(incarnation, slots, in_flight));
                 self.service_time = None;
             }
         }
@@ -427,7 +434,7 @@
     /// Running requests that wait for a nested call are not active. If they counted, a chain of
     /// calls that returns to this upstream could deadlock. The number of slots still bounds all
     /// running requests.
-    fn dispatch(&mut self, actions: &mut AdmissionActions) {
+    fn dispatch(&mut self, now: Moment, actions: &mut AdmissionActions) {
         loop {
             let blocked = self.count_blocked(None);
             let Some(upstream) = &self.upstream else {
@@ -436,21 +443,21 @@
             let active = upstream.in_flight.saturating_sub(blocked);
             let is_full = active >= u32::from(upstream.limit.current())
                 || upstream.in_flight >= u32::from(upstream.limit.slots());
-            if is_full {
+            if is_full || !upstream.allows_start(now) {
                 return;
             }
             let Some(next) = self.take_next() else {
                 return;
             };
-            self.start(&next);
+            self.start(&next, now);
             actions.push(AdmissionAction::Start(next.id));
         }
     }
 
     /// Counts the request as running at the current upstream.
-    fn start(&mut self, next: &Queued) {
+    fn start(&mut self, next: &Queued, now: Moment) {
         if let Some(upstream) = &mut self.upstream {
-            upstream.in_flight += 1;
+            upstream.record_start(now);
             let running = Running {
                 incarnation: upstream.incarnation,
                 nesting: next.nesting,
--- a/crates/policy/src/gate.rs
+++ b/crates/policy/src/gate.rs
@@ -23,7 +23,6 @@
 //! daemon for hosted platforms (crate `relay`) uses this gate; the general daemon (crate `daemon`)
 //! uses [`AdmissionController`](crate::AdmissionController).
 
-mod rate_limit;
 mod start_limit;
 mod types;
 
@@ -34,7 +33,7 @@
 use smallvec::SmallVec;
 
 use crate::placement::LoadRateLimit;
-use rate_limit::RateLimit;
+use crate::rate_limit::RateLimit;
 use start_limit::StartLimit;
 pub use start_limit::{ColdRate, ColdTolerance};
 pub use types::{GateAction, GateActions, GateCall, GateCallId, GateLoad, GateRefusal, WorkKey};
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -23,7 +23,8 @@
 //! - `gate`: the guard admits requests according to the current speed of the upstream;
 //! - `failures`: estimates the fraction of calls that fail.
 //!
-//! Both use `crash` and `suspect`, with which the guard finds requests that crash upstreams. The
+//! Both use `named_limit` and `rate_limit` for upstreams that name a limit in their responses, and
+//! `crash` and `suspect`, with which the guard finds requests that crash upstreams. The
 //! module `breaker` is used only by the simulation in `examples/choice`.
 
 mod admission;
@@ -33,8 +34,10 @@
 mod crash;
 mod failures;
 mod gate;
+mod named_limit;
 mod picker;
 mod placement;
+mod rate_limit;
 mod retry;
 mod retry_share;
 mod suspect;
@@ -56,6 +59,7 @@
     ColdRate, ColdTolerance, Gate, GateAction, GateActions, GateCall, GateCallId, GateLoad,
     GateRefusal, WorkKey,
 };
+pub use named_limit::{LimitChange, NamedLimit};
 pub use picker::{Candidate, LeastOutstanding, Picker, PowerOfTwo, RoundRobin};
 pub use placement::{
     CallCost, Distance, LoadRateLimit, LoadReport, LowestLatencyPlacement, Placement,
--- a/crates/relay/src/guard/named_limit.rs
+++ b/crates/policy/src/named_limit.rs
@@ -1,9 +1,6 @@
 //! Limit on its requests per second that an upstream process names in its responses.
 
-use cornelvalve_model::Moment;
-
-use crate::messages::AnswerSignals;
-use crate::ports::RateLimitSignal;
+use cornelvalve_model::{AnswerSignals, Moment, RateLimitSignal};
 
 /// Requests per second that a process gets before its first response. It may be in need and have
 /// told an earlier daemon.
@@ -11,7 +8,7 @@
 
 /// Limit that one process names.
 #[derive(Clone, Copy, Debug, Default)]
-pub(super) struct NamedLimit {
+pub struct NamedLimit {
     /// Whether a response has been received.
     known: bool,
     /// Limit in requests per second; `None` if the process names none.
@@ -24,7 +21,7 @@
 
 /// What a response changed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum LimitChange {
+pub enum LimitChange {
     /// Nothing.
     Unchanged,
     /// The process named another limit, or none any more.
@@ -38,7 +35,7 @@
     ///
     /// Responses overtake each other, so one to an earlier request than the last one applied is
     /// ignored. An invalid limit does not replace the one that is known.
-    pub(super) fn apply(&mut self, answer: &AnswerSignals) -> LimitChange {
+    pub fn apply(&mut self, answer: &AnswerSignals) -> LimitChange {
         if answer.sent < self.as_of {
             return LimitChange::Unchanged;
         }
@@ -62,12 +59,14 @@
     }
 
     /// Returns the limit that the process names; `None` if it names none.
-    pub(super) fn named(&self) -> Option<f64> {
+    #[must_use]
+    pub fn named(&self) -> Option<f64> {
         self.per_second
     }
 
     /// Returns the limit on the starts per second; `None` if there is none.
-    pub(super) fn enforced(&self) -> Option<f64> {
+    #[must_use]
+    pub fn enforced(&self) -> Option<f64> {
         if self.known {
             self.per_second
         } else {
--- a/crates/relay/src/guard/named_limit/tests.rs
+++ b/crates/policy/src/named_limit/tests.rs
@@ -1,5 +1,6 @@
+use cornelvalve_model::UpstreamSignals;
+
 use super::*;
-use crate::ports::UpstreamSignals;
 
 fn answer(sent_ms: u64, rate_limit: RateLimitSignal) -> AnswerSignals {
     AnswerSignals {
--- a/crates/policy/src/gate/rate_limit.rs
+++ b/crates/policy/src/rate_limit.rs
@@ -19,7 +19,7 @@
 
 /// Token bucket that limits the starts per second at an upstream.
 #[derive(Debug)]
-pub(super) struct RateLimit {
+pub(crate) struct RateLimit {
     /// Starts per second.
     per_second: f64,
     /// Starts that are allowed at once, as of `updated`.
@@ -32,7 +32,7 @@
     ///
     /// `per_second` may be zero, which allows no start. A value that is not a number counts as
     /// zero.
-    pub(super) fn new(per_second: f64, now: Moment) -> Self {
+    pub(crate) fn new(per_second: f64, now: Moment) -> Self {
         let per_second = usable(per_second);
         Self {
             per_second,
@@ -42,12 +42,12 @@
     }
 
     /// Returns the number of starts per second.
-    pub(super) fn per_second(&self) -> f64 {
+    pub(crate) fn per_second(&self) -> f64 {
         self.per_second
     }
 
     /// Changes the number of starts per second and keeps what is saved up of it.
-    pub(super) fn set(&mut self, per_second: f64, now: Moment) {
+    pub(crate) fn set(&mut self, per_second: f64, now: Moment) {
         self.tokens = self.tokens(now);
         self.updated = now;
         self.per_second = usable(per_second);
@@ -71,18 +71,18 @@
     }
 
     /// Returns whether a start is allowed now.
-    pub(super) fn allows_start(&self, now: Moment) -> bool {
+    pub(crate) fn allows_start(&self, now: Moment) -> bool {
         self.tokens(now) + ROUNDING >= 1.0
     }
 
     /// Records a start.
-    pub(super) fn record_start(&mut self, now: Moment) {
+    pub(crate) fn record_start(&mut self, now: Moment) {
         self.tokens = self.tokens(now) - 1.0;
         self.updated = now;
     }
 
     /// Returns the time until a start is allowed after `ahead` others, at most [`MAX_WAIT`].
-    pub(super) fn wait(&self, ahead: usize, now: Moment) -> Duration {
+    pub(crate) fn wait(&self, ahead: usize, now: Moment) -> Duration {
         let missing = (ahead as f64 + 1.0 - self.tokens(now)).max(0.0);
         if missing == 0.0 {
             return Duration::ZERO;
@@ -92,7 +92,7 @@
     }
 
     /// Returns the next moment at which a start is allowed, if none is allowed now.
-    pub(super) fn next_release(&self, now: Moment) -> Option<Moment> {
+    pub(crate) fn next_release(&self, now: Moment) -> Option<Moment> {
         (!self.allows_start(now)).then(|| now + self.wait(0, now))
     }
 }
--- a/crates/relay/src/guard.rs
+++ b/crates/relay/src/guard.rs
@@ -8,7 +8,6 @@
 mod calls;
 mod cold;
 mod crashes;
-mod named_limit;
 mod probing;
 mod reports;
 mod state;
--- a/crates/relay/src/guard/reports.rs
+++ b/crates/relay/src/guard/reports.rs
@@ -2,12 +2,12 @@
 
 use std::sync::Arc;
 
-use cornelvalve_model::Moment;
+use cornelvalve_model::{AnswerSignals, Moment};
+use cornelvalve_policy::LimitChange;
 
-use super::named_limit::LimitChange;
 use super::state::GuardState;
 use super::upstream::{CheckInEffect, UpstreamProcess};
-use crate::messages::{AnswerSignals, StatsMessage};
+use crate::messages::StatsMessage;
 use crate::ports::{Cause, CheckIn, HealthReport, UpstreamLoad};
 
 impl GuardState {
--- a/crates/relay/src/guard/tests.rs
+++ b/crates/relay/src/guard/tests.rs
@@ -10,7 +10,7 @@
 use cornelvalve_kernel::{
     Clock, Context, Kernel, Mailbox, Name, ReplySender, ServiceOptions, ServiceResult, SystemClock,
 };
-use cornelvalve_model::{FailureDomain, Fingerprint, Moment, Region, ServiceName};
+use cornelvalve_model::{FailureDomain, Fingerprint, Moment, Region, ServiceName, UpstreamSignals};
 use cornelvalve_policy::{ColdTolerance, SharedSuspect, WorkKey};
 use smallvec::SmallVec;
 use tokio::sync::mpsc;
@@ -23,7 +23,7 @@
     PermitOutcome, PermitReport,
 };
 use crate::names::{CONTROL, GUARD, MEMBERS, MONITOR, NOTICES, ROUTER, STATS};
-use crate::ports::{Cause, HealthReport, UpstreamLoad, UpstreamSignals};
+use crate::ports::{Cause, HealthReport, UpstreamLoad};
 use crate::testing::forward_messages;
 
 /// Age at which load information is too old to admit a call, so that the upstream is probed first.
--- a/crates/relay/src/guard/upstream.rs
+++ b/crates/relay/src/guard/upstream.rs
@@ -7,8 +7,8 @@
 use std::time::Duration;
 
 use cornelvalve_model::{Moment, UpstreamState};
+use cornelvalve_policy::NamedLimit;
 
-use super::named_limit::NamedLimit;
 use crate::ports::{AnnouncedState, CheckIn, HealthReport};
 
 /// Upstream process, as last reported.
--- a/crates/relay/src/messages.rs
+++ b/crates/relay/src/messages.rs
@@ -21,8 +21,7 @@
 use crate::ports::{Cause, PeerAddrs};
 
 pub(crate) use guard::{
-    AdmissionDecision, AdmissionRequest, AnswerSignals, GuardMessage, Permit, PermitOutcome,
-    PermitReport,
+    AdmissionDecision, AdmissionRequest, GuardMessage, Permit, PermitOutcome, PermitReport,
 };
 
 /// Retry delay sent with a refusal when it is unknown when the upstream will have capacity.
--- a/crates/relay/src/messages/guard.rs
+++ b/crates/relay/src/messages/guard.rs
@@ -5,12 +5,12 @@
 use std::time::Duration;
 
 use cornelvalve_kernel::{CompletionSender, ReplySender};
-use cornelvalve_model::{Fingerprint, Moment, Region, ServiceName};
+use cornelvalve_model::{AnswerSignals, Fingerprint, Moment, Region, ServiceName};
 use cornelvalve_policy::{CallResult, GateCallId, LoadReport, SharedSuspect, WorkKey};
 use smallvec::SmallVec;
 
 use crate::desired::{ControlView, Version};
-use crate::ports::{Cause, CheckIn, HealthReport, UpstreamLoad, UpstreamSignals};
+use crate::ports::{Cause, CheckIn, HealthReport, UpstreamLoad};
 
 /// Asks the guard to admit a call to the upstream.
 #[derive(Clone, Debug)]
@@ -94,15 +94,6 @@
     pub(crate) signals: Option<AnswerSignals>,
 }
 
-/// What a response says about the upstream that sent it.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct AnswerSignals {
-    /// Moment from which the request was sent; the response is not older.
-    pub(crate) sent: Moment,
-    /// What the response says.
-    pub(crate) signals: UpstreamSignals,
-}
-
 /// How an admitted request ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum PermitOutcome {
--- a/crates/relay/src/ports.rs
+++ b/crates/relay/src/ports.rs
@@ -10,7 +10,7 @@
 
 use bytes::Bytes;
 use cornelvalve_http1::{BoxFuture, Request, Response};
-use cornelvalve_model::{FailureDomain, ServiceName, VmName};
+use cornelvalve_model::{FailureDomain, ServiceName, UpstreamSignals, VmName};
 use derive_more::{Display, Error};
 use http::HeaderMap;
 use serde::{Deserialize, Serialize};
@@ -151,27 +151,6 @@
     pub slowdown: Option<f64>,
 }
 
-/// What a response of an upstream says about the rate of requests that the upstream accepts.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub enum RateLimitSignal {
-    /// It names no limit.
-    #[default]
-    Unlimited,
-    /// The upstream accepts this number of requests per second from all callers together.
-    PerSecond(f64),
-    /// It names a limit that is not a number of requests per second.
-    Invalid,
-}
-
-/// What every response of an upstream says about the upstream.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct UpstreamSignals {
-    /// Limit on the rate of its requests.
-    pub rate_limit: RateLimitSignal,
-    /// Whether it is leaving and accepts no new requests.
-    pub leaving: bool,
-}
-
 /// Outcome of a request, as an upstream's response reports it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ResponseOutcome {
--- a/crates/relay/src/runner.rs
+++ b/crates/relay/src/runner.rs
@@ -5,7 +5,7 @@
 
 use cornelvalve_http1::{ClientConnection, ExchangeError, OutgoingRequest, Response};
 use cornelvalve_kernel::{Clock, Mailbox};
-use cornelvalve_model::Moment;
+use cornelvalve_model::{AnswerSignals, Moment, UpstreamSignals};
 use cornelvalve_policy::LoadReport;
 use http::HeaderMap;
 use tokio::time::{Instant, timeout_at};
@@ -13,12 +13,10 @@
 use crate::connector::Connector;
 use crate::hop::{HopHeaders, HopOutcome, HopRequest, HopResponse};
 use crate::messages::{
-    AdmissionDecision, AdmissionRequest, AnswerSignals, DEFAULT_RETRY_AFTER, GuardMessage, Permit,
-    PermitOutcome, PermitReport, PoolMessage, work_key,
-};
-use crate::ports::{
-    Cause, Dialect, ResponseOutcome, UpstreamLoad, UpstreamMetadata, UpstreamSignals,
+    AdmissionDecision, AdmissionRequest, DEFAULT_RETRY_AFTER, GuardMessage, Permit, PermitOutcome,
+    PermitReport, PoolMessage, work_key,
 };
+use crate::ports::{Cause, Dialect, ResponseOutcome, UpstreamLoad, UpstreamMetadata};
 
 /// Requests with less time left until their deadline are not sent to the upstream.
 const MIN_TIME_LEFT: Duration = Duration::from_millis(5);
--- a/crates/wire/src/hop.rs
+++ b/crates/wire/src/hop.rs
@@ -8,8 +8,8 @@
 use std::time::Duration;
 
 use cornelvalve_model::{
-    Fingerprint, IdempotencyKey, LoadHint, Outcome, Reason, Refusal, RequestClass, Revision,
-    RouteName, ServiceName, TeamName, TraceId,
+    Fingerprint, IdempotencyKey, LoadHint, Outcome, RateLimitSignal, Reason, Refusal, RequestClass,
+    Revision, RouteName, ServiceName, TeamName, TraceId, UpstreamSignals,
 };
 use derive_more::{Display, Error};
 use http::{HeaderMap, HeaderName, HeaderValue};
@@ -52,9 +52,16 @@
 /// limit, separated by spaces.
 const HINT: HeaderName = HeaderName::from_static("cornelvalve-hint");
 
-/// Headers that only daemons may set; removed from messages of callers and upstreams. Callers may
+/// Requests per second, a decimal number, that an upstream in need accepts from all callers together
+/// for as long as its responses name it. Set by upstreams.
+pub const RATE_LIMIT: HeaderName = HeaderName::from_static("cornelvalve-rate-limit");
+
+/// `1` in all responses of an upstream that is leaving. Set by upstreams.
+pub const LEAVING: HeaderName = HeaderName::from_static("cornelvalve-leaving");
+
+/// Headers that only daemons may set, or that upstreams set for their daemon; removed from messages of callers and upstreams. Callers may
 /// set [`TEAM`] and [`DEPTH`], for example, so these are not included.
-const INTERNAL_HEADERS: [HeaderName; 10] = [
+const INTERNAL_HEADERS: [HeaderName; 12] = [
     OUTCOME,
     REASON,
     SERVICE,
@@ -65,6 +72,8 @@
     HINT,
     CLOCK,
     UPSTREAM_TIME,
+    RATE_LIMIT,
+    LEAVING,
 ];
 
 /// Number of hexadecimal digits of a trace id.
@@ -286,6 +295,16 @@
     })
 }
 
+/// Returns what a response of an upstream says about the upstream.
+#[must_use]
+pub fn decode_signals(headers: &HeaderMap) -> UpstreamSignals {
+    let text = |name| headers.get(name).map(|v: &HeaderValue| v.to_str().ok());
+    UpstreamSignals {
+        rate_limit: text(&RATE_LIMIT).map_or(RateLimitSignal::Unlimited, RateLimitSignal::parse),
+        leaving: text(&LEAVING).flatten().is_some_and(|v| v.trim() == "1"),
+    }
+}
+
 /// Sets the time that the upstream took to respond, in microseconds.
 pub fn encode_upstream_time(headers: &mut HeaderMap, time: Duration) {
     set_header(headers, UPSTREAM_TIME, &time.as_micros());
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -30,3 +30,4 @@
 mod tickets;
 mod timeline;
 mod uploads;
+mod upstream_signals;
--- a/tests/all/support.rs
+++ b/tests/all/support.rs
@@ -21,7 +21,7 @@
 mod upstream;
 
 pub(crate) use daemon_pair::DaemonPair;
-pub(crate) use faulty_upstream::{FailurePoint, FaultyUpstream};
+pub(crate) use faulty_upstream::{FailurePoint, FaultyUpstream, LIMIT_PER_SECOND};
 pub(crate) use generated_body::GeneratedBody;
 pub(crate) use http::{Client, Response, request, send};
 pub(crate) use load::{LoadGenerator, LoadSummary};
--- a/tests/all/support/faulty_upstream.rs
+++ b/tests/all/support/faulty_upstream.rs
@@ -25,11 +25,30 @@
     InBody,
     /// Closes the connection within a chunked body.
     InChunks,
+    /// Does not fail; names a limit of [`LIMIT_PER_SECOND`] in each response.
+    Limited,
+    /// Does not fail; says in each response that it is leaving.
+    Leaving,
     /// Does not fail, but sends a complete 503 response with the headers of a daemon's refusal,
     /// like an upstream that relays the refusal of a request it made itself.
     RelayedRefusal,
 }
 
+/// Requests per second that an upstream at [`FailurePoint::Limited`] accepts.
+pub(crate) const LIMIT_PER_SECOND: f64 = 4.0;
+
+/// Response of an upstream that names a limit.
+const LIMITED_RESPONSE: &str = concat!(
+    "HTTP/1.1 200 OK\r\ncornelvalve-rate-limit: 4\r\n",
+    "content-length: 0\r\nconnection: close\r\n\r\n"
+);
+
+/// Response of an upstream that is leaving.
+const LEAVING_RESPONSE: &str = concat!(
+    "HTTP/1.1 200 OK\r\ncornelvalve-leaving: 1\r\n",
+    "content-length: 0\r\nconnection: close\r\n\r\n"
+);
+
 /// Response of an upstream that relays a refusal.
 const RELAYED_RESPONSE: &str = concat!(
     "HTTP/1.1 503 Service Unavailable\r\n",
@@ -46,6 +65,8 @@
             Self::InHeaders => "HTTP/1.1 200 OK\r\ncontent-le",
             Self::InBody => "HTTP/1.1 200 OK\r\ncontent-length: 100\r\n\r\nhalf",
             Self::InChunks => "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\nhalf\r\n",
+            Self::Limited => LIMITED_RESPONSE,
+            Self::Leaving => LEAVING_RESPONSE,
             Self::RelayedRefusal => RELAYED_RESPONSE,
         }
     }
