--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -1,7 +1,9 @@
 //! Assembles a daemon: binds its listeners, starts its services, and stops them after the running
 //! requests have ended.
 
-use std::net::{SocketAddr, TcpListener, UdpSocket};
+mod sockets;
+
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -16,9 +18,9 @@
 use smallvec::SmallVec;
 use tokio::sync::mpsc;
 
-use crate::config::{Config, Listen};
+use crate::config::Config;
 use crate::guard::{GuardMessage, GuardSettings};
-use crate::listener::{self, ListenerLimits};
+use crate::listener::ListenerLimits;
 use crate::membership::MembershipMessage;
 use crate::metrics::{Metrics, MetricsError};
 use crate::names::{
@@ -30,6 +32,7 @@
 use crate::timeline::{self, TIMELINE, run_timeline};
 use crate::{announcer, budget, catalog, entry, guard, membership, operators, peers, pool};
 use crate::{publisher, router, scrape};
+use sockets::Sockets;
 
 /// Result alias of this module.
 pub type Result<T> = std::result::Result<T, StartError>;
@@ -247,81 +250,6 @@
     loads.map(|l| u32::from(l.load.running)).sum()
 }
 
-/// Bound sockets, which stay open when a service that uses them restarts.
-struct Sockets {
-    callers: Arc<TcpListener>,
-    peers: Arc<TcpListener>,
-    /// UDP socket of the gossip protocol, on the same port as `peers`.
-    gossip: Arc<UdpSocket>,
-    upstream: Arc<TcpListener>,
-    operators: Arc<TcpListener>,
-    metrics: Arc<TcpListener>,
-    addresses: ListenAddrs,
-}
-
-impl Sockets {
-    /// Binds all listeners.
-    fn bind(listen: &Listen) -> Result<Self> {
-        let (peers, gossip, peer_addr) = bind_peers(listen.peers)?;
-        let (callers, caller_addr) = bind_tcp("callers", listen.callers)?;
-        let (upstream, upstream_addr) = bind_tcp("upstream", listen.upstream)?;
-        let (operators, operator_addr) = bind_tcp("operators", listen.operators)?;
-        let (metrics, metrics_addr) = bind_tcp("metrics", listen.metrics)?;
-        Ok(Self {
-            callers,
-            peers,
-            gossip,
-            upstream,
-            operators,
-            metrics,
-            addresses: ListenAddrs {
-                callers: caller_addr,
-                peers: peer_addr,
-                upstream: upstream_addr,
-                operators: operator_addr,
-                metrics: metrics_addr,
-            },
-        })
-    }
-}
-
-/// Binds a TCP listener and returns it with its address.
-fn bind_tcp(listener: &'static str, addr: SocketAddr) -> Result<(Arc<TcpListener>, SocketAddr)> {
-    let error = |source| StartError::Bind {
-        listener,
-        addr,
-        source,
-    };
-    let bound = listener::bind(addr).map_err(error)?;
-    let local = bound.local_addr().map_err(error)?;
-    Ok((Arc::new(bound), local))
-}
-
-/// Largest number of retries to find a port that is free for both TCP and UDP.
-const PORT_RETRIES: u32 = 16;
-
-/// Binds a TCP listener and a UDP socket to the same port.
-///
-/// For port 0, the operating system picks a port that is free for TCP; if it is in use for UDP,
-/// another one is tried.
-fn bind_peers(addr: SocketAddr) -> Result<(Arc<TcpListener>, Arc<UdpSocket>, SocketAddr)> {
-    let mut retries = 0;
-    loop {
-        let (tcp, local) = bind_tcp("peers", addr)?;
-        match UdpSocket::bind(local).and_then(|s| s.set_nonblocking(true).map(|()| s)) {
-            Ok(udp) => return Ok((tcp, Arc::new(udp), local)),
-            Err(_) if addr.port() == 0 && retries < PORT_RETRIES => retries += 1,
-            Err(source) => {
-                return Err(StartError::Bind {
-                    listener: "peers (UDP)",
-                    addr: local,
-                    source,
-                });
-            }
-        }
-    }
-}
-
 /// Returns the member record with which this daemon starts.
 fn own_member(config: &Config, addresses: &ListenAddrs, clock: &dyn Clock) -> Member {
     Member {
--- a/crates/policy/src/gate.rs
+++ b/crates/policy/src/gate.rs
@@ -23,6 +23,8 @@
 //! daemon for hosted platforms (crate `relay`) uses this gate; the general daemon (crate `daemon`)
 //! uses [`AdmissionController`](crate::AdmissionController).
 
+mod duration;
+mod hold;
 mod start_limit;
 mod types;
 
@@ -38,18 +40,6 @@
 pub use start_limit::{ColdRate, ColdTolerance};
 pub use types::{GateAction, GateActions, GateCall, GateCallId, GateLoad, GateRefusal, WorkKey};
 
-/// Baseline duration assumed for a kind of call until the first one has ended.
-const DEFAULT_BASELINE: Duration = Duration::from_millis(60);
-
-/// Gain of the baseline estimate, which follows a quantile of the samples: a sample above the
-/// estimate raises it by `BASELINE_STEP * BASELINE_QUANTILE` of itself, a sample below lowers it by
-/// `BASELINE_STEP * (1 - BASELINE_QUANTILE)`.
-const BASELINE_STEP: f64 = 0.06;
-
-/// Quantile of the samples that the baseline estimate follows. It is below the median because a
-/// call that waits for its own nested calls occupies its slot longer without more work.
-const BASELINE_QUANTILE: f64 = 0.4;
-
 /// Minimum remaining duration assumed for a running call, as a fraction of its baseline duration.
 /// Matters for calls that take longer than expected.
 const MIN_REMAINING_FRACTION: f64 = 0.25;
@@ -66,29 +56,6 @@
 /// can still meet their objective start first and leave no slots for it.
 const MAX_PRESSURE_FOR_LATE_CALLS: f64 = 0.6;
 
-/// Fraction of the time from arrival to deadline after which a waiting call that will miss its
-/// objective is refused, so that its caller still has time to retry.
-const LATE_WAIT_FRACTION: f64 = 0.5;
-
-/// Minimum slowdown at which calls may be held.
-const MIN_HOLD_SLOWDOWN: f64 = 2.0;
-
-/// Expected remaining length of a slow period. Corresponds to `SLOW_PERIOD_REMAINING_MS` of the
-/// placement.
-const SLOW_PERIOD_REMAINING: Duration = Duration::from_millis(250);
-
-/// Shortest hold that is worthwhile; slow periods rarely end sooner.
-const MIN_HOLD: Duration = Duration::from_millis(100);
-
-/// Time within which most slow periods end. A call that can wait this long and then meet its
-/// deadline at normal speed is held, although it misses the deadline if the slow period lasts
-/// longer.
-const HOLD_HORIZON: Duration = Duration::from_millis(400);
-
-/// Safety factor on the duration of a held call that has to start while the upstream is still slow,
-/// so that it ends before its deadline.
-const HOLD_MARGIN: f64 = 1.1;
-
 /// Minimum time by which another upstream must be faster for a call to be handed back.
 const MIN_HAND_BACK_GAIN: Duration = Duration::from_millis(8);
 
@@ -358,88 +325,6 @@
         Some(next_start.map_or(first, |start| start.min(first)))
     }
 
-    /// Returns the latest moment at which a waiting call may start; after it the call is refused.
-    ///
-    /// The call is assumed to run at baseline speed. While the upstream is slow, the call may start
-    /// as long as it can meet its deadline. Otherwise a call that can no longer meet its objective
-    /// is refused once it has waited for [`LATE_WAIT_FRACTION`] of the time from arrival to
-    /// deadline.
-    fn latest_start(&self, waiting: &Waiting) -> Moment {
-        let call = &waiting.call;
-        let baseline = self.baseline_duration(call.work);
-        let start_to_end_at = |end: Moment| end - baseline;
-        if self.slowdown >= MIN_HOLD_SLOWDOWN {
-            return start_to_end_at(call.deadline);
-        }
-        let time = call.deadline.since(waiting.arrived);
-        let longest_wait = waiting.arrived + time.mul_f64(LATE_WAIT_FRACTION);
-        let for_objective = start_to_end_at(call.objective);
-        start_to_end_at(call.deadline).min(longest_wait.max(for_objective))
-    }
-
-    /// Returns whether calls wait while the upstream is slow; they are held or wait for a slot.
-    #[must_use]
-    pub fn is_holding(&self) -> bool {
-        self.slowdown >= MIN_HOLD_SLOWDOWN && !self.queue.is_empty()
-    }
-
-    /// Returns the moment until which a waiting call is held while the upstream is slow, or `None`
-    /// if it should start as soon as possible.
-    fn hold_until(&self, waiting: &Waiting) -> Option<Moment> {
-        if self.slowdown < MIN_HOLD_SLOWDOWN {
-            return None;
-        }
-        let call = &waiting.call;
-        let slow_duration = self.baseline_duration(call.work).mul_f64(self.slowdown);
-        if waiting.arrived + slow_duration <= call.objective {
-            return None;
-        }
-        // At the current slowdown, the call would have missed its deadline even if it had started
-        // on arrival, so it waits for the slow period to end.
-        if waiting.arrived + slow_duration > call.deadline {
-            return Some(self.latest_start(waiting));
-        }
-        let slow_duration = slow_duration.mul_f64(HOLD_MARGIN);
-        let until = call.deadline - slow_duration;
-        let latest = self.latest_start(waiting);
-        if waiting.arrived + MIN_HOLD <= until {
-            // Even at the current slowdown, the call meets its deadline if it starts by then.
-            Some(until)
-        } else {
-            // The deadline is put at risk only if the slow period is likely to end in time.
-            (waiting.arrived + HOLD_HORIZON <= latest).then_some(latest)
-        }
-    }
-
-    /// Returns the expected time from a free slot to the end of a call: its duration at the current
-    /// speed, or the rest of the slow period and its baseline duration if that is shorter.
-    fn expected_duration(&self, key: WorkKey) -> Duration {
-        let baseline = self.baseline_duration(key);
-        baseline
-            .mul_f64(self.slowdown)
-            .min(baseline + SLOW_PERIOD_REMAINING)
-    }
-
-    /// Adjusts the baseline estimate of a kind of call by a call that has ended.
-    fn update_baseline(&mut self, running: Running, now: Moment) {
-        let sample = now.since(running.started).as_secs_f64() / running.slowdown;
-        let baseline = self.baselines.entry(running.work);
-        let baseline = baseline.or_insert(DEFAULT_BASELINE.as_secs_f64());
-        let step = if sample > *baseline {
-            BASELINE_QUANTILE
-        } else {
-            BASELINE_QUANTILE - 1.0
-        };
-        *baseline *= 1.0 + BASELINE_STEP * step;
-    }
-
-    /// Returns the estimated baseline duration of a kind of call.
-    #[must_use]
-    pub fn baseline_duration(&self, key: WorkKey) -> Duration {
-        let seconds = self.baselines.get(&key);
-        seconds.map_or(DEFAULT_BASELINE, |s| Duration::from_secs_f64(*s))
-    }
-
     /// Returns the time for which a new call would wait at the current speed.
     fn expected_wait(&self, call: &GateCall, now: Moment) -> Duration {
         let free = self.running.len() < self.slots && self.queue.is_empty();
@@ -548,11 +433,6 @@
         }
     }
 
-    /// Returns whether a waiting call is held at this moment.
-    fn is_held(&self, waiting: &Waiting, now: Moment) -> bool {
-        self.hold_until(waiting).is_some_and(|until| now < until)
-    }
-
     /// Hands back the waiting calls that another upstream is expected to finish earlier.
     fn hand_back_calls(&mut self, now: Moment, actions: &mut GateActions) {
         let waiting = std::mem::take(&mut self.queue);
--- a/crates/relay/src/control.rs
+++ b/crates/relay/src/control.rs
@@ -5,6 +5,7 @@
 //! the store is unreachable or answers this daemon with an error.
 
 mod sync_plan;
+mod transfer;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -14,14 +15,13 @@
 use cornelvalve_kernel::{Context, Mailbox, Registry, ServiceResult};
 use cornelvalve_model::{Moment, Revision};
 use smallvec::SmallVec;
-use tokio::task::JoinHandle;
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, sleep};
 
 use crate::desired::changes::{
     ChangesError, DesiredUpdate, History, Result as ChangesResult, StateId,
 };
 use crate::desired::{ControlView, DesiredState};
-use crate::hop::{self, ControlUpdate, FrameConnection, HopCall, HopReply};
+use crate::hop::ControlUpdate;
 use crate::messages::{
     ControlMessage, ControlSource, GuardMessage, MembersMessage, NoticesMessage, RouterMessage,
     StatsMessage,
@@ -29,46 +29,12 @@
 use crate::names::{CONTROL, GUARD, MEMBERS, NOTICES, ROUTER, STATS};
 use crate::ports::{ControlChange, ControlChanges, ControlStore, StoreError};
 use sync_plan::{ReadEnd, Step, SyncPlan};
-
-/// Longest time that fetching the configuration from a peer may take.
-const FETCH_TIMEOUT: Duration = Duration::from_secs(3);
-
-/// Size in bytes of an answer of the store that is small.
-const SMALL_READ_BYTES: usize = 64 * 1024;
-
-/// Maximum size in bytes of an answer of the store.
-const MAX_READ_BYTES: usize = 16 * 1024 * 1024;
+use transfer::AbortOnDrop;
+pub(crate) use transfer::StoreRead;
 
 /// Longest time between two wake-ups of the service; bounds the wait when nothing is due.
 const MAX_SLEEP: Duration = Duration::from_secs(30);
 
-/// Result of one read of the store.
-#[derive(Debug)]
-pub(crate) enum StoreRead {
-    /// The complete configuration.
-    View(ControlView),
-    /// The changes since the previous read.
-    Changes(ControlChanges),
-    /// The read failed.
-    Failed(StoreError),
-}
-
-impl StoreRead {
-    /// Returns how the read ended.
-    fn end(&self) -> ReadEnd {
-        match self {
-            Self::View(_) => ReadEnd::Complete,
-            Self::Changes(changes) => ReadEnd::Changes {
-                empty: changes.changes.is_empty(),
-                more: changes.end > changes.position,
-            },
-            Self::Failed(StoreError::HistoryLost) => ReadEnd::HistoryLost,
-            Self::Failed(StoreError::TooLarge(_)) => ReadEnd::TooLarge,
-            Self::Failed(_) => ReadEnd::Failed,
-        }
-    }
-}
-
 /// Runs the control service until it is asked to stop.
 ///
 /// # Errors
@@ -129,15 +95,6 @@
     control.send(ControlMessage::Republish).await
 }
 
-/// Aborts its task when dropped, so that the task ends with the service that owns it.
-struct AbortOnDrop(JoinHandle<()>);
-
-impl Drop for AbortOnDrop {
-    fn drop(&mut self) {
-        self.0.abort();
-    }
-}
-
 /// State of the control service.
 struct ControlService {
     /// Configuration in force.
@@ -186,52 +143,6 @@
         }
     }
 
-    /// Reads the changes from a position on, or the complete configuration, only if the answer is
-    /// `small`.
-    fn start_read(&mut self, changes: Option<(u64, Duration)>, small: bool) {
-        let max_bytes = if small {
-            SMALL_READ_BYTES
-        } else {
-            MAX_READ_BYTES
-        };
-        self.read_number += 1;
-        let (number, store, own) = (self.read_number, Arc::clone(&self.store), self.own.clone());
-        let task = tokio::spawn(async move {
-            let result = match changes {
-                None => store.view(max_bytes).await.map(StoreRead::View),
-                Some((at, wait)) => {
-                    let changes = store.changes(at, wait, max_bytes).await;
-                    changes.map(StoreRead::Changes)
-                }
-            };
-            let result = Box::new(result.unwrap_or_else(StoreRead::Failed));
-            send_own(&own, ControlMessage::Read { number, result }).await;
-        });
-        self.read = Some(AbortOnDrop(task));
-    }
-
-    /// Fetches from a peer what this daemon lacks of its configuration.
-    fn start_fetch(&mut self, addr: SocketAddr) {
-        let (own, timeouts) = (self.own.clone(), self.timeouts);
-        let base = self.history.current_id();
-        let task = tokio::spawn(async move {
-            let fetch = timeout(FETCH_TIMEOUT, fetch_update(addr, base, timeouts)).await;
-            let update = match fetch {
-                Ok(Ok(update)) => Some(update),
-                Ok(Err(e)) => {
-                    log::info!(event = "peer-view-failed", peer:% = addr; "fetching the configuration from a peer failed: {e}");
-                    None
-                }
-                Err(_) => {
-                    log::info!(event = "peer-view-failed", peer:% = addr; "fetching the configuration from a peer timed out");
-                    None
-                }
-            };
-            send_own(&own, ControlMessage::FetchEnded { addr, update }).await;
-        });
-        self.fetches.push((addr, AbortOnDrop(task)));
-    }
-
     /// Handles one message.
     async fn handle(&mut self, message: ControlMessage, now: Moment) {
         match message {
@@ -507,13 +418,6 @@
     }
 }
 
-/// Sends a message of a task to the control service, which owns the task.
-async fn send_own(own: &Mailbox<ControlMessage>, message: ControlMessage) {
-    if let Err(e) = own.send(message).await {
-        log::warn!(event = "read-dropped"; "result of a read of the configuration was dropped: {e}");
-    }
-}
-
 /// Replaces the desired state of `view` if `other` has a later version and is valid.
 fn replace_if_newer(view: &mut ControlView, other: Option<Arc<DesiredState>>) {
     let known = view.desired.as_ref().map(|d| d.version);
@@ -528,21 +432,5 @@
     }
 }
 
-/// Fetches what the daemon at `addr` has beyond the desired state `base`.
-async fn fetch_update(
-    addr: std::net::SocketAddr,
-    base: Option<StateId>,
-    timeouts: SocketTimeouts,
-) -> hop::Result<Box<ControlUpdate>> {
-    let mut connection = FrameConnection::open(addr, timeouts).await?;
-    connection
-        .send(&hop::encode(&HopCall::ControlSince(base))?)
-        .await?;
-    match connection.receive().await? {
-        HopReply::ControlUpdate(update) => Ok(update),
-        other => Err(hop::HopError::Malformed(format!("unexpected {other:?}"))),
-    }
-}
-
 #[cfg(test)]
 mod tests;
--- a/crates/relay/src/control/tests.rs
+++ b/crates/relay/src/control/tests.rs
@@ -7,6 +7,8 @@
 use smallvec::smallvec;
 use tokio::sync::mpsc;
 
+use tokio::time::timeout;
+
 use super::*;
 use crate::desired::Version;
 use crate::ports::{PeerRecord, StoreResult};
--- a/crates/relay/src/desired/changes/tests.rs
+++ b/crates/relay/src/desired/changes/tests.rs
@@ -1,33 +1,10 @@
-use std::time::Duration;
-
-use cornelvalve_model::ServiceName;
-use smallvec::smallvec;
-
 use super::*;
-use crate::desired::{IdempotencyLevel, WeightedService};
-
-fn route(name: &str, prefix: &str) -> RouteSpec {
-    RouteSpec {
-        name: name.into(),
-        host: "a.example".into(),
-        prefix: prefix.into(),
-        idempotency: IdempotencyLevel::Idempotent,
-        timeout: Duration::from_secs(1),
-        latency_objective: Duration::from_millis(300),
-        priority: 1,
-        max_attempts: 2,
-        weighted_services: smallvec![WeightedService {
-            service: ServiceName::new("one").unwrap(),
-            weight: 1.0,
-        }],
-        home_regions: smallvec![],
-    }
-}
+use crate::testing::route_spec;
 
 /// Returns a state with many routes, of which the first has this prefix.
 fn state(version: u64, first_prefix: &str) -> Arc<DesiredState> {
-    let mut routes = vec![Arc::new(route("first", first_prefix))];
-    let others = (0..500).map(|i| route(&format!("r-{i}"), &format!("/r-{i}/")));
+    let mut routes = vec![Arc::new(route_spec("first", first_prefix, "one"))];
+    let others = (0..500).map(|i| route_spec(&format!("r-{i}"), &format!("/r-{i}/"), "one"));
     routes.extend(others.map(Arc::new));
     Arc::new(DesiredState {
         version: Version(version),
--- a/crates/relay/src/entry.rs
+++ b/crates/relay/src/entry.rs
@@ -3,6 +3,7 @@
 
 mod attempt;
 mod forward;
+mod hedge;
 mod recorder;
 
 use std::net::SocketAddr;
--- a/crates/relay/src/entry/forward.rs
+++ b/crates/relay/src/entry/forward.rs
@@ -9,8 +9,7 @@
 use cornelvalve_model::{Moment, VmName};
 use cornelvalve_policy::{AttemptResult, Attempts};
 use http::header::HOST;
-use smallvec::SmallVec;
-use tokio::time::{Instant, sleep_until, timeout_at};
+use tokio::time::{Instant, timeout_at};
 
 use super::recorder::RequestRecorder;
 use super::{EntryContext, refusal};
@@ -33,17 +32,6 @@
 /// it can still report before the caller's deadline that it has not run the request.
 const REPLY_ALLOWANCE: Duration = Duration::from_millis(10);
 
-/// Time reserved for a hedge before the latency objective, as a multiple of the baseline (the
-/// duration while the upstream is not slowed down).
-const HEDGE_RESERVE_FACTOR: f64 = 1.5;
-
-/// Minimum delay of a hedge, as a multiple of the baseline; by then, most requests have finished.
-const MIN_HEDGE_DELAY_FACTOR: f64 = 2.0;
-
-/// Minimum time that a hedge is given to finish, even if the latency objective is closer or already
-/// missed.
-const MIN_HEDGE_TIME: Duration = Duration::from_millis(150);
-
 /// Time that must be left before a stopping daemon ends for it to serve a request, as a multiple of
 /// the latency objective. Few requests take longer, and one that does is cut off.
 const MIN_END_OBJECTIVES: f64 = 2.0;
@@ -67,25 +55,25 @@
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(2);
 
 /// Request that is being forwarded, with the state of its attempts.
-struct ForwardedRequest<'a> {
-    entry: &'a EntryContext,
-    request: &'a Request,
-    headers: HopHeaders,
+pub(super) struct ForwardedRequest<'a> {
+    pub(super) entry: &'a EntryContext,
+    pub(super) request: &'a Request,
+    pub(super) headers: HopHeaders,
     /// Identifier that the caller gave its request.
-    attempt_id: Option<Box<str>>,
-    resolved: Arc<ResolvedRoute>,
-    started: Moment,
+    pub(super) attempt_id: Option<Box<str>>,
+    pub(super) resolved: Arc<ResolvedRoute>,
+    pub(super) started: Moment,
     /// Moment by which the caller must be answered.
-    deadline: Moment,
-    attempts: Attempts,
+    pub(super) deadline: Moment,
+    pub(super) attempts: Attempts,
     /// Whether an attempt is in progress.
-    in_progress: bool,
+    pub(super) in_progress: bool,
     /// Reason why the last attempt did not run the request.
-    last_refusal: Cause,
+    pub(super) last_refusal: Cause,
     /// Shortest retry delay that an attempt returned.
-    retry_after: Option<Duration>,
+    pub(super) retry_after: Option<Duration>,
     /// Failure response of an upstream, returned if no other attempt succeeds.
-    fallback: Option<HopResponse>,
+    pub(super) fallback: Option<HopResponse>,
 }
 
 /// Serves a request of a caller and returns the response.
@@ -188,15 +176,6 @@
     }
 }
 
-/// Reason for a second attempt while the first one is still in progress.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum SecondAttemptReason {
-    /// The first attempt takes long, so the request is also sent to another upstream.
-    Hedge,
-    /// The daemon of the first attempt has not acknowledged the request in time.
-    NotAcknowledged,
-}
-
 /// Final result of a request.
 enum ForwardResult {
     /// Response of an upstream.
@@ -219,7 +198,7 @@
     }
 
     /// Returns the time left until the response misses the latency objective; zero if it is missed.
-    fn objective_left(&self) -> Duration {
+    pub(super) fn objective_left(&self) -> Duration {
         let elapsed = self.entry.clock.now().since(self.started);
         self.resolved
             .route
@@ -290,117 +269,6 @@
         true
     }
 
-    /// Makes an attempt at the selected upstream and returns its outcome with the VM.
-    ///
-    /// If the attempt takes long or is not acknowledged in time, and the request is idempotent, a
-    /// second attempt is made in parallel. The outcome is then that of the first success, or of the
-    /// attempt that ended last.
-    async fn attempt(&mut self, selected: SelectedUpstream) -> (VmName, HopOutcome) {
-        let vm = selected.vm.clone();
-        log::info!(event = "placed", request = self.attempt_id.as_deref(), vm = vm.as_str(), expected_ms = selected.expected.as_millis() as u64, arrivals = self.attempts.upstream_attempts(); "attempt started");
-        let start = Instant::now();
-        let acknowledged = selected.acknowledged.subscribe();
-        let delays = self.second_attempt_delays(&selected);
-        let request = self.hop_request(&selected, selected.expected_elsewhere);
-        let (entry, resolved) = (self.entry, Arc::clone(&self.resolved));
-        let mut first = Box::pin(entry.attempt(selected, request, &resolved));
-        for (after, reason) in delays {
-            tokio::select! {
-                outcome = &mut first => return (vm, outcome),
-                () = sleep_until(start + after) => {}
-            }
-            if reason == SecondAttemptReason::NotAcknowledged && *acknowledged.borrow() {
-                continue;
-            }
-            // Without another usable upstream, the first attempt continues alone.
-            if let Ok(second) = self.select_second(&vm, reason).await {
-                let second_vm = second.vm.clone();
-                // Despite its name, the event is logged for both reasons.
-                log::info!(event = "hedged", request = self.attempt_id.as_deref(), vm = second_vm.as_str(), after_ms = after.as_millis() as u64, no_sign = reason == SecondAttemptReason::NotAcknowledged; "second attempt started");
-                let request = self.hop_request(&second, None);
-                let second = Box::pin(entry.attempt(second, request, &resolved));
-                return self.race((vm, first), (second_vm, second)).await;
-            }
-        }
-        (vm, first.await)
-    }
-
-    /// Returns the first successful outcome of two attempts with its VM, or, if both fail, the
-    /// outcome of the attempt that ends last.
-    async fn race<F>(&mut self, first: (VmName, F), second: (VmName, F)) -> (VmName, HopOutcome)
-    where
-        F: Future<Output = HopOutcome> + Unpin,
-    {
-        let ((vm, mut first), (second_vm, mut second)) = (first, second);
-        let (ended_vm, outcome, other_vm, other) = tokio::select! {
-            outcome = &mut first => (vm, outcome, second_vm, second),
-            outcome = &mut second => (second_vm, outcome, vm, first),
-        };
-        if matches!(&outcome, HopOutcome::Answered(response) if !response.failed) {
-            return (ended_vm, outcome);
-        }
-        // Unless a daemon refused it, the attempt that ended first may have run, which counts
-        // against the limit of the route.
-        if !matches!(
-            outcome,
-            HopOutcome::NotRun {
-                reached_upstream: false,
-                ..
-            }
-        ) {
-            self.attempts.record(ended_vm, AttemptResult::MayHaveRun);
-        }
-        (other_vm, other.await)
-    }
-
-    /// Returns the delays after which a second attempt is considered, in ascending order; empty if
-    /// none is allowed.
-    fn second_attempt_delays(
-        &self,
-        selected: &SelectedUpstream,
-    ) -> SmallVec<[(Duration, SecondAttemptReason); 2]> {
-        let attempts = u32::from(self.resolved.route.max_attempts);
-        // Attempts that reached an upstream count against the limit of the route.
-        let left = attempts.saturating_sub(u32::from(self.attempts.upstream_attempts()));
-        let mut delays = SmallVec::new();
-        if self.resolved.route.idempotency != IdempotencyLevel::Idempotent || left < 2 {
-            return delays;
-        }
-        delays.push((self.hedge_delay(selected), SecondAttemptReason::Hedge));
-        if selected.addr.is_some() {
-            delays.push((selected.ack_timeout, SecondAttemptReason::NotAcknowledged));
-        }
-        delays.sort_by_key(|(after, _)| *after);
-        delays
-    }
-
-    /// Returns the delay of a hedge: the latest time at which it is still expected to meet the
-    /// latency objective, but at least [`MIN_HEDGE_DELAY_FACTOR`] times the baseline.
-    fn hedge_delay(&self, selected: &SelectedUpstream) -> Duration {
-        let reserve = selected.baseline.mul_f64(HEDGE_RESERVE_FACTOR);
-        let in_time = self.objective_left().saturating_sub(reserve);
-        in_time.max(selected.baseline.mul_f64(MIN_HEDGE_DELAY_FACTOR))
-    }
-
-    /// Selects the upstream of a second attempt, on another VM than the first one.
-    async fn select_second(
-        &self,
-        first: &VmName,
-        reason: SecondAttemptReason,
-    ) -> Result<SelectedUpstream, Cause> {
-        let mut query = self.selection_query();
-        query.tried.push(first.clone());
-        match reason {
-            SecondAttemptReason::Hedge => {
-                query.hedge_within = Some(self.objective_left().max(MIN_HEDGE_TIME))
-            }
-            // The first attempt may have reached its upstream, so the second one is charged to the
-            // retry budget like any other retry.
-            SecondAttemptReason::NotAcknowledged => query.is_retry = true,
-        }
-        self.query_router(query).await
-    }
-
     /// Records that an attempt did not run the request; returns whether a further attempt is
     /// allowed.
     fn record_not_run(
@@ -430,7 +298,7 @@
     }
 
     /// Returns the query for the next attempt.
-    fn selection_query(&self) -> SelectionQuery {
+    pub(super) fn selection_query(&self) -> SelectionQuery {
         let attempts = &self.attempts;
         SelectionQuery {
             resolved: Arc::clone(&self.resolved),
@@ -465,7 +333,10 @@
     }
 
     /// Sends a query to the router and returns the upstream that it selected.
-    async fn query_router(&self, query: SelectionQuery) -> Result<SelectedUpstream, Cause> {
+    pub(super) async fn query_router(
+        &self,
+        query: SelectionQuery,
+    ) -> Result<SelectedUpstream, Cause> {
         let query = Box::new(query);
         let answer = self
             .entry
@@ -478,7 +349,7 @@
     }
 
     /// Returns the request as it is sent to the selected upstream or to the daemon beside it.
-    fn hop_request(
+    pub(super) fn hop_request(
         &self,
         selected: &SelectedUpstream,
         expected_elsewhere: Option<Duration>,
--- a/crates/relay/src/guard/tests/versions.rs
+++ b/crates/relay/src/guard/tests/versions.rs
@@ -1,36 +1,20 @@
 //! Tests of calls whose route was taken from an earlier version of the desired state.
 
 use std::sync::Arc;
-use std::time::Duration;
 
-use cornelvalve_model::{Fingerprint, Region, ServiceName};
-use smallvec::smallvec;
+use cornelvalve_model::{Fingerprint, Region};
 
-use super::{Fixture, region, service};
-use crate::desired::{
-    ControlView, DesiredState, IdempotencyLevel, RouteSpec, Version, WeightedService,
-};
+use super::{Fixture, region};
+use crate::desired::{ControlView, DesiredState, Version};
 use crate::messages::{AdmissionDecision, GuardMessage};
 use crate::ports::Cause;
+use crate::testing::route_spec;
 
 /// Returns a configuration whose only route has this prefix and service, and may be served in this
 /// region. The calls of the tests have the target `/read/x` and version 1.
-fn configuration(version: u64, prefix: &str, to: ServiceName, home: Region) -> GuardMessage {
-    let route = RouteSpec {
-        name: "read".into(),
-        host: "a.example".into(),
-        prefix: prefix.into(),
-        idempotency: IdempotencyLevel::Idempotent,
-        timeout: Duration::from_secs(1),
-        latency_objective: Duration::from_millis(300),
-        priority: 1,
-        max_attempts: 2,
-        weighted_services: smallvec![WeightedService {
-            service: to,
-            weight: 1.0,
-        }],
-        home_regions: smallvec![home],
-    };
+fn configuration(version: u64, prefix: &str, to: &str, home: Region) -> GuardMessage {
+    let mut route = route_spec("read", prefix, to);
+    route.home_regions.push(home);
     let desired = DesiredState {
         version: Version(version),
         routes: vec![Arc::new(route)],
@@ -57,12 +41,11 @@
 // because the daemon that sent the request has an older version.
 #[tokio::test(start_paused = true)]
 async fn calls_that_a_later_version_rules_out_are_refused() {
-    let other = ServiceName::new("other").expect("name is valid");
     let south = Region::new("south").expect("name is valid");
     for later in [
-        configuration(2, "/read/", other, region()),
-        configuration(2, "/dropped/", service(), region()),
-        configuration(2, "/read/", service(), south),
+        configuration(2, "/read/", "other", region()),
+        configuration(2, "/dropped/", "one", region()),
+        configuration(2, "/read/", "one", south),
     ] {
         assert_eq!(refusal(later).await, Some(Cause::StaleConfiguration));
     }
@@ -71,7 +54,7 @@
 // Guards against refusing all requests of daemons that learn of a change a moment later.
 #[tokio::test(start_paused = true)]
 async fn calls_that_a_later_version_allows_are_admitted() {
-    let later = configuration(2, "/read/", service(), region());
+    let later = configuration(2, "/read/", "one", region());
     assert_eq!(refusal(later).await, None);
 }
 
@@ -79,7 +62,7 @@
 #[tokio::test(start_paused = true)]
 async fn calls_of_the_same_or_a_later_version_are_not_checked() {
     for version in [0, 1] {
-        let own = configuration(version, "/dropped/", service(), region());
+        let own = configuration(version, "/dropped/", "one", region());
         assert_eq!(refusal(own).await, None);
     }
 }
--- a/crates/relay/src/router/state/tests.rs
+++ b/crates/relay/src/router/state/tests.rs
@@ -1,8 +1,8 @@
 use cornelvalve_policy::LowestLatencyPlacement;
-use smallvec::smallvec;
 
 use super::*;
-use crate::desired::{DesiredState, IdempotencyLevel, RouteSpec, WeightedService};
+use crate::desired::DesiredState;
+use crate::testing::route_spec;
 
 const NOW: Moment = Moment(0);
 
@@ -21,23 +21,8 @@
     let (reports, _) = mpsc::unbounded_channel();
     let placement = Box::new(LowestLatencyPlacement::new(1));
     let mut state = RouterState::new(local, budget, placement, reports);
-    let route = RouteSpec {
-        name: "read".into(),
-        host: "a.example".into(),
-        prefix: "/read/".into(),
-        idempotency: IdempotencyLevel::Idempotent,
-        timeout: Duration::from_secs(1),
-        latency_objective: Duration::from_millis(300),
-        priority: 1,
-        max_attempts: 2,
-        weighted_services: smallvec![WeightedService {
-            service: ServiceName::new("one").unwrap(),
-            weight: 1.0,
-        }],
-        home_regions: smallvec![],
-    };
     let desired = DesiredState {
-        routes: vec![Arc::new(route)],
+        routes: vec![Arc::new(route_spec("read", "/read/", "one"))],
         ..DesiredState::default()
     };
     state.set_control(Arc::new(ControlView {
