Take changes of the configuration in notices from members only

A datagram with a change was applied whoever sent it. The test of the notices has a sender that is no member, whose change arrives first.

--- a/crates/relay/src/notices.rs
+++ b/crates/relay/src/notices.rs
@@ -213,6 +213,10 @@
                 addr,
                 load: load.into(),
             }),
+            NoticeBody::Control(_) if self.recipients.iter().all(|r| r.addr != addr) => {
+                log::debug!("change of the configuration from {addr} was dropped: not a member");
+                return;
+            }
             NoticeBody::Control(update) => self
                 .control
                 .try_send(ControlMessage::Notice { addr, update }),
--- a/crates/relay/src/notices/tests.rs
+++ b/crates/relay/src/notices/tests.rs
@@ -185,13 +185,25 @@
     })
 }
 
-// Guards against a change that a daemon gets only over a new connection, and against a datagram that
-// is too large to be received.
+// Guards against a change that a daemon gets only over a new connection, against a datagram that is
+// too large to be received, and against a change from a process that is not a member.
 #[tokio::test]
 async fn small_changes_of_the_configuration_are_sent_in_a_notice() {
-    let (sender, mut receiver) = (Fixture::start("east"), Fixture::start("east"));
-    let recipients = vec![recipient(&receiver, "east")];
-    sender.send(NoticesMessage::Recipients(recipients)).await;
+    let (mut sender, mut receiver) = (Fixture::start("east"), Fixture::start("east"));
+    let stranger = Fixture::start("east");
+    let members = vec![recipient(&sender, "east")];
+    receiver.send(NoticesMessage::Recipients(members)).await;
+    // Its arrival shows that the receiver knows its members.
+    receiver
+        .send(NoticesMessage::Load(LoadReport::default()))
+        .await;
+    let load = timeout(RECEIVE_TIMEOUT, sender.router.recv()).await;
+    assert!(load.expect("notice arrives").is_some());
+    for fixture in [&stranger, &sender] {
+        let recipients = vec![recipient(&receiver, "east")];
+        fixture.send(NoticesMessage::Recipients(recipients)).await;
+    }
+    stranger.send(NoticesMessage::Control(change(9, 1))).await;
     sender.send(NoticesMessage::Control(change(7, 500))).await;
     sender.send(NoticesMessage::Control(change(8, 1))).await;
     let received = timeout(RECEIVE_TIMEOUT, receiver.control.recv()).await;
