--- a/crates/relay/src/control/sync_plan.rs
+++ b/crates/relay/src/control/sync_plan.rs
@@ -34,11 +34,11 @@
 
 /// Time for which a daemon that is behind waits for peers of its region, before it fetches from
 /// other regions or reads the store.
-const LOCAL_PATIENCE: Duration = Duration::from_millis(800);
+const LOCAL_WAIT: Duration = Duration::from_millis(800);
 
 /// Time for which a daemon that is not a reader waits for its peers before it reads an answer of the
 /// store that is not small.
-const LARGE_PATIENCE: Duration = Duration::from_secs(4);
+const LARGE_READ_DELAY: Duration = Duration::from_secs(4);
 
 /// Time without an answer of one peer after which a second one is asked as well.
 const HEDGE_DELAY: Duration = Duration::from_millis(400);
@@ -186,10 +186,10 @@
     /// Returns the next moment at which a step may be due; `None` if one is due only after another
     /// event.
     pub(super) fn next_due(&self, now: Moment) -> Option<Moment> {
-        let patience = self.behind_since.map(|b| b + LOCAL_PATIENCE);
+        let local_wait = self.behind_since.map(|b| b + LOCAL_WAIT);
         let hedge = self.fetches.last().map(|f| f.started + HEDGE_DELAY);
         let hedge = hedge.filter(|_| self.fetches.len() < MAX_FETCHES);
-        let later = patience.into_iter().chain(hedge).filter(|due| *due > now);
+        let later = local_wait.into_iter().chain(hedge).filter(|due| *due > now);
         self.next_read().into_iter().chain(later).min()
     }
 
@@ -209,12 +209,12 @@
         }
         let due = match (self.position, self.behind_since) {
             (Some(_), None) => self.last_read + CHECK_INTERVAL,
-            (Some(_), Some(since)) => since + LOCAL_PATIENCE,
+            (Some(_), Some(since)) => since + LOCAL_WAIT,
             (None, _) => self.retry_at,
         };
         let due = self
             .large_since
-            .map_or(due, |l| due.max(l + LARGE_PATIENCE));
+            .map_or(due, |l| due.max(l + LARGE_READ_DELAY));
         Some(due.max(self.retry_at))
     }
 
@@ -248,11 +248,9 @@
         if !hedge || self.fetches.len() >= MAX_FETCHES {
             return None;
         }
-        let patient = self
-            .behind_since
-            .is_some_and(|b| now.since(b) < LOCAL_PATIENCE);
+        let waits = self.behind_since.is_some_and(|b| now.since(b) < LOCAL_WAIT);
         let asked = |s: &&Source| self.fetches.iter().any(|f| f.addr == s.addr);
-        let usable = self.sources.iter().filter(|s| s.local || !patient);
+        let usable = self.sources.iter().filter(|s| s.local || !waits);
         let best = usable.filter(|s| !asked(s));
         best.max_by_key(|s| (s.local, s.position)).map(|s| s.addr)
     }
--- a/crates/relay/src/control/transfer.rs
+++ b/crates/relay/src/control/transfer.rs
@@ -119,7 +119,7 @@
 
 /// Fetches what the daemon at `addr` has beyond the desired state `base`.
 async fn fetch_update(
-    addr: std::net::SocketAddr,
+    addr: SocketAddr,
     base: Option<StateId>,
     timeouts: SocketTimeouts,
 ) -> hop::Result<Box<ControlUpdate>> {
