--- a/crates/fuzz/tests/tickets/simulation.rs
+++ b/crates/fuzz/tests/tickets/simulation.rs
@@ -1,77 +1,26 @@
 //! Simulates callers and the ticket tables of several daemons on a network that loses, duplicates
 //! and reorders packets.
 
+mod coverage;
+mod daemon;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use cornelvalve_fuzz::generators::tickets::{Body, Event};
 use cornelvalve_fuzz::oracles::tickets::{Response, Result, TicketOracle};
-use cornelvalve_model::{Fingerprint, Incarnation, Moment, Outcome, Reason, Refusal};
-use cornelvalve_model::{ServiceName, VmName};
+use cornelvalve_model::{Fingerprint, Moment, Outcome, Reason, Refusal, ServiceName};
 use cornelvalve_policy::{
-    ArrivalDecision, ArrivalId, CancelOutcome, StoredResponse, Ticket, TicketSettings, TicketTable,
-    Waiter,
+    ArrivalDecision, ArrivalId, CancelOutcome, StoredResponse, Ticket, Waiter,
 };
 
+pub(crate) use coverage::Coverage;
+use daemon::{Daemon, SETTINGS};
+
 /// Number of simulated daemons. Each issues tickets and runs the requests that carry them. The
 /// function `arrive` expects two daemons.
 const DAEMONS: usize = 2;
 
-/// Limits of the ticket tables, small enough that short event sequences reach them.
-const SETTINGS: TicketSettings = TicketSettings {
-    ttl: Duration::from_millis(800),
-    max_entries: 3,
-    response_bytes: 12,
-    response_ttl: Duration::from_millis(300),
-};
-
-/// Counts how often each outcome of the ticket table was reached.
-#[derive(Clone, Copy, Debug, Default)]
-pub(crate) struct Coverage {
-    pub(crate) runs: usize,
-    /// Arrivals that wait for the response to another arrival with the same ticket.
-    waits: usize,
-    /// Arrivals that got a stored response.
-    replays: usize,
-    not_run: usize,
-    invalidated: usize,
-    unknown: usize,
-    bad_ticket: usize,
-    /// Dispatched requests whose connection was refused, so that they did not run.
-    removed_runs: usize,
-}
-
-impl Coverage {
-    fn fields(&self) -> [usize; 8] {
-        [
-            self.runs,
-            self.waits,
-            self.replays,
-            self.not_run,
-            self.invalidated,
-            self.unknown,
-            self.bad_ticket,
-            self.removed_runs,
-        ]
-    }
-
-    pub(crate) fn add(&mut self, other: Self) {
-        self.runs += other.runs;
-        self.waits += other.waits;
-        self.replays += other.replays;
-        self.not_run += other.not_run;
-        self.invalidated += other.invalidated;
-        self.unknown += other.unknown;
-        self.bad_ticket += other.bad_ticket;
-        self.removed_runs += other.removed_runs;
-    }
-
-    /// Returns whether each outcome was reached at least once.
-    pub(crate) fn covers_all(&self) -> bool {
-        self.fields().iter().all(|count| *count > 0)
-    }
-}
-
 /// Message in flight between a caller and a daemon.
 #[derive(Clone)]
 enum Packet {
@@ -96,23 +45,6 @@
     response: Option<Vec<u8>>,
 }
 
-struct Daemon {
-    table: TicketTable,
-    incarnation: u64,
-    draining: bool,
-}
-
-impl Daemon {
-    fn new(number: usize, incarnation: u64) -> Self {
-        let vm = VmName::new(&format!("vm-{number}")).expect("valid name");
-        Self {
-            table: TicketTable::new(SETTINGS, vm, Incarnation(incarnation)),
-            incarnation,
-            draining: false,
-        }
-    }
-}
-
 /// Arrival of a request, or of a copy of it, at a daemon.
 struct Arrival {
     request_id: u64,
--- a/crates/policy/examples/choice/model.rs
+++ b/crates/policy/examples/choice/model.rs
@@ -3,31 +3,24 @@
 //! An entry is a daemon that receives requests from callers and selects an upstream for each. A
 //! guard is a daemon beside an upstream; it admits the requests sent there.
 
+mod endpoints;
+
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap};
 use std::time::Duration;
 
-use cornelvalve_model::{
-    FailureDomain, Incarnation, LoadHint, Moment, Outcome, Reason, Region, RequestClass,
-    ServiceName, VmName,
-};
+use cornelvalve_model::{LoadHint, Moment, Outcome, Reason, RequestClass, ServiceName, VmName};
 use cornelvalve_policy::{
-    AdmissionAction, AdmissionActions, AdmissionController, AdmissionEvent, AdmissionSettings,
-    AttemptId, AttemptOutcome, AttemptReport, Balancer, BalancerSettings, ChoiceRequest,
-    CircuitBreaker, ConsecutiveFailureBreaker, Endpoint, EndpointIncarnation, HedgeBudget,
-    LeastOutstanding, Locality, NoopBreaker, Picker, PowerOfTwo, RequestId, RequestResult,
-    RetryBudget, RetryDecision, RoundRobin, retry_decision,
+    AdmissionAction, AdmissionActions, AdmissionEvent, AttemptId, AttemptOutcome, AttemptReport,
+    ChoiceRequest, Endpoint, RequestId, RequestResult, RetryDecision, retry_decision,
 };
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 
 use crate::summary::Summary;
-use crate::variant::{Fault, PickerKind, Variant};
+use crate::variant::{Fault, Variant};
+use endpoints::{Entry, SLOTS, SimulatedUpstream, UPSTREAMS, endpoint, entry, simulated_upstream};
 
-/// Number of upstreams; each of them and its guard are one endpoint.
-const UPSTREAMS: usize = 6;
-/// Number of requests that one upstream can run concurrently without slowing down.
-const SLOTS: u16 = 10;
 /// Time during which requests arrive.
 const RUN_TIME: Duration = Duration::from_secs(20);
 /// Requests that start before 2 s are not counted, because admission limits are still growing.
@@ -95,28 +88,6 @@
     hint: LoadHint,
 }
 
-/// Daemon that receives requests and selects an upstream for each attempt.
-struct Entry {
-    balancer: Balancer,
-    /// Circuit breaker of each endpoint.
-    breakers: Vec<Box<dyn CircuitBreaker>>,
-    retries: RetryBudget,
-    hedges: HedgeBudget,
-}
-
-/// Upstream and its guard.
-struct SimulatedUpstream {
-    admission: AdmissionController,
-    /// Number of requests running at the upstream.
-    running: u32,
-    /// Number of requests until the upstream is warm.
-    cold_left: u32,
-    /// Load that is reported with responses.
-    hint: LoadHint,
-    /// Moment at which `hint` was updated.
-    hint_at: Moment,
-}
-
 /// State of a simulation run.
 pub(crate) struct Simulation {
     variant: Variant,
@@ -145,77 +116,6 @@
     total: u64,
 }
 
-/// Creates the endpoint with this index.
-fn endpoint(index: usize) -> Endpoint {
-    Endpoint {
-        vm: VmName::new(&format!("vm-{index}")).expect("valid name"),
-        incarnation: EndpointIncarnation::default(),
-        peer_addr: ([127, 0, 0, 1], 7000).into(),
-        region: Region::new("qc-est").expect("valid name"),
-        domain: domain(index),
-        slots: SLOTS.into(),
-    }
-}
-
-/// Returns the failure domain of the VM with this index.
-fn domain(index: usize) -> FailureDomain {
-    FailureDomain::new(["est-a", "est-b"][index % 2]).expect("valid name")
-}
-
-fn entry(index: usize, variant: Variant) -> Entry {
-    let seed = index as u64;
-    let picker: Box<dyn Picker + Send> = match variant.picker {
-        PickerKind::RoundRobin => Box::new(RoundRobin::new()),
-        PickerKind::LeastOutstanding => Box::new(LeastOutstanding::new()),
-        PickerKind::PowerOfTwo => Box::new(PowerOfTwo::new(seed)),
-    };
-    let settings = BalancerSettings {
-        penalize_stragglers: variant.penalize_stragglers,
-        eject_outliers: variant.ejection,
-        failure_penalty: variant.failure_penalty,
-        ..BalancerSettings::default()
-    };
-    let locality = Locality {
-        region: Region::new("qc-est").expect("valid name"),
-        domain: domain(index),
-    };
-    let breaker = || -> Box<dyn CircuitBreaker> {
-        if variant.breaker {
-            Box::new(ConsecutiveFailureBreaker::new())
-        } else {
-            Box::new(NoopBreaker)
-        }
-    };
-    Entry {
-        balancer: Balancer::new(settings, locality, picker, seed),
-        breakers: (0..UPSTREAMS).map(|_| breaker()).collect(),
-        retries: RetryBudget::new(),
-        hedges: HedgeBudget::new(),
-    }
-}
-
-fn simulated_upstream(variant: Variant) -> SimulatedUpstream {
-    let mut admission = AdmissionController::new(AdmissionSettings::default());
-    let incarnation = Incarnation(1);
-    let started = AdmissionEvent::UpstreamAnnounced {
-        incarnation,
-        slots: SLOTS,
-    };
-    let _ = admission.handle_event(started, Moment(0));
-    SimulatedUpstream {
-        admission,
-        running: 0,
-        // Upstreams start warm, so that only the injected fault causes a cold phase.
-        cold_left: 0,
-        hint: LoadHint {
-            // Admission control starts with a limit of 2.
-            limit: if variant.admission { 2 } else { SLOTS },
-            ..LoadHint::default()
-        },
-        hint_at: Moment(0),
-    }
-}
-
 impl Simulation {
     /// Creates a run with the given number of entries. The random seed is fixed, so that runs with
     /// the same arguments are identical.
