Share repeated parts of tests and experiments

The two tests of ticks, the two of tickets after a failure of the issuer and the two experiments with uploads each wrote the same lines. They check the same as before.

--- a/crates/bench/src/builtin.rs
+++ b/crates/bench/src/builtin.rs
@@ -96,6 +96,18 @@
     }
 }
 
+/// Returns a rare request with a large body.
+fn upload(service: &str, path: &str) -> RequestKind {
+    RequestKind {
+        weight: 0.05,
+        method: "PUT".to_owned(),
+        body_bytes: 256 * 1024,
+        answer_bytes: Some(100),
+        work_ms: 10,
+        ..request_kind("upload", service, path)
+    }
+}
+
 /// Returns a variant with the default balancing, whose requests go through the daemons.
 fn system_variant(name: &str) -> Variant {
     Variant {
@@ -215,14 +227,7 @@
                 ticket: true,
                 ..request_kind("filing", "remise", "/file")
             },
-            RequestKind {
-                weight: 0.05,
-                method: "PUT".to_owned(),
-                body_bytes: 256 * 1024,
-                answer_bytes: Some(100),
-                work_ms: 10,
-                ..request_kind("upload", "flotte", "/registry")
-            },
+            upload("flotte", "/registry"),
         ],
         rate: 400.0,
         ..base_experiment()
@@ -270,14 +275,7 @@
                 ticket: true,
                 ..request_kind("purchase", "ledger", "/purchases")
             },
-            RequestKind {
-                weight: 0.05,
-                method: "PUT".to_owned(),
-                body_bytes: 256 * 1024,
-                answer_bytes: Some(100),
-                work_ms: 10,
-                ..request_kind("upload", "intake", "/bundles")
-            },
+            upload("intake", "/bundles"),
         ],
         rate: 400.0,
         ..base_experiment()
--- a/crates/kernel/tests/all.rs
+++ b/crates/kernel/tests/all.rs
@@ -106,11 +106,10 @@
 
 const SUBSCRIBER: Name<Tick> = Name::new("subscriber");
 
-/// Guards against a burst of missed ticks after a pause, and against a first tick after a pause
-/// that does not report it.
-#[tokio::test(start_paused = true)]
-async fn tick_after_pause_reports_lateness_without_burst() {
-    let (tick_sender, mut ticks) = mpsc::channel(16);
+/// Starts a kernel with a service that subscribes to ticks this many times and sends on those that
+/// it receives.
+fn subscriber_kernel(subscriptions: usize) -> (Kernel, mpsc::Receiver<Tick>) {
+    let (tick_sender, ticks) = mpsc::channel(64);
     let kernel = Kernel::builder(Arc::new(SystemClock::new()))
         .add_service(
             SUBSCRIBER,
@@ -119,9 +118,11 @@
                 let tick_sender = tick_sender.clone();
                 async move {
                     let period = Duration::from_millis(100);
-                    context
-                        .subscribe_to_ticks(SUBSCRIBER, period, |tick| tick)
-                        .await?;
+                    for _ in 0..subscriptions {
+                        context
+                            .subscribe_to_ticks(SUBSCRIBER, period, |tick| tick)
+                            .await?;
+                    }
                     while let Some(tick) = context.inbox.recv().await {
                         tick_sender.send(tick).await?;
                     }
@@ -130,6 +131,14 @@
             },
         )
         .start();
+    (kernel, ticks)
+}
+
+/// Guards against a burst of missed ticks after a pause, and against a first tick after a pause
+/// that does not report it.
+#[tokio::test(start_paused = true)]
+async fn tick_after_pause_reports_lateness_without_burst() {
+    let (kernel, mut ticks) = subscriber_kernel(1);
     assert!(ticks.recv().await.unwrap().lateness < Duration::from_millis(50));
     tokio::time::advance(Duration::from_secs(3)).await;
     assert!(ticks.recv().await.unwrap().lateness > Duration::from_secs(2));
@@ -140,29 +149,7 @@
 /// Guards against a restarted service that also gets the ticks of its earlier subscription.
 #[tokio::test(start_paused = true)]
 async fn second_subscription_replaces_the_first() {
-    let (tick_sender, mut ticks) = mpsc::channel(64);
-    let kernel = Kernel::builder(Arc::new(SystemClock::new()))
-        .add_service(
-            SUBSCRIBER,
-            ServiceOptions::default(),
-            move |mut context: Context<Tick>| {
-                let tick_sender = tick_sender.clone();
-                async move {
-                    let period = Duration::from_millis(100);
-                    context
-                        .subscribe_to_ticks(SUBSCRIBER, period, |tick| tick)
-                        .await?;
-                    context
-                        .subscribe_to_ticks(SUBSCRIBER, period, |tick| tick)
-                        .await?;
-                    while let Some(tick) = context.inbox.recv().await {
-                        tick_sender.send(tick).await?;
-                    }
-                    Ok(())
-                }
-            },
-        )
-        .start();
+    let (kernel, mut ticks) = subscriber_kernel(2);
     // Ten and a half periods. With both subscriptions, 20 ticks would arrive.
     tokio::time::sleep(Duration::from_millis(1050)).await;
     let mut count = 0;
--- a/tests/all/tickets/failures.rs
+++ b/tests/all/tickets/failures.rs
@@ -6,7 +6,9 @@
     Fixture, ISSUER, LEDGER_HOST, LONG_LEASE, REMISE_HOST, run_count, send_filing, start,
     wait_for_run,
 };
-use crate::support::{DaemonOptions, eventually, request_ticket, request_with_ticket, send};
+use crate::support::{
+    DaemonOptions, DaemonProcess, eventually, request_ticket, request_with_ticket, send,
+};
 
 /// Guards against a ticket that is used up although the upstream refused the connection.
 #[tokio::test]
@@ -103,14 +105,7 @@
         ..DaemonOptions::default()
     };
     let _restarted = mesh.start_daemon_with(ISSUER, &[entry.peers], &options);
-    eventually("the restarted issuer accepts tickets", || async {
-        let new_ticket = request_ticket(entry.callers, REMISE_HOST, "/file").await;
-        let response = send_filing(&entry, &new_ticket, "later").await;
-        (response.status == 200)
-            .then_some(())
-            .ok_or(format!("{response:?}"))
-    })
-    .await;
+    wait_for_tickets(&entry).await;
     let response = send_filing(&second_entry, &ticket, "filing").await;
     assert_eq!(response.outcome(), Some("unknown"), "{response:?}");
     assert_eq!(
@@ -142,14 +137,7 @@
     // ticket was used.
     let response = first.await.unwrap();
     assert_eq!(response.outcome(), Some("unknown"), "{response:?}");
-    eventually("the issuer accepts tickets again", || async {
-        let new_ticket = request_ticket(second_entry.callers, REMISE_HOST, "/file").await;
-        let response = send_filing(&second_entry, &new_ticket, "later").await;
-        (response.status == 200)
-            .then_some(())
-            .ok_or(format!("{response:?}"))
-    })
-    .await;
+    wait_for_tickets(&second_entry).await;
     let response = send_filing(&second_entry, &ticket, "filing").await;
     assert_eq!(response.outcome(), Some("unknown"), "{response:?}");
     assert_eq!(
@@ -159,6 +147,18 @@
     );
 }
 
+/// Waits until the issuer accepts new tickets that are requested through the daemon `entry`.
+async fn wait_for_tickets(entry: &DaemonProcess) {
+    eventually("the issuer accepts tickets", || async {
+        let ticket = request_ticket(entry.callers, REMISE_HOST, "/file").await;
+        let response = send_filing(entry, &ticket, "later").await;
+        (response.status == 200)
+            .then_some(())
+            .ok_or(format!("{response:?}"))
+    })
+    .await;
+}
+
 /// Sends the same request as [`send_filing`], but owns its arguments, so that it can be spawned.
 async fn send_owned_filing(
     entry: std::net::SocketAddr,
