Let a later limit of a soak's target replace an earlier one

Two limits that a run planned for one target could overlap: the end of the earlier one cleared the later one, which the run went on to check. The later limit now stays in force for its whole time, and the earlier one is checked until it is replaced.

--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -112,11 +112,20 @@
                 schedule(duration, Recovery::ClearSlowdown);
             }
             Fault::Limit(per_second, duration) => {
+                // It replaces an earlier limit, whose end must not end this one.
+                self.recoveries.retain(|(_, index, recovery)| {
+                    *index != planned.daemon || !matches!(recovery, Recovery::ClearLimit)
+                });
+                let earlier = self.limited.iter_mut();
+                for limited in earlier.filter(|l| l.daemon == planned.daemon) {
+                    limited.until = limited.until.min(now);
+                }
                 daemon.target.set_signals(Signals {
                     limit: Some(per_second.to_string()),
                     leaving: false,
                 });
-                schedule(duration, Recovery::ClearLimit);
+                let cleared = (now + duration, planned.daemon, Recovery::ClearLimit);
+                self.recoveries.push(cleared);
                 self.limited.push(LimitedTarget {
                     daemon: planned.daemon,
                     instance: daemon.target_instance.clone(),
