--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -11,8 +11,8 @@
 pub use log::{LogFaults, LogHandle, LogOptions, LogStandIn, LoseBy};
 pub use platform::{
     CheckInRequest, PlatformStoreHandle, READY_PATH, ReceivedRequest, RouteConfig, SettingsFile,
-    Signals, StoreMode, TargetHandle, TargetMode, TargetOptions, caller_headers, desired_state,
-    has_target_signature,
+    Signals, StoreMode, TargetHandle, TargetMode, TargetOptions, WaitingReads, caller_headers,
+    desired_state, has_target_signature,
 };
 pub use upstream::{
     ColdStart, ConcurrencyStats, UpstreamExit, UpstreamFaults, UpstreamHandle, UpstreamOptions,
--- a/crates/standins/src/platform.rs
+++ b/crates/standins/src/platform.rs
@@ -20,7 +20,7 @@
     CheckInRequest, READY_PATH, RouteConfig, SettingsFile, caller_headers, desired_state,
     has_target_signature,
 };
-pub use store::{PlatformStoreHandle, StoreMode};
+pub use store::{PlatformStoreHandle, StoreMode, WaitingReads};
 pub use target::{ReceivedRequest, Signals, TargetHandle, TargetMode, TargetOptions};
 
 /// Options of the stand-ins' HTTP servers; larger than tests need, so that only the daemon's own
--- a/crates/standins/src/platform/store.rs
+++ b/crates/standins/src/platform/store.rs
@@ -10,6 +10,7 @@
 use cornelvalve_http1::{BoxFuture, Handler, OutgoingResponse, Request};
 use data_encoding::BASE64;
 use http::StatusCode;
+use http::header::{HeaderMap, HeaderName, HeaderValue};
 use serde_json::json;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{Instant, sleep_until};
@@ -22,6 +23,21 @@
 /// domain is out of service.
 const OPERATOR_TOPIC: &str = "keyed.op";
 
+/// Response header that names the era, see [`PlatformStoreHandle::restore`].
+const ERA_HEADER: HeaderName = HeaderName::from_static("store-era");
+
+/// Maximum number of records in one page of the newest records.
+const MAX_PAGE_ITEMS: usize = 500;
+
+/// What a restored store does with the reads that wait for records.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WaitingReads {
+    /// It answers them in the new era.
+    Answer,
+    /// It never answers them.
+    Forget,
+}
+
 /// How the store responds to calls.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum StoreMode {
@@ -48,6 +64,12 @@
     SetMode(StoreMode),
     /// Evicts the history of all topics; only the newest value of each key stays readable.
     Compact,
+    /// Makes the copy of all topics that [`Message::Restore`] returns to.
+    Copy,
+    /// Returns to the latest copy and starts a new era.
+    Restore(WaitingReads),
+    /// Sets the value of the era header; none if `None`.
+    SetEraHeader(Option<HeaderValue>),
     CallCount(oneshot::Sender<u64>),
     OperatorBytes(oneshot::Sender<u64>),
 }
@@ -105,6 +127,22 @@
         self.send(Message::Compact);
     }
 
+    /// Copies all topics, for [`PlatformStoreHandle::restore`].
+    pub fn copy(&self) {
+        self.send(Message::Copy);
+    }
+
+    /// Returns to the latest copy; without one, the store becomes empty. What was written since is
+    /// lost, its offsets are given out again, and the era rises by one.
+    pub fn restore(&self, waiting: WaitingReads) {
+        self.send(Message::Restore(waiting));
+    }
+
+    /// Sets the value of the era header in all responses; `None` leaves the header out.
+    pub fn set_era_header(&self, value: Option<HeaderValue>) {
+        self.send(Message::SetEraHeader(value));
+    }
+
     /// Returns the number of calls that the store has received.
     pub async fn call_count(&self) -> u64 {
         let (sender, reply) = oneshot::channel();
@@ -147,7 +185,7 @@
 }
 
 /// Topic with its retained records and its compacted view.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct Topic {
     /// Offset of the first retained record.
     first: u64,
@@ -198,7 +236,13 @@
 /// State of the owner task.
 struct Store {
     mode: StoreMode,
+    /// Number of the store's restores plus one.
+    era: u64,
+    /// Value of the era header.
+    era_header: Option<HeaderValue>,
     topics: BTreeMap<String, Topic>,
+    /// Copy that a restore returns to.
+    copy: BTreeMap<String, Topic>,
     pending_reads: Vec<PendingRead>,
     /// Calls that arrived while the store was unresponsive; kept so that their connections stay
     /// open.
@@ -212,7 +256,10 @@
 async fn run_owner(mut inbox: mpsc::UnboundedReceiver<Message>) {
     let mut store = Store {
         mode: StoreMode::Serving,
+        era: 1,
+        era_header: Some(HeaderValue::from(1)),
         topics: BTreeMap::new(),
+        copy: BTreeMap::new(),
         pending_reads: Vec::new(),
         unanswered: Vec::new(),
         call_count: 0,
@@ -243,7 +290,7 @@
                     StoreMode::Unresponsive => self.unanswered.push(reply),
                     StoreMode::Refusing(status) => {
                         let status = StatusCode::from_u16(status);
-                        respond(reply, status.unwrap_or(StatusCode::SERVICE_UNAVAILABLE), "");
+                        self.respond(reply, status.unwrap_or(StatusCode::SERVICE_UNAVAILABLE), "");
                     }
                 }
             }
@@ -262,6 +309,9 @@
                     topic.records.clear();
                 }
             }
+            Message::Copy => self.copy = self.topics.clone(),
+            Message::Restore(waiting) => self.restore(waiting),
+            Message::SetEraHeader(value) => self.era_header = value,
             Message::CallCount(reply) => {
                 // Fails only if the future of the requester was dropped.
                 let _ = reply.send(self.call_count);
@@ -272,6 +322,17 @@
         }
     }
 
+    /// Returns to the copy in a new era.
+    fn restore(&mut self, waiting: WaitingReads) {
+        self.topics = self.copy.clone();
+        self.era += 1;
+        self.era_header = Some(HeaderValue::from(self.era));
+        if waiting == WaitingReads::Forget {
+            let reads = self.pending_reads.drain(..);
+            self.unanswered.extend(reads.map(|read| read.reply));
+        }
+    }
+
     /// Returns a topic, which is created if it does not exist.
     fn topic(&mut self, name: &str) -> &mut Topic {
         self.topics.entry(name.to_owned()).or_default()
@@ -291,10 +352,10 @@
         let topic = parameter("topic").unwrap_or_default();
         match path {
             "/v1/log-append" if topic == OPERATOR_TOPIC => {
-                respond(reply, StatusCode::FORBIDDEN, "")
+                self.respond(reply, StatusCode::FORBIDDEN, "");
             }
             "/v1/log-append" => self.append(&topic, &request.body, reply),
-            "/v1/log-newest" => self.newest(&topic, reply),
+            "/v1/log-newest" => self.newest(&topic, parameter("after").as_deref(), reply),
             "/v1/log-read" => {
                 let max_wait = Duration::from_millis(number("waitMs").unwrap_or_default());
                 self.pending_reads.push(PendingRead {
@@ -304,7 +365,7 @@
                     reply,
                 });
             }
-            _ => respond(reply, StatusCode::NOT_FOUND, ""),
+            _ => self.respond(reply, StatusCode::NOT_FOUND, ""),
         }
     }
 
@@ -316,32 +377,44 @@
         while let Some(length) = rest.first_chunk::<4>() {
             let length = u32::from_be_bytes(*length) as usize;
             if rest.len() < 4 + length {
-                return respond(reply, StatusCode::BAD_REQUEST, "");
+                return self.respond(reply, StatusCode::BAD_REQUEST, "");
             }
             topic.append(rest.slice(4..4 + length));
             rest = rest.slice(4 + length..);
         }
         let body = json!({ "offset": offset, "end": topic.end() });
-        respond(reply, StatusCode::OK, &body.to_string());
+        self.respond(reply, StatusCode::OK, &body.to_string());
     }
 
-    /// Responds with the newest record of each key of a topic.
-    fn newest(&mut self, name: &str, reply: oneshot::Sender<OutgoingResponse>) {
+    /// Responds with the newest record of each key of a topic, from the one that follows the key
+    /// `after` on, up to [`MAX_PAGE_ITEMS`].
+    fn newest(
+        &mut self,
+        name: &str,
+        after: Option<&str>,
+        reply: oneshot::Sender<OutgoingResponse>,
+    ) {
         let topic = self.topic(name);
-        let items = topic.newest.iter().map(|(key, (offset, value))| {
+        let rest = topic
+            .newest
+            .iter()
+            .filter(|(key, _)| after.is_none_or(|a| key.as_str() > a));
+        let rest: Vec<_> = rest.collect();
+        let items = rest.iter().take(MAX_PAGE_ITEMS).map(|(key, (offset, value))| {
             json!({ "key": key, "value": BASE64.encode(value), "offset": offset })
         });
         let items: Vec<_> = items.collect();
-        let body = json!({ "items": items, "hasMore": false, "end": topic.end() }).to_string();
+        let has_more = rest.len() > items.len();
+        let body = json!({ "items": items, "hasMore": has_more, "end": topic.end() }).to_string();
         if name == OPERATOR_TOPIC {
             self.operator_bytes += body.len() as u64;
         }
-        respond(reply, StatusCode::OK, &body);
+        self.respond(reply, StatusCode::OK, &body);
     }
 
     /// Responds to the pending reads that have records to return or whose deadline has passed.
     ///
-    /// Reads of records that are no longer retained get status 410. Responds to none while the
+    /// Reads from an offset that is no longer retained, or not given out yet, get status 410. Responds to none while the
     /// store is not in the mode [`StoreMode::Serving`].
     fn respond_to_pending_reads(&mut self) {
         if self.mode != StoreMode::Serving {
@@ -350,20 +423,40 @@
         let now = Instant::now();
         for read in std::mem::take(&mut self.pending_reads) {
             let topic = self.topics.entry(read.topic.clone()).or_default();
-            if read.from < topic.first {
-                let body = json!({ "first": topic.first });
-                respond(read.reply, StatusCode::GONE, &body.to_string());
+            if read.from < topic.first || read.from > topic.end() {
+                let body = json!({ "first": topic.first }).to_string();
+                self.respond(read.reply, StatusCode::GONE, &body);
             } else if read.from < topic.end() || read.deadline <= now {
                 let body = encode_records(topic, read.from);
                 if read.topic == OPERATOR_TOPIC {
                     self.operator_bytes += body.len() as u64;
                 }
-                respond_with_bytes(read.reply, StatusCode::OK, body);
+                self.respond_with_bytes(read.reply, StatusCode::OK, body);
             } else {
                 self.pending_reads.push(read);
             }
         }
     }
+
+    fn respond(&self, reply: oneshot::Sender<OutgoingResponse>, status: StatusCode, body: &str) {
+        self.respond_with_bytes(reply, status, Bytes::copy_from_slice(body.as_bytes()));
+    }
+
+    fn respond_with_bytes(
+        &self,
+        reply: oneshot::Sender<OutgoingResponse>,
+        status: StatusCode,
+        body: Bytes,
+    ) {
+        let era = self.era_header.iter().cloned();
+        let headers: HeaderMap = era.map(|era| (ERA_HEADER, era)).collect();
+        // Fails only if the caller has closed its connection.
+        let _ = reply.send(OutgoingResponse {
+            headers,
+            body,
+            ..OutgoingResponse::empty(status)
+        });
+    }
 }
 
 /// Returns the body of the response to a read: the end and first offsets of the topic and its
@@ -379,15 +472,3 @@
     }
     body.freeze()
 }
-
-fn respond(reply: oneshot::Sender<OutgoingResponse>, status: StatusCode, body: &str) {
-    respond_with_bytes(reply, status, Bytes::copy_from_slice(body.as_bytes()));
-}
-
-fn respond_with_bytes(reply: oneshot::Sender<OutgoingResponse>, status: StatusCode, body: Bytes) {
-    // Fails only if the caller has closed its connection.
-    let _ = reply.send(OutgoingResponse {
-        body,
-        ..OutgoingResponse::empty(status)
-    });
-}
