Cut implausible figures of an upstream's load instead of ending the daemon

What callers would see: an upstream that reports X-Server-Load with a slowdown of inf, or of 1e300, ends the daemon beside it: Duration::mul_f64 panics in the guard, whose failure stops the process. All requests on their way are lost, and it happens again at the next response. Cause: the adapter passes any number on, and the gate only had a lower bound. Evidence: gate::extreme_slowdowns_do_not_stop_the_gate panicked before (cannot convert float seconds to Duration), and passes now. router::milliseconds had the same weakness; the load that peers send is bounded by its encoding. Change: the gate and the router cut to a plausible range, where the value is used, so that no adapter can bring it back. Numbers of a settings file are bounded already (below 1e6, no NaN).

--- a/crates/policy/src/gate.rs
+++ b/crates/policy/src/gate.rs
@@ -40,6 +40,12 @@
 pub use start_limit::{ColdRate, ColdTolerance};
 pub use types::{GateAction, GateActions, GateCall, GateCallId, GateLoad, GateRefusal, WorkKey};
 
+/// Smallest slowdown that is believed.
+const MIN_SLOWDOWN: f64 = 0.1;
+
+/// Largest slowdown that is believed. Every deadline has passed long before.
+const MAX_SLOWDOWN: f64 = 1000.0;
+
 /// Minimum remaining duration assumed for a running call, as a fraction of its baseline duration.
 /// Matters for calls that take longer than expected.
 const MIN_REMAINING_FRACTION: f64 = 0.25;
@@ -194,15 +200,16 @@
         self.start_limit.is_cold(now)
     }
 
-    /// Sets the factor by which calls that start now take longer than their baseline duration.
+    /// Sets the factor by which calls that start now take longer than their baseline duration, cut
+    /// to a plausible range.
     ///
     /// Returns the actions that follow: if the slowdown has grown, waiting calls that another
     /// upstream would now finish earlier are handed back; if it has shrunk or is unchanged, held
     /// calls may start.
     pub fn set_slowdown(&mut self, slowdown: f64, now: Moment) -> GateActions {
         let worse = slowdown > self.slowdown;
-        // Durations are divided by the slowdown.
-        self.slowdown = slowdown.max(0.1);
+        // Durations are multiplied and divided by it, so `max` comes first: it also replaces NaN.
+        self.slowdown = slowdown.max(MIN_SLOWDOWN).min(MAX_SLOWDOWN);
         let mut actions = GateActions::new();
         if worse {
             self.hand_back_calls(now, &mut actions);
--- a/crates/policy/tests/all/gate.rs
+++ b/crates/policy/tests/all/gate.rs
@@ -458,3 +458,22 @@
     assert_eq!(count_starts(&gate.offer(call(4, 3, 300, 2000), ms(3))), 1);
     assert_eq!(gate.load().waiting, 0);
 }
+
+// Guards against a daemon that ends because its upstream reports a load that cannot be.
+#[test]
+fn extreme_slowdowns_do_not_stop_the_gate() {
+    let slowdowns = [f64::INFINITY, f64::NAN, f64::MAX, f64::MIN_POSITIVE, 0.0, -1.0];
+    for slowdown in slowdowns {
+        let mut gate = Gate::new(1);
+        gate.offer(call(1, 0, 300, 2000), ms(0));
+        gate.set_slowdown(slowdown, ms(1));
+        for id in 2..=4 {
+            gate.offer(call(id, 0, 300, 2000), ms(id));
+        }
+        gate.finish(GateCallId(1), true, ms(50));
+        gate.set_slowdown(1.0, ms(60));
+        gate.finish(GateCallId(2), true, ms(100));
+        let load = gate.load();
+        assert!(load.running <= 1, "{slowdown}: {load:?}");
+    }
+}
--- a/crates/relay/src/router/state.rs
+++ b/crates/relay/src/router/state.rs
@@ -365,9 +365,13 @@
     }
 }
 
-/// Returns a duration in milliseconds; zero if it is negative.
+/// Longest expected time in milliseconds; longer ones make no difference to any request.
+const MAX_EXPECTED_MS: f64 = 3_600_000.0;
+
+/// Returns a duration in milliseconds; zero if it is negative or no number, and at most
+/// [`MAX_EXPECTED_MS`].
 fn milliseconds(ms: f64) -> Duration {
-    Duration::from_secs_f64(ms.max(0.0) / 1000.0)
+    Duration::from_secs_f64(ms.max(0.0).min(MAX_EXPECTED_MS) / 1000.0)
 }
 
 #[cfg(test)]
--- a/crates/relay/src/router/state/tests.rs
+++ b/crates/relay/src/router/state/tests.rs
@@ -45,3 +45,15 @@
     state.set_behind(false);
     assert_eq!(cause(&mut state), Some(Cause::NoRoute));
 }
+
+// Guards against a router that ends because a peer reports a load that cannot be.
+#[test]
+fn extreme_times_are_cut() {
+    let longest = Duration::from_secs(3600);
+    for ms in [f64::INFINITY, f64::MAX, 1e300] {
+        assert_eq!(milliseconds(ms), longest);
+    }
+    for ms in [f64::NAN, f64::NEG_INFINITY, -1.0] {
+        assert_eq!(milliseconds(ms), Duration::ZERO);
+    }
+}
