--- a/crates/policy/tests/all/gate.rs
+++ b/crates/policy/tests/all/gate.rs
@@ -462,7 +462,14 @@
 // Guards against a daemon that ends because its upstream reports a load that cannot be.
 #[test]
 fn extreme_slowdowns_do_not_stop_the_gate() {
-    let slowdowns = [f64::INFINITY, f64::NAN, f64::MAX, f64::MIN_POSITIVE, 0.0, -1.0];
+    let slowdowns = [
+        f64::INFINITY,
+        f64::NAN,
+        f64::MAX,
+        f64::MIN_POSITIVE,
+        0.0,
+        -1.0,
+    ];
     for slowdown in slowdowns {
         let mut gate = Gate::new(1);
         gate.offer(call(1, 0, 300, 2000), ms(0));
