--- a/crates/policy/src/gate.rs
+++ b/crates/policy/src/gate.rs
@@ -208,8 +208,12 @@
     /// calls may start.
     pub fn set_slowdown(&mut self, slowdown: f64, now: Moment) -> GateActions {
         let worse = slowdown > self.slowdown;
-        // Durations are multiplied and divided by it, so `max` comes first: it also replaces NaN.
-        self.slowdown = slowdown.max(MIN_SLOWDOWN).min(MAX_SLOWDOWN);
+        // Durations are multiplied and divided by it.
+        self.slowdown = if slowdown.is_nan() {
+            MIN_SLOWDOWN
+        } else {
+            slowdown.clamp(MIN_SLOWDOWN, MAX_SLOWDOWN)
+        };
         let mut actions = GateActions::new();
         if worse {
             self.hand_back_calls(now, &mut actions);
--- a/crates/relay/src/router/state.rs
+++ b/crates/relay/src/router/state.rs
@@ -371,7 +371,8 @@
 /// Returns a duration in milliseconds; zero if it is negative or no number, and at most
 /// [`MAX_EXPECTED_MS`].
 fn milliseconds(ms: f64) -> Duration {
-    Duration::from_secs_f64(ms.max(0.0).min(MAX_EXPECTED_MS) / 1000.0)
+    let ms = if ms.is_nan() { 0.0 } else { ms };
+    Duration::from_secs_f64(ms.clamp(0.0, MAX_EXPECTED_MS) / 1000.0)
 }
 
 #[cfg(test)]
