Let the soak restore the store from an older copy

The soak had no store that loses what it acknowledged. Up to two restores a seed now return it to a copy that is 0.1 to 4 s old; the operator writes again what is lost up to 3 s later, and reads that wait are answered or forgotten. They have random numbers of their own, so that recorded seeds keep their other faults.

--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -43,6 +43,8 @@
     ClearLimit,
     ClearSlowdown,
     RestoreDomain,
+    /// The operator writes again what a restored store has lost.
+    RewriteState,
     RestartDaemon,
 }
 
@@ -102,6 +104,13 @@
                 schedule(duration, Recovery::RestoreStore);
             }
             Fault::StoreCompact => self.store.compact(),
+            Fault::StoreCopy => self.store.copy(),
+            Fault::StoreRestore(restore) => {
+                self.store.set_mode(StoreMode::Refusing(503));
+                self.store.restore(restore.waiting);
+                schedule(restore.down, Recovery::RestoreStore);
+                schedule(restore.down + restore.rewrite, Recovery::RewriteState);
+            }
             Fault::Target(fault, duration) => {
                 daemon.target.set_mode(target_mode(fault));
                 schedule(duration, Recovery::RestoreTarget);
@@ -137,10 +146,10 @@
             Fault::ReplaceTarget => self.replace_target(planned.daemon).await?,
             Fault::NewDesiredState => {
                 self.version += 1;
-                let desired = desired_state_version(self.version, self.added_routes);
-                self.store.put_desired_state(&desired);
+                self.write_desired_state();
             }
             Fault::DomainOut(duration) => {
+                self.domain_out = true;
                 self.store.set_domain_out(EVACUATED_DOMAIN, true);
                 schedule(duration, Recovery::RestoreDomain);
             }
@@ -192,6 +201,7 @@
             .into_iter()
             .partition(|r| r.0 <= now);
         self.recoveries = later;
+        let mut rewrite = false;
         for (_, index, recovery) in due {
             let Some(daemon) = self.daemons.get_mut(index) else {
                 continue;
@@ -204,14 +214,29 @@
                 Recovery::RestoreTarget => daemon.target.set_mode(TargetMode::Serving),
                 Recovery::ClearLimit => daemon.target.set_signals(Signals::default()),
                 Recovery::ClearSlowdown => daemon.target.set_slowdown(100),
-                Recovery::RestoreDomain => self.store.set_domain_out(EVACUATED_DOMAIN, false),
+                Recovery::RestoreDomain => {
+                    self.domain_out = false;
+                    self.store.set_domain_out(EVACUATED_DOMAIN, false);
+                }
+                Recovery::RewriteState => rewrite = true,
                 // Another fault that ended may have restarted the daemon already.
                 Recovery::RestartDaemon if daemon.is_started() => {}
                 Recovery::RestartDaemon => daemon.spawn()?,
             }
         }
+        if rewrite {
+            self.write_desired_state();
+            let out = self.domain_out;
+            self.store.set_domain_out(EVACUATED_DOMAIN, out);
+        }
         Ok(())
     }
+
+    /// Writes the latest version of the desired state as the operator.
+    fn write_desired_state(&self) {
+        let desired = desired_state_version(self.version, self.added_routes);
+        self.store.put_desired_state(&desired);
+    }
 }
 
 /// Returns the time for which a fault may keep a daemon from learning the limit of its target, or make
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use cornelvalve_standins::WaitingReads;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
@@ -10,6 +11,9 @@
 /// Distinguishes the random numbers of limits from those of other faults.
 const LIMIT_SEED: u64 = 0x11_417;
 
+/// Distinguishes the random numbers of restores of the store from those of other faults.
+const RESTORE_SEED: u64 = 0xe4a;
+
 /// Time between the faults of a series.
 const SERIES_INTERVAL: Duration = Duration::from_millis(300);
 
@@ -32,6 +36,10 @@
     StoreDown(Duration),
     /// The store evicts its history.
     StoreCompact,
+    /// The store makes the copy that it is restored from.
+    StoreCopy,
+    /// The store returns to its copy, and the operator writes again what is lost.
+    StoreRestore(StoreRestore),
     /// The target misbehaves for the duration.
     Target(TargetFault, Duration),
     /// The target names a limit on its requests per second for the duration.
@@ -46,6 +54,17 @@
     DomainOut(Duration),
 }
 
+/// How the store comes back from an older copy.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct StoreRestore {
+    /// Time for which it rejects all calls.
+    pub(crate) down: Duration,
+    /// Time from its return until the operator has written again what is lost.
+    pub(crate) rewrite: Duration,
+    /// What it does with the reads that wait.
+    pub(crate) waiting: WaitingReads,
+}
+
 /// How a target misbehaves; each corresponds to the `TargetMode` of the same name.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum TargetFault {
@@ -94,6 +113,7 @@
         }
     }
     faults.extend(limits(seed, daemons, period));
+    faults.extend(restores(seed, period));
     faults.sort_by_key(|f| f.start);
     faults
 }
@@ -115,6 +135,35 @@
         .collect()
 }
 
+/// Returns the restores of the store, each after a copy. They have random numbers of their own, like
+/// limits.
+fn restores(seed: u64, period: Duration) -> Vec<PlannedFault> {
+    let mut rng = StdRng::seed_from_u64(seed ^ RESTORE_SEED);
+    let count = rng.random_range(0..3);
+    let mut faults = Vec::new();
+    for _ in 0..count {
+        let copied = period.mul_f64(rng.random_range(0.0..0.5));
+        let lost = Duration::from_millis(rng.random_range(100..4000));
+        let restore = StoreRestore {
+            down: Duration::from_millis(rng.random_range(0..1500)),
+            rewrite: Duration::from_millis(rng.random_range(0..3000)),
+            waiting: if rng.random_bool(0.5) {
+                WaitingReads::Answer
+            } else {
+                WaitingReads::Forget
+            },
+        };
+        let planned = |start, fault| PlannedFault {
+            start,
+            daemon: 0,
+            fault,
+        };
+        faults.push(planned(copied, Fault::StoreCopy));
+        faults.push(planned(copied + lost, Fault::StoreRestore(restore)));
+    }
+    faults
+}
+
 /// Returns a random fault.
 ///
 /// The order of the random calls must not change, because recorded seeds would give other faults.
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -112,6 +112,8 @@
     pub(crate) daemons: Vec<Daemon>,
     /// Version of the desired state that was written last.
     pub(crate) version: u64,
+    /// Whether the operator has taken the failure domain out of service.
+    pub(crate) domain_out: bool,
     /// Number of routes that the desired state has besides those of the callers.
     pub(crate) added_routes: usize,
     /// Number of the newest replacement target, which is part of its process identifier.
@@ -164,6 +166,7 @@
         store,
         daemons,
         version: 1,
+        domain_out: false,
         added_routes,
         target_number: 1,
         received: Vec::new(),
