Report a change at a reused offset of the log as unknown, not as published

What operators would see: after the log service came back from an older copy, `cornelctl` reported a change as published, and no daemon ever applied it: the offset was given out again and counts as applied. Its log service names no era, so daemons cannot tell a reused offset from an old one, and they must not revert. Evidence: log_loss::a_log_that_lost_records_changes_no_configuration_and_confirms_no_change failed before (verdict published) and passes now.

--- a/crates/catalog/src/publisher.rs
+++ b/crates/catalog/src/publisher.rs
@@ -167,6 +167,12 @@
         }
     }
 
+    /// Returns the offset below which the log gives out no offset again, unless it loses records.
+    #[must_use]
+    pub fn search_start(&self) -> Offset {
+        self.search_start
+    }
+
     /// Starts publishing and returns the first actions.
     pub fn start(&mut self) -> PublisherActions {
         if self.state != State::Idle {
@@ -183,6 +189,13 @@
             (State::Finished, _) => PublisherActions::new(),
             (_, PublisherEvent::CatalogVerdict(verdict)) => self.handle_verdict(verdict),
             (_, PublisherEvent::CallerTimedOut) => self.handle_expiry(),
+            // The log has lost records and gives their offsets out again. Catalogs take records at
+            // these offsets for known, so this one may never take effect.
+            (State::Appending, PublisherEvent::Appended { offset })
+                if offset < self.search_start =>
+            {
+                self.finish(PublishOutcome::StillUnknown)
+            }
             (State::Appending, PublisherEvent::Appended { offset }) => self.await_verdict(offset),
             (State::Appending, PublisherEvent::AppendFailed) => {
                 self.wait_before_retry(State::WaitingToAppend)
--- a/crates/daemon/src/publisher/publication.rs
+++ b/crates/daemon/src/publisher/publication.rs
@@ -86,7 +86,19 @@
             return publisher.handle_event(PublisherEvent::AppendFailed);
         }
         match timeout_at(self.deadline, &mut offset_receiver).await {
-            Ok(Ok(appended)) => return publisher.handle_event(append_event(&appended)),
+            Ok(Ok(appended)) => {
+                if let Ok(offset) = &appended
+                    && *offset < publisher.search_start()
+                {
+                    log::error!(
+                        offset = offset.0, applied = publisher.search_start().0;
+                        "the log has lost records: it gives an offset out again that is applied \
+                         already; the configuration stays as it is and follows the log again after \
+                         a restart of all daemons"
+                    );
+                }
+                return publisher.handle_event(append_event(&appended));
+            }
             Ok(Err(_)) => return publisher.handle_event(PublisherEvent::AppendOutcomeUnknown),
             Err(_) => {}
         }
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -15,6 +15,7 @@
 mod introducers;
 mod leaving;
 mod limits;
+mod log_loss;
 mod metrics;
 mod outcome;
 mod path;
