Test announcements and calls after a restore at 90 daemons, and read later

Two promises of the era fix had no test: a daemon announces itself again, once in an era and spread over time; and a restore does not make all daemons read. Conclusion: readers spread their complete reads over a second, so that most get the state from a peer.

--- a/crates/relay/src/control/sync_plan.rs
+++ b/crates/relay/src/control/sync_plan.rs
@@ -40,7 +40,7 @@
 
 /// Time over which the daemons that notice a new era read the complete configuration. The first ones
 /// inform their peers, which then need no read of their own.
-const ERA_READ_TIME: Duration = Duration::from_millis(500);
+const ERA_READ_TIME: Duration = Duration::from_secs(1);
 
 /// Time for which a daemon that is behind waits for peers of its region, before it fetches from
 /// other regions or reads the store.
--- a/crates/relay/src/discovery.rs
+++ b/crates/relay/src/discovery.rs
@@ -145,3 +145,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
