Answer requests that a stopping daemon has just read before it ends

What callers would see: between the last check that nothing runs and the end of the process, a request that was just read was cut off without an answer, and a kept connection was reset although its last response was still on the way. Cause: the stopping listener dropped its connection tasks at once. Change: at the end of a stop, connections close as soon as they are idle, after the responses to all that they have read, with a lingering close; the listener waits for them for at most 150 ms, within the time reserved for the exit.

--- a/crates/http1/src/lib.rs
+++ b/crates/http1/src/lib.rs
@@ -23,5 +23,5 @@
 pub use client::{ClientConnection, ExchangeError, OutgoingRequest};
 pub use error::{Error, Result};
 pub use message::{DecodeLimits, Request, RequestDecoder, Response, ResponseDecoder};
-pub use server::{BoxFuture, Handler, OutgoingResponse, ServerOptions, serve_connection};
+pub use server::{BoxFuture, Draining, Handler, OutgoingResponse, ServerOptions, serve_connection};
 pub use socket::{SocketTimeouts, accept, bind, connect};
--- a/crates/http1/src/server.rs
+++ b/crates/http1/src/server.rs
@@ -34,6 +34,19 @@
 /// connection (lingering close).
 const LINGER_TIMEOUT: Duration = Duration::from_millis(200);
 
+/// Whether a server closes its connections because it is about to end.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Draining {
+    /// Connections stay open.
+    #[default]
+    No,
+    /// A connection closes after its next response.
+    AfterResponse,
+    /// A connection closes after the responses to all requests that it has read, at once if there
+    /// are none.
+    WhenIdle,
+}
+
 /// Response to send, as a [`Handler`] returns it.
 #[derive(Clone, Debug)]
 pub struct OutgoingResponse {
@@ -87,7 +100,7 @@
 
 /// Serves the requests of a connection until it closes.
 ///
-/// While `draining` is true, a connection with running requests accepts no others after it has
+/// While `draining` is not [`Draining::No`], a connection with running requests accepts no others after it has
 /// written the next response, and closes when the running ones are answered. An idle connection
 /// stays open until its idle timeout, or until it has answered one more request.
 ///
@@ -98,7 +111,7 @@
     stream: TcpStream,
     handler: &dyn Handler,
     options: ServerOptions,
-    draining: watch::Receiver<bool>,
+    mut draining: watch::Receiver<Draining>,
 ) -> io::Result<()> {
     let mut connection = Connection {
         stream,
@@ -110,10 +123,22 @@
         timeout_start: Instant::now(),
         closing: false,
     };
-    while connection.handle_event(handler, &draining).await? {}
+    while connection.handle_event(handler, &mut draining).await? {}
     Ok(())
 }
 
+/// Waits until connections close as soon as they are idle.
+async fn wait_until_ending(draining: &mut watch::Receiver<Draining>) {
+    if draining
+        .wait_for(|d| *d == Draining::WhenIdle)
+        .await
+        .is_err()
+    {
+        // Without a sender, the state does not change any more.
+        std::future::pending().await
+    }
+}
+
 /// State of a server connection.
 struct Connection {
     stream: TcpStream,
@@ -139,7 +164,7 @@
     async fn handle_event(
         &mut self,
         handler: &dyn Handler,
-        draining: &watch::Receiver<bool>,
+        draining: &mut watch::Receiver<Draining>,
     ) -> io::Result<bool> {
         if let Err(e) = self.start_requests(handler).await? {
             return self.reject_and_close(handler, &e).await;
@@ -156,7 +181,7 @@
         tokio::select! {
             Some(response) = self.running.next(), if !none_running => {
                 // Requests that already run are answered before the connection closes.
-                self.closing |= response.close || *draining.borrow();
+                self.closing |= response.close || *draining.borrow() != Draining::No;
                 let close = self.closing && self.running.is_empty();
                 self.write(&response, !close).await?;
                 self.timeout_start = Instant::now();
@@ -173,6 +198,10 @@
                 self.input.reserve(READ_RESERVE_BYTES);
                 Ok(length > 0)
             }
+            () = wait_until_ending(draining), if none_running && !request_partial => {
+                self.close().await?;
+                Ok(false)
+            }
             () = sleep_until(deadline), if none_running => {
                 if request_partial {
                     self.write(&OutgoingResponse::empty(StatusCode::REQUEST_TIMEOUT), false).await?;
--- a/crates/http1/tests/all/server.rs
+++ b/crates/http1/tests/all/server.rs
@@ -7,12 +7,13 @@
 
 use bytes::Bytes;
 use cornelvalve_http1::{
-    BoxFuture, DecodeLimits, Handler, OutgoingResponse, Request, ServerOptions, serve_connection,
+    BoxFuture, DecodeLimits, Draining, Handler, OutgoingResponse, Request, ServerOptions,
+    serve_connection,
 };
 use http::StatusCode;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Barrier, watch};
+use tokio::sync::{Barrier, mpsc, watch};
 use tokio::time::timeout;
 
 /// Maximum time for an event that a test waits for.
@@ -32,7 +33,7 @@
 /// Serves one connection and returns the client's side of it.
 async fn serve_and_connect(
     handler: impl Handler + 'static,
-    draining: watch::Receiver<bool>,
+    draining: watch::Receiver<Draining>,
 ) -> TcpStream {
     let listener = TcpListener::bind("127.0.0.1:0")
         .await
@@ -79,7 +80,7 @@
 // Guards against a pipelined request that starts only after the previous one has completed.
 #[tokio::test]
 async fn pipelined_requests_run_concurrently_and_are_answered_in_order() {
-    let (_sender, draining) = watch::channel(false);
+    let (_sender, draining) = watch::channel(Draining::No);
     let mut stream = serve_and_connect(BarrierHandler(Arc::new(Barrier::new(2))), draining).await;
     let requests = "GET /first HTTP/1.1\r\n\r\nGET /second HTTP/1.1\r\n\r\n";
     stream
@@ -97,7 +98,7 @@
 // answered.
 #[tokio::test]
 async fn a_draining_connection_answers_running_requests_before_it_closes() {
-    let (_sender, draining) = watch::channel(true);
+    let (_sender, draining) = watch::channel(Draining::AfterResponse);
     let mut stream = serve_and_connect(BarrierHandler(Arc::new(Barrier::new(2))), draining).await;
     let requests = "GET /first HTTP/1.1\r\n\r\nGET /second HTTP/1.1\r\n\r\n";
     stream
@@ -154,7 +155,7 @@
 // while a part of a later request is buffered.
 #[tokio::test]
 async fn a_disconnect_cancels_running_requests() {
-    let (_sender, draining) = watch::channel(false);
+    let (_sender, draining) = watch::channel(Draining::No);
     let count = Arc::new(AtomicUsize::new(0));
     let mut stream = serve_and_connect(PendingHandler(Arc::clone(&count)), draining).await;
     let requests = "GET /a HTTP/1.1\r\n\r\nGET /b HTTP/1.1\r\n\r\nGET /unfinis";
@@ -170,7 +171,7 @@
 // Guards against incomplete requests that hold a connection open without limit.
 #[tokio::test]
 async fn an_incomplete_request_times_out() {
-    let (_sender, draining) = watch::channel(false);
+    let (_sender, draining) = watch::channel(Draining::No);
     let mut stream = serve_and_connect(PendingHandler(Arc::default()), draining).await;
     stream
         .write_all(b"GET /a HT")
@@ -183,7 +184,7 @@
 // Guards against a connection that reads on at an unknown position after an invalid request.
 #[tokio::test]
 async fn an_invalid_request_is_rejected_and_closes_the_connection() {
-    let (_sender, draining) = watch::channel(false);
+    let (_sender, draining) = watch::channel(Draining::No);
     let mut stream = serve_and_connect(PendingHandler(Arc::default()), draining).await;
     stream
         .write_all(b"what is this\r\n\r\n")
@@ -193,3 +194,45 @@
     assert!(text.starts_with("HTTP/1.1 400 "), "{text}");
     assert!(text.contains("connection: close"), "{text}");
 }
+
+/// Reports each request, and answers it once the barrier is passed.
+struct ReportingHandler {
+    started: mpsc::UnboundedSender<()>,
+    barrier: Arc<Barrier>,
+}
+
+impl Handler for ReportingHandler {
+    fn handle(&self, request: Request) -> BoxFuture<'static, OutgoingResponse> {
+        // Fails only if the test has ended.
+        let _ = self.started.send(());
+        BarrierHandler(Arc::clone(&self.barrier)).handle(request)
+    }
+}
+
+// Guards against a server that ends and cuts off a request that it has just read, and against one
+// that waits for clients with idle connections.
+#[tokio::test]
+async fn an_ending_server_answers_what_it_has_read_and_closes_idle_connections() {
+    let (sender, draining) = watch::channel(Draining::No);
+    let (started, mut requests) = mpsc::unbounded_channel();
+    let barrier = Arc::new(Barrier::new(2));
+    let handler = ReportingHandler {
+        started,
+        barrier: Arc::clone(&barrier),
+    };
+    let mut busy = serve_and_connect(handler, draining.clone()).await;
+    let mut idle = serve_and_connect(PendingHandler(Arc::default()), draining).await;
+    let request = b"GET /read HTTP/1.1\r\n\r\n";
+    busy.write_all(request).await.expect("request is sent");
+    requests.recv().await.expect("request is read");
+    sender.send_replace(Draining::WhenIdle);
+    let mut rest = Vec::new();
+    let end = idle.read_to_end(&mut rest);
+    end.await.expect("idle connection ends");
+    assert!(rest.is_empty(), "{rest:?}");
+    barrier.wait().await;
+    let end = busy.read_to_end(&mut rest);
+    end.await.expect("busy connection ends");
+    let text = String::from_utf8_lossy(&rest);
+    assert!(text.contains("200 OK") && text.ends_with("/read"), "{text}");
+}
--- a/crates/relay/src/entry.rs
+++ b/crates/relay/src/entry.rs
@@ -8,9 +8,10 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use cornelvalve_http1::{
-    BoxFuture, DecodeLimits, Error, Handler, OutgoingResponse, Request, ServerOptions,
+    BoxFuture, DecodeLimits, Draining, Error, Handler, OutgoingResponse, Request, ServerOptions,
     SocketTimeouts, serve_connection,
 };
 use cornelvalve_kernel::{Clock, Context, Mailbox, ServiceResult};
@@ -37,7 +38,7 @@
     pub(crate) limits: LimitsReceiver,
     /// Set when the daemon starts to shut down; each connection then closes after its next
     /// response.
-    pub(crate) draining: watch::Receiver<bool>,
+    pub(crate) draining: watch::Receiver<Draining>,
     pub(crate) stage: watch::Receiver<ShutdownStage>,
     pub(crate) connector: Connector,
     /// Service of the upstream beside this daemon.
@@ -58,6 +59,9 @@
     stage: watch::Receiver<ShutdownStage>,
 }
 
+/// Longest time for which the stopping service waits until its connections have closed.
+const CLOSE_TIMEOUT: Duration = Duration::from_millis(150);
+
 /// Runs the entry service until it is asked to stop.
 pub(crate) async fn run_entry(
     context: Context<ListenerMessage>,
@@ -79,6 +83,7 @@
         context,
         &dependencies.listener,
         dependencies.timeouts,
+        CLOSE_TIMEOUT,
         move |stream, from| {
             let handler = CallerHandler(Arc::clone(&entry));
             let (limits, draining) = (*limits.borrow(), draining.clone());
--- a/crates/relay/src/listener.rs
+++ b/crates/relay/src/listener.rs
@@ -6,13 +6,13 @@
 use std::time::Duration;
 
 use cornelvalve_http1::{
-    DecodeLimits, Handler, ServerOptions, SocketTimeouts, accept, serve_connection,
+    DecodeLimits, Draining, Handler, ServerOptions, SocketTimeouts, accept, serve_connection,
 };
 use cornelvalve_kernel::{Context, ServiceResult};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::JoinSet;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use crate::messages::ListenerMessage;
 
@@ -39,27 +39,36 @@
     timeouts: SocketTimeouts,
     handler: Arc<dyn Handler>,
 ) -> ServiceResult {
-    run_listener(context, listener, timeouts, move |stream, from| {
-        let handler = Arc::clone(&handler);
-        async move {
-            // Always false: these connections are not drained but closed when the service stops.
-            let (_sender, draining) = watch::channel(false);
-            let served = serve_connection(stream, &*handler, INTERNAL_HTTP_OPTIONS, draining).await;
-            if let Err(e) = served {
-                log::debug!("connection from {from} failed: {e}");
+    run_listener(
+        context,
+        listener,
+        timeouts,
+        Duration::ZERO,
+        move |stream, from| {
+            let handler = Arc::clone(&handler);
+            async move {
+                // Always false: these connections are not drained but closed when the service stops.
+                let (_sender, draining) = watch::channel(Draining::No);
+                let served =
+                    serve_connection(stream, &*handler, INTERNAL_HTTP_OPTIONS, draining).await;
+                if let Err(e) = served {
+                    log::debug!("connection from {from} failed: {e}");
+                }
             }
-        }
-    })
+        },
+    )
     .await
 }
 
-/// Accepts connections until the service is asked to stop, which also closes them.
+/// Accepts connections until the service is asked to stop, then waits for at most `close_timeout`
+/// until they have ended, and closes the others.
 ///
 /// Never returns an error: a failed accept is logged and retried after a pause.
 pub(crate) async fn run_listener<F, R>(
     mut context: Context<ListenerMessage>,
     listener: &TcpListener,
     timeouts: SocketTimeouts,
+    close_timeout: Duration,
     serve: F,
 ) -> ServiceResult
 where
@@ -69,7 +78,13 @@
     let mut connections = JoinSet::new();
     loop {
         tokio::select! {
-            () = context.stop.requested() => return Ok(()),
+            () = context.stop.requested() => {
+                let closed = async { while connections.join_next().await.is_some() {} };
+                if timeout(close_timeout, closed).await.is_err() {
+                    log::debug!("connections that have not ended in time are closed");
+                }
+                return Ok(());
+            }
             accepted = accept(listener, timeouts) => match accepted {
                 Ok((stream, from)) => {
                     connections.spawn(serve(stream, from));
@@ -89,3 +104,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -8,6 +8,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use cornelvalve_http1::Draining;
 use cornelvalve_kernel::{Clock, Kernel, Mailbox, StopReason};
 use cornelvalve_model::{FailureDomain, Fingerprint, Region, ServiceName, VmName};
 use cornelvalve_policy::{ColdTolerance, RetryBudgetSettings};
@@ -130,7 +131,7 @@
     kernel: Kernel,
     /// Set when the daemon starts to shut down; each caller connection then closes after its next
     /// response.
-    draining: watch::Sender<bool>,
+    draining: watch::Sender<Draining>,
     stage: watch::Sender<ShutdownStage>,
     grace_period: Duration,
     shutdown_delay: Duration,
@@ -144,7 +145,7 @@
     /// Returns [`StartError`] if an address cannot be bound.
     pub fn start(settings: NodeSettings, adapters: PlatformAdapters) -> Result<Self> {
         let sockets = Sockets::bind(&settings.listen)?;
-        let (draining, drain_receiver) = watch::channel(false);
+        let (draining, drain_receiver) = watch::channel(Draining::No);
         let (stage, stage_receiver) = watch::channel(ShutdownStage::default());
         let grace_period = settings.grace_period;
         let longest_delay = grace_period.mul_f64(MAX_DELAY_FRACTION);
@@ -187,7 +188,7 @@
         let end = started + self.grace_period.saturating_sub(EXIT_RESERVE);
         log::info!(event = "stopping", grace_ms = self.grace_period.as_millis() as u64; "daemon is stopping");
         self.notify(STATS, StatsMessage::Stopping).await;
-        self.draining.send_replace(true);
+        self.draining.send_replace(Draining::AfterResponse);
         let answer_by = end - RESPONSE_RESERVE;
         self.stage.send_replace(ShutdownStage::Ending(answer_by));
         sleep_until(started + self.shutdown_delay.mul_f64(SERVING_FRACTION)).await;
@@ -206,6 +207,8 @@
         }
         // The second `Leave` announces that the daemon has stopped.
         self.notify(MEMBERS, MembersMessage::Leave).await;
+        // A caller may have sent a request since the last check.
+        self.draining.send_replace(Draining::WhenIdle);
         log::info!(event = "stopped", drained = drained, idle = idle, took_ms = started.elapsed().as_millis() as u64; "daemon stopped");
         self.kernel.stop(SERVICE_STOP_TIMEOUT).await;
     }
--- a/crates/relay/src/node/services.rs
+++ b/crates/relay/src/node/services.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cornelvalve_http1::{DecodeLimits, SocketTimeouts};
+use cornelvalve_http1::{DecodeLimits, Draining, SocketTimeouts};
 use cornelvalve_kernel::{Clock, Kernel, KernelBuilder, OnFailure, ServiceOptions};
 use cornelvalve_model::{Incarnation, Member, MemberKey, MemberState};
 use smallvec::SmallVec;
@@ -63,7 +63,7 @@
     pub(super) settings: NodeSettings,
     pub(super) adapters: PlatformAdapters,
     pub(super) sockets: Sockets,
-    pub(super) draining: watch::Receiver<bool>,
+    pub(super) draining: watch::Receiver<Draining>,
     pub(super) stage: watch::Receiver<ShutdownStage>,
     /// Seed of random choices, different in each daemon.
     pub(super) seed: u64,
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -3,6 +3,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use cornelvalve_http1::SocketTimeouts;
 use cornelvalve_kernel::{Context, Mailbox, ServiceResult};
@@ -22,13 +23,19 @@
     runner: Runner,
 ) -> ServiceResult {
     let control = context.registry.mailbox(CONTROL)?;
-    run_listener(context, &listener, timeouts, move |stream, from| {
-        let handler = PeerHandler {
-            runner: runner.clone(),
-            control: control.clone(),
-        };
-        handler.serve(stream, from)
-    })
+    run_listener(
+        context,
+        &listener,
+        timeouts,
+        Duration::ZERO,
+        move |stream, from| {
+            let handler = PeerHandler {
+                runner: runner.clone(),
+                control: control.clone(),
+            };
+            handler.serve(stream, from)
+        },
+    )
     .await
 }
 
--- a/crates/standins/src/platform.rs
+++ b/crates/standins/src/platform.rs
@@ -11,7 +11,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cornelvalve_http1::{DecodeLimits, Handler, ServerOptions, serve_connection};
+use cornelvalve_http1::{DecodeLimits, Draining, Handler, ServerOptions, serve_connection};
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::task::{JoinHandle, JoinSet};
@@ -52,7 +52,7 @@
                 let handler = Arc::clone(&handler);
                 connections.spawn(async move {
                     // Draining never starts, because the sender stays alive and sends nothing.
-                    let (_sender, draining) = watch::channel(false);
+                    let (_sender, draining) = watch::channel(Draining::No);
                     // Tests close connections on purpose, so errors are expected.
                     let _ = serve_connection(stream, &*handler, SERVER_OPTIONS, draining).await;
                 });
