Notice sooner that a restored store does not answer waiting reads

Cause: the store never answered the reads that waited during the restore. All four readers had begun them at the same moment, and each waited 4 s and 10 s more for an answer that may be large. Readers wait 2 to 4 s, each for a time of its own, so that the first notices soon and tells its peers.

--- a/crates/relay/src/control/sync_plan.rs
+++ b/crates/relay/src/control/sync_plan.rs
@@ -20,8 +20,9 @@
 
 use crate::spread::spread;
 
-/// Longest time for which one read of a reader waits for a change. A restored store may never answer
-/// the reads that waited, so this bounds the time until a reader notices the new era.
+/// Longest time for which one read of a reader waits for a change; the shortest one is half of it. A
+/// restored store may never answer the reads that waited, so this bounds the time until a reader
+/// notices the new era.
 const POLL_WAIT: Duration = Duration::from_secs(4);
 
 /// Time between two reads of a daemon that is not a reader. They find a change of which no peer has
@@ -134,6 +135,12 @@
     started: Moment,
 }
 
+/// Returns the time for which a reader waits for a change after this position. Readers wait
+/// differently long, so that one of them is soon the first to notice a store that does not answer.
+fn poll_wait(seed: u64, position: LogPosition) -> Duration {
+    POLL_WAIT / 2 + spread(seed, position.offset.0, POLL_WAIT / 2)
+}
+
 /// Plan by which one daemon keeps its configuration up to date.
 #[derive(Debug)]
 pub(super) struct SyncPlan {
@@ -242,18 +249,20 @@
 
     /// Starts a read of the store.
     fn start_read(&mut self, now: Moment) -> Step {
-        let small = !self.reader && self.large_since.is_none();
         let from = self.position().filter(|_| !self.read_all);
+        let waits = self.reader && from.is_some();
+        // An answer that may be large gets more time, in which the store may be silent.
+        let small = self.large_since.is_none() && (waits || !self.reader);
         self.read = Some(Read {
             position: self.position(),
-            waits: self.reader && from.is_some(),
+            waits,
             started: now,
         });
         match from {
             Some(position) => Step::ReadChanges {
                 position,
                 wait: if self.reader {
-                    POLL_WAIT
+                    poll_wait(self.seed, position)
                 } else {
                     Duration::ZERO
                 },
@@ -332,6 +341,7 @@
                 EMPTY_PAUSE
             }
             ReadEnd::Changes { .. } => Duration::ZERO,
+            ReadEnd::TooLarge if self.reader => Duration::ZERO,
             ReadEnd::TooLarge => EMPTY_PAUSE,
             ReadEnd::OtherEra(era) if self.is_new_era(era) => {
                 spread(self.seed, era.0, ERA_READ_TIME)
--- a/crates/relay/src/control/sync_plan/tests.rs
+++ b/crates/relay/src/control/sync_plan/tests.rs
@@ -23,6 +23,15 @@
     }
 }
 
+/// Returns the read with which a reader waits for changes from this position on.
+fn poll_at(position: LogPosition) -> Step {
+    Step::ReadChanges {
+        position,
+        wait: poll_wait(1, position),
+        small: true,
+    }
+}
+
 fn peer(number: u16) -> SocketAddr {
     SocketAddr::from(([10, 0, 0, 1], number))
 }
@@ -52,11 +61,7 @@
 // Guards against a daemon that holds a read of the store although others notify it.
 #[test]
 fn only_readers_wait_for_changes_at_the_store() {
-    let poll = Step::ReadChanges {
-        position: LogPosition::new(1, 5),
-        wait: POLL_WAIT,
-        small: false,
-    };
+    let poll = poll_at(LogPosition::new(1, 5));
     assert_eq!(started(true).steps(at(10)).as_slice(), [poll]);
     let mut other = started(false);
     assert_eq!(steps_until(&mut other, 10, 20_000), []);
@@ -169,11 +174,7 @@
     );
     plan.read_ended(ReadEnd::Complete, at(900));
     plan.record_applied(revision(9));
-    let poll = Step::ReadChanges {
-        position: LogPosition::new(1, 9),
-        wait: POLL_WAIT,
-        small: false,
-    };
+    let poll = poll_at(LogPosition::new(1, 9));
     assert_eq!(plan.steps(at(900)).as_slice(), [poll]);
 }
 
@@ -186,11 +187,7 @@
     assert_eq!(plan.steps(at(100)).as_slice(), [Step::Fetch(peer(1))]);
     plan.record_applied(revision(6));
     plan.fetch_ended(peer(1));
-    let poll = Step::ReadChanges {
-        position: LogPosition::new(1, 6),
-        wait: POLL_WAIT,
-        small: false,
-    };
+    let poll = poll_at(LogPosition::new(1, 6));
     assert_eq!(plan.steps(at(120)).as_slice(), [Step::AbandonRead, poll]);
     plan.read_ended(CHANGED, at(200));
     plan.record_applied(revision(7));
@@ -242,11 +239,7 @@
     plan.fetch_ended(peer(1));
     assert_eq!(plan.steps(at(60)).as_slice(), [Step::AbandonRead]);
     plan.set_reader(true);
-    let read = Step::ReadChanges {
-        position: LogPosition::new(1, 4),
-        wait: POLL_WAIT,
-        small: false,
-    };
+    let read = poll_at(LogPosition::new(1, 4));
     assert_eq!(plan.steps(at(1000)).as_slice(), [read]);
 }
 
@@ -277,11 +270,7 @@
     assert!(*due <= 2000, "read at {due} ms");
     plan.read_ended(ReadEnd::Complete, at(2001));
     plan.record_applied(in_era(2, 3));
-    let poll = Step::ReadChanges {
-        position: LogPosition::new(2, 3),
-        wait: POLL_WAIT,
-        small: false,
-    };
+    let poll = poll_at(LogPosition::new(2, 3));
     assert_eq!(plan.steps(at(2001)).as_slice(), [poll]);
 }
 
@@ -298,11 +287,7 @@
     plan.record_applied(in_era(2, 3));
     plan.fetch_ended(peer(1));
     let steps = steps_until(&mut plan, 1001, 2000);
-    let poll = Step::ReadChanges {
-        position: LogPosition::new(2, 3),
-        wait: POLL_WAIT,
-        small: false,
-    };
+    let poll = poll_at(LogPosition::new(2, 3));
     assert!(
         matches!(steps.as_slice(), [(_, step)] if *step == poll),
         "{steps:?}"
@@ -371,3 +356,30 @@
     plan.record_applied(later);
     assert!(!plan.is_behind());
 }
+
+// Guards against readers that all wait until the same moment for a store that does not answer.
+#[test]
+fn readers_wait_differently_long() {
+    let position = LogPosition::new(1, 5);
+    let mut waits: Vec<Duration> = (0..8).map(|seed| poll_wait(seed, position)).collect();
+    waits.sort_unstable();
+    waits.dedup();
+    assert_eq!(waits.len(), 8);
+    assert!(waits[0] >= POLL_WAIT / 2 && waits[7] <= POLL_WAIT);
+}
+
+// Guards against a reader that cannot read a large change, because it waits for small ones.
+#[test]
+fn a_reader_reads_a_large_change_at_once() {
+    let mut plan = started(true);
+    plan.steps(at(10));
+    plan.read_ended(ReadEnd::TooLarge, at(100));
+    let steps = plan.steps(at(100));
+    let [Step::ReadChanges { small: false, .. }] = steps.as_slice() else {
+        panic!("unexpected {steps:?}");
+    };
+    plan.read_ended(CHANGED, at(400));
+    plan.record_applied(revision(6));
+    let poll = poll_at(LogPosition::new(1, 6));
+    assert_eq!(plan.steps(at(400)).as_slice(), [poll]);
+}
