Check the right to send a request again when it is sent

What callers would see: a daemon that was paused between the admission of a request and its sending sent it when it woke, although its deadline had passed, or the failure domain was taken out of service or the upstream had left meanwhile. Cause: the deadline was read before the connection was opened, and the admission had no end. Evidence: by reading; a pause cannot be placed between the two from outside. Change: after the connection is open, the clock is read again. A request whose deadline has passed, or whose admission is older than a second, is not run.

--- a/crates/relay/src/runner.rs
+++ b/crates/relay/src/runner.rs
@@ -21,6 +21,10 @@
 /// Requests with less time left until their deadline are not sent to the upstream.
 const MIN_TIME_LEFT: Duration = Duration::from_millis(5);
 
+/// Longest time from the admission of a request until it is sent. Connecting to the upstream on the
+/// same VM takes less, unless the process is paused.
+const PERMIT_LIFETIME: Duration = Duration::from_secs(1);
+
 /// Runs requests at the upstream; clones use the same services and connection pool.
 #[derive(Clone)]
 pub(crate) struct Runner {
@@ -78,6 +82,18 @@
     }
 }
 
+/// Returns why a request that was admitted at `admitted` must not be sent at `now`; `None` if it may
+/// be sent.
+///
+/// Between the two, the process may have been paused, and the upstream may have left or its failure
+/// domain may have been taken out of service.
+fn expired(admitted: Moment, deadline: Moment, now: Moment) -> Option<Cause> {
+    if deadline.since(now) < MIN_TIME_LEFT {
+        return Some(Cause::Deadline);
+    }
+    (now.since(admitted) > PERMIT_LIFETIME).then_some(Cause::Internal)
+}
+
 impl Runner {
     /// Runs a request and returns its outcome. Dropping the future cancels the request.
     pub(crate) async fn run(&self, request: &HopRequest) -> RunResult {
@@ -180,12 +196,7 @@
         let mut tries = 0;
         loop {
             tries += 1;
-            let now = self.clock.now();
-            let time_left = deadline.since(now);
-            if time_left < MIN_TIME_LEFT {
-                return ExchangeResult::not_run(Cause::Deadline, PermitOutcome::Cancelled, false);
-            }
-            let end = Instant::now() + time_left;
+            let end = Instant::now() + deadline.since(self.clock.now());
             let opened = timeout_at(
                 end,
                 self.connector.connect_upstream(&self.pool, permit.addr),
@@ -209,7 +220,11 @@
                     );
                 }
             };
-            let sent = Some(self.clock.now());
+            let now = self.clock.now();
+            if let Some(cause) = expired(permit.admitted, deadline, now) {
+                return ExchangeResult::not_run(cause, PermitOutcome::Cancelled, false);
+            }
+            let sent = Some(now);
             if let Err(e) = self.guard.try_send(GuardMessage::Sent(permit.id)) {
                 log::debug!(
                     "sending was not reported: {e}; the request counts as unsent until it ends"
@@ -342,3 +357,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
