--- a/crates/policy/tests/all/gate.rs
+++ b/crates/policy/tests/all/gate.rs
@@ -484,3 +484,33 @@
         assert!(load.running <= 1, "{slowdown}: {load:?}");
     }
 }
+
+// Guards against a process that was paused and then starts calls whose deadline has passed, or more
+// of them at once than a cold upstream tolerates.
+#[test]
+fn permissions_do_not_outlast_a_pause() {
+    let mut gate = Gate::new(1);
+    gate.offer(call(1, 0, 300, 2000), ms(0));
+    gate.offer(call(2, 0, 300, 800), ms(0));
+    // The process is paused for five seconds.
+    let actions = gate.finish(GateCallId(1), true, ms(5000));
+    assert_eq!(count_starts(&actions), 0, "{actions:?}");
+    let mut gate = Gate::new(100);
+    let cold = ColdRate {
+        until: ms(60_000),
+        per_second: 10.0,
+        ..ColdRate::UNLIMITED
+    };
+    gate.set_cold_rate(cold, ms(0));
+    let mut starts = 0;
+    for second in [0, 30] {
+        starts = 0;
+        for id in 0..100 {
+            let now = second * 1000 + id;
+            let offered = gate.offer(call(now, now, 300, 800), ms(now));
+            starts += count_starts(&offered);
+        }
+    }
+    // What was not used before the pause is not added to the limit of a second.
+    assert!(starts <= 10, "{starts} starts within a second");
+}
