--- a/crates/model/src/id.rs
+++ b/crates/model/src/id.rs
@@ -153,6 +153,12 @@
     /// Position of a record in a log stream.
     Offset
 );
+number_id!(
+    /// Number of times that a store was restored from an older copy, plus a constant. A restore
+    /// gives offsets out again, so offsets are comparable within one era only. Zero means that the
+    /// store does not name its era.
+    StoreEra
+);
 number_id!(
     /// Revision of the configuration or of one of its entries: the log offset of the last accepted
     /// change to it, plus one. It increases with every accepted change, but not always by one. Zero
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -19,11 +19,11 @@
 };
 pub use id::{
     FailureDomain, IdError, Incarnation, Offset, Region, Revision, RouteName, RuleName,
-    ServiceName, TeamName, VmName,
+    ServiceName, StoreEra, TeamName, VmName,
 };
 pub use member::{Member, MemberKey, MemberState, Upstream, UpstreamState};
 pub use outcome::{Outcome, Reason, Refusal};
-pub use position::{ConfigRevision, LogPosition, StoreEra};
+pub use position::{ConfigRevision, LogPosition};
 pub use request::{Fingerprint, IdempotencyKey, LoadHint, Nesting, TraceId};
 pub use signals::{AnswerSignals, RateLimitSignal, UpstreamSignals};
 pub use time::{Moment, WallTime};
--- a/crates/model/src/position.rs
+++ b/crates/model/src/position.rs
@@ -1,30 +1,9 @@
 //! Positions in a log whose store may be restored from an older copy, and the order between the
 //! configurations of two daemons.
 
-use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
-use crate::{Offset, Revision};
-
-/// Number of times that a store was restored from an older copy, plus a constant. A restore gives
-/// offsets out again, so offsets are comparable within one era only. Zero means that the store does
-/// not name its era.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    Default,
-    Display,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Serialize,
-    Deserialize,
-)]
-#[serde(transparent)]
-pub struct StoreEra(pub u64);
+use crate::{Offset, Revision, StoreEra};
 
 /// Position in a store's log. A position of a later era is later than all of an earlier one.
 #[derive(
--- a/tests/all/log_loss.rs
+++ b/tests/all/log_loss.rs
@@ -2,26 +2,14 @@
 
 use std::net::SocketAddr;
 
-use cornelvalve_model::{Change, ChangeId, Operation};
 use cornelvalve_standins::LogStandIn;
-use uuid::Uuid;
 
+use crate::publishing::put_region;
 use crate::support::{Mesh, VmSpec};
 
 const EST_A: VmSpec = VmSpec::new("est-a-1", "qc-est", "est-a");
 const EST_B: VmSpec = VmSpec::new("est-b-1", "qc-est", "est-b");
 
-fn put_region(n: u128) -> Change {
-    Change {
-        id: ChangeId(Uuid::from_u128(n)),
-        author: "test".to_owned(),
-        expects: None,
-        operation: Operation::PutRegion {
-            region: format!("region-{n}").parse().expect("valid"),
-        },
-    }
-}
-
 // Guards against daemons that revert, or take a record at an offset given out again for one that
 // they have, and against a change that is reported as published although none of them applies it.
 #[tokio::test]
--- a/tests/all/publishing.rs
+++ b/tests/all/publishing.rs
@@ -37,7 +37,7 @@
 const MAX_IN_FLIGHT: u128 = 64;
 
 /// Returns a change with the id `n` that adds the region `region-n`.
-fn put_region(n: u128) -> Change {
+pub(crate) fn put_region(n: u128) -> Change {
     Change {
         id: ChangeId(Uuid::from_u128(n)),
         author: "test".to_owned(),
