--- a/crates/relay/src/control.rs
+++ b/crates/relay/src/control.rs
@@ -230,7 +230,7 @@
                 log::info!(event = "store-era", era = era.0, known = self.view.position.era.0; "store answered in another era than that of the configuration; an answer of an earlier era is ignored, a later one is read completely");
             }
             StoreRead::Failed(StoreError::TooLarge(_)) => {
-                log::info!(event = "control-large"; "configuration in the store is large; waiting for a peer that has it");
+                log::info!(event = "control-large"; "answer of the store is large; a reader reads it at once, another daemon waits for a peer that has it");
             }
             StoreRead::Failed(_) => {}
         }
