Do not put an announcement off when the members change

What callers would see: after a restore, a daemon whose members keep changing is never announced again, and daemons that start later do not find it. Cause: the wait began anew with each message; the number of members is such a message since the announcements are spread over time. Evidence: with a change of the members every 50 ms, discovery::tests::a_daemon_announces_itself_again_in_a_new_era failed (Elapsed) and passes now. Change: the next attempt has a moment, not a pause.

--- a/crates/relay/src/discovery.rs
+++ b/crates/relay/src/discovery.rs
@@ -10,7 +10,7 @@
 
 use cornelvalve_kernel::{Context, Mailbox, ServiceResult};
 use cornelvalve_model::StoreEra;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep_until};
 
 use crate::messages::{DiscoveryMessage, MembersMessage};
 use crate::names::MEMBERS;
@@ -59,6 +59,7 @@
         era: StoreEra::default(),
     };
     let mut pause = INITIAL_DELAY;
+    let mut due = Instant::now() + pause;
     let mut peers = 0;
     discovery.announce().await;
     if !bootstrap {
@@ -74,12 +75,13 @@
                 Some(DiscoveryMessage::StoreEra(era)) => {
                     discovery.era = era;
                     if discovery.announced.is_some() {
-                        pause = spread(seed, era.0, announce_time(peers));
+                        due = Instant::now() + spread(seed, era.0, announce_time(peers));
+                        pause = MIN_PAUSE;
                     }
                 }
                 None => return Ok(()),
             },
-            () = sleep(pause), if !joined || discovery.must_announce() => {
+            () = sleep_until(due), if !joined || discovery.must_announce() => {
                 if discovery.must_announce() {
                     discovery.announce().await;
                 }
@@ -87,6 +89,7 @@
                     discovery.find_peers().await;
                 }
                 pause = (pause * 2).clamp(MIN_PAUSE, MAX_PAUSE);
+                due = Instant::now() + pause;
             }
         }
     }
--- a/crates/relay/src/discovery/tests.rs
+++ b/crates/relay/src/discovery/tests.rs
@@ -8,7 +8,7 @@
 use cornelvalve_kernel::{Kernel, ServiceOptions, SystemClock};
 use cornelvalve_model::{LogPosition, VmName};
 use tokio::sync::mpsc;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 use super::*;
 use crate::desired::ControlView;
@@ -19,6 +19,9 @@
 /// Longest time to wait for an announcement; long, because the computer may be heavily loaded.
 const RECEIVE_TIMEOUT: Duration = Duration::from_secs(60);
 
+/// Time between two changes of the members; shorter than any announcement takes.
+const CHURN_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Store that confirms announcements in its present era and reports each of them.
 struct FakeStore {
     era: AtomicU64,
@@ -93,7 +96,18 @@
     store.era.store(2, Ordering::SeqCst);
     let restored = DiscoveryMessage::StoreEra(StoreEra(2));
     mailbox.send(restored).await.expect("service runs");
-    assert_eq!(next().await, StoreEra(2));
+    // Changes of the members must not put the announcement off.
+    let churn = async {
+        for count in 3.. {
+            let peers = DiscoveryMessage::Peers(count);
+            mailbox.send(peers).await.expect("service runs");
+            sleep(CHURN_INTERVAL).await;
+        }
+    };
+    tokio::select! {
+        era = next() => assert_eq!(era, StoreEra(2)),
+        () = churn => {}
+    }
     assert!(announced.try_recv().is_err(), "announced once in an era");
 }
 
