Check an admission before a connection is opened too, and mend comments

The check of the admission had moved behind the opening of the connection, so a request that was too late took a connection from the pool; it is made before and after now. Conclusion: no behaviour changes for requests that are in time.

--- a/crates/http1/src/server.rs
+++ b/crates/http1/src/server.rs
@@ -100,9 +100,10 @@
 
 /// Serves the requests of a connection until it closes.
 ///
-/// While `draining` is not [`Draining::No`], a connection with running requests accepts no others after it has
-/// written the next response, and closes when the running ones are answered. An idle connection
-/// stays open until its idle timeout, or until it has answered one more request.
+/// With [`Draining::AfterResponse`], a connection with running requests accepts no others after it
+/// has written the next response, and closes when the running ones are answered. An idle connection
+/// stays open until its idle timeout, or until it has answered one more request. With
+/// [`Draining::WhenIdle`], it closes at once.
 ///
 /// # Errors
 ///
--- a/crates/membership/src/event.rs
+++ b/crates/membership/src/event.rs
@@ -61,7 +61,8 @@
     /// Tells the owner that the result of [`crate::Membership::is_region_reachable`] changed for a
     /// region.
     RegionChanged(Region),
-    /// Tells the owner that a peer has applied a configuration revision that is ahead of this daemon's.
+    /// Tells the owner that a peer has applied a configuration revision that is ahead of this
+    /// daemon's.
     PeerRevision {
         /// VM name of the peer.
         vm: VmName,
--- a/crates/relay/src/discovery/tests.rs
+++ b/crates/relay/src/discovery/tests.rs
@@ -1,7 +1,6 @@
 //! Tests how a daemon announces itself in the store.
 
 use std::net::SocketAddr;
-use std::sync::Mutex;
 use std::sync::atomic::{AtomicU64, Ordering};
 
 use cornelvalve_http1::BoxFuture;
@@ -25,7 +24,7 @@
 /// Store that confirms announcements in its present era and reports each of them.
 struct FakeStore {
     era: AtomicU64,
-    announced: Mutex<mpsc::UnboundedSender<StoreEra>>,
+    announced: mpsc::UnboundedSender<StoreEra>,
 }
 
 impl ControlStore for FakeStore {
@@ -44,7 +43,7 @@
 
     fn announce<'a>(&'a self, _: &'a PeerRecord) -> BoxFuture<'a, StoreResult<StoreEra>> {
         let era = StoreEra(self.era.load(Ordering::SeqCst));
-        let sender = self.announced.lock().expect("not poisoned").clone();
+        let sender = self.announced.clone();
         Box::pin(async move {
             // Fails only if the test has ended.
             let _ = sender.send(era);
@@ -65,7 +64,7 @@
     let (sender, mut announced) = mpsc::unbounded_channel();
     let store = Arc::new(FakeStore {
         era: AtomicU64::new(1),
-        announced: Mutex::new(sender),
+        announced: sender,
     });
     let own = PeerRecord {
         vm: VmName::new("vm-1").expect("name is valid"),
--- a/crates/relay/src/listener.rs
+++ b/crates/relay/src/listener.rs
@@ -47,7 +47,7 @@
         move |stream, from| {
             let handler = Arc::clone(&handler);
             async move {
-                // Always false: these connections are not drained but closed when the service stops.
+                // These connections are not drained but closed when the service stops.
                 let (_sender, draining) = watch::channel(Draining::No);
                 let served =
                     serve_connection(stream, &*handler, INTERNAL_HTTP_OPTIONS, draining).await;
--- a/crates/relay/src/runner.rs
+++ b/crates/relay/src/runner.rs
@@ -196,7 +196,11 @@
         let mut tries = 0;
         loop {
             tries += 1;
-            let end = Instant::now() + deadline.since(self.clock.now());
+            let now = self.clock.now();
+            if let Some(cause) = expired(permit.admitted, deadline, now) {
+                return ExchangeResult::not_run(cause, PermitOutcome::Cancelled, false);
+            }
+            let end = Instant::now() + deadline.since(now);
             let opened = timeout_at(
                 end,
                 self.connector.connect_upstream(&self.pool, permit.addr),
@@ -220,6 +224,7 @@
                     );
                 }
             };
+            // The process may have been paused while the connection was opened.
             let now = self.clock.now();
             if let Some(cause) = expired(permit.admitted, deadline, now) {
                 return ExchangeResult::not_run(cause, PermitOutcome::Cancelled, false);
