Review case 2: three uploads at once take a daemon over its memory

Three requesters of one machine upload 60 MB each at the same moment, within the operator's limit. The daemon holds each body twice and exceeds 260 MiB; nothing bounds the bodies of all requests together.

--- a/review/harness/main.rs
+++ b/review/harness/main.rs
@@ -6,11 +6,13 @@
 
 mod daemon;
 mod http;
+mod platform;
 mod record;
 mod store;
 mod target;
 
 mod reuse;
+mod uploads;
 
 use std::path::{Path, PathBuf};
 
@@ -63,6 +65,7 @@
         .line(&format!("case {case}, disruption: {}", setting.trouble));
     let verdict = match case.as_str() {
         "reuse" => reuse::run(&setting),
+        "uploads" => uploads::run(&setting),
         _ => Verdict::Failed("unknown case".to_owned()),
     };
     let code = match verdict {
