--- a/review/harness/main.rs
+++ b/review/harness/main.rs
@@ -11,6 +11,7 @@
 mod store;
 mod target;
 
+mod kept;
 mod reuse;
 mod uploads;
 
@@ -65,6 +66,7 @@
         .line(&format!("case {case}, disruption: {}", setting.trouble));
     let verdict = match case.as_str() {
         "reuse" => reuse::run(&setting),
+        "kept" => kept::run(&setting),
         "uploads" => uploads::run(&setting),
         _ => Verdict::Failed("unknown case".to_owned()),
     };
