--- a/review/harness/main.rs
+++ b/review/harness/main.rs
@@ -12,6 +12,7 @@
 mod target;
 
 mod kept;
+mod restart;
 mod reuse;
 mod uploads;
 
@@ -67,6 +68,7 @@
     let verdict = match case.as_str() {
         "reuse" => reuse::run(&setting),
         "kept" => kept::run(&setting),
+        "restart" => restart::run(&setting),
         "uploads" => uploads::run(&setting),
         _ => Verdict::Failed("unknown case".to_owned()),
     };
