Bound the batches of the log writer

Cause: `recv_timeout` with no time left still returns a line that waits, so a batch ended only when the queue was empty for a moment. While lines kept coming, the batch grew, uncounted and unwritten. In the test, the writer could take the whole flood into one batch; then no line was dropped, and the loop waited for a report that never came.

Change: a batch ends after its delay, whatever waits, and at 256 KiB. The test holds the writer in its blocked write before the flood, fails after 60 s instead of hanging, and also floods the released writer: no write may exceed 512 KiB. It asserts everything that it asserted before.

Conclusion: the memory of the writer is bounded by its queue and one batch, and the test cannot hang.

--- a/crates/relay/src/logging.rs
+++ b/crates/relay/src/logging.rs
@@ -31,6 +31,10 @@
 /// daemon does not wake up for every line.
 const BATCH_DELAY: Duration = Duration::from_millis(100);
 
+/// Size in bytes from which a batch is written without waiting for further lines, so that it does not
+/// grow while lines come without a pause.
+const MAX_BATCH_BYTES: usize = 256 * 1024;
+
 /// Maximum number of lines at level info or below that are written per second: about twice what a
 /// daemon writes at the highest load of the users' present sites.
 const MAX_LINES_PER_SECOND: u64 = 1200;
@@ -152,8 +156,13 @@
             Ok(Line::End) | Err(_) => ended = true,
         }
         let batch_end = Instant::now() + BATCH_DELAY;
-        while !ended {
-            match queue.recv_timeout(batch_end.saturating_duration_since(Instant::now())) {
+        while !ended && batch.len() < MAX_BATCH_BYTES {
+            // With no time left, `recv_timeout` would still return a line that waits.
+            let left = batch_end.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                break;
+            }
+            match queue.recv_timeout(left) {
                 Ok(Line::Text(text)) => batch.extend_from_slice(&text),
                 Ok(Line::End) | Err(RecvTimeoutError::Disconnected) => ended = true,
                 Err(RecvTimeoutError::Timeout) => break,
--- a/crates/relay/tests/logging.rs
+++ b/crates/relay/tests/logging.rs
@@ -3,11 +3,21 @@
 
 use std::io::{self, Write};
 use std::sync::mpsc::{Receiver, Sender, channel};
+use std::time::Duration;
 
 use cornelvalve_relay::logging;
 
+/// Time after which the test fails instead of waiting for the writer for ever; long enough for a
+/// heavily loaded machine.
+const WAIT_TIMEOUT: Duration = Duration::from_secs(60);
+
+/// Largest write in bytes that the writer may collect.
+const MAX_WRITE_BYTES: usize = 512 * 1024;
+
 /// Output that blocks the first write until the test releases it.
 struct BlockedOutput {
+    /// Tells the test that the first write has begun.
+    blocked: Sender<()>,
     /// Receives a message or is closed to release the output.
     release: Receiver<()>,
     released: bool,
@@ -18,6 +28,7 @@
 impl Write for BlockedOutput {
     fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
         if !self.released {
+            let _ = self.blocked.send(());
             // An error means that the test has ended, which also releases the output.
             let _ = self.release.recv();
             self.released = true;
@@ -32,18 +43,23 @@
     }
 }
 
-// Guards against tasks that block because nobody reads the log, and against dropped lines that are
-// not reported.
+// Guards against tasks that block because nobody reads the log, against dropped lines that are not
+// reported, and against a batch that grows without being written while lines keep coming.
 #[test]
 fn blocked_output_does_not_block_logging_and_dropped_lines_are_counted() {
+    let (blocked, first_write) = channel();
     let (release_sender, release) = channel();
     let (written, lines) = channel();
     let output = BlockedOutput {
+        blocked,
         release,
         released: false,
         written,
     };
     let writer = logging::init_with(log::LevelFilter::Info, output).unwrap();
+    // The writer must be blocked before the flood, or it could take all lines into one batch.
+    log::warn!(event = "first"; "line");
+    first_write.recv_timeout(WAIT_TIMEOUT).unwrap();
     const LINES: usize = 10_000;
     for number in 0..LINES {
         log::warn!(event = "test", number = number; "line");
@@ -51,12 +67,22 @@
     release_sender.send(()).unwrap();
     let mut text = String::new();
     while !text.contains("lines-dropped") {
-        text += &String::from_utf8(lines.recv().unwrap()).unwrap();
+        text += &String::from_utf8(lines.recv_timeout(WAIT_TIMEOUT).unwrap()).unwrap();
         // The writer reports dropped lines only when it writes another batch.
         log::warn!(event = "more"; "line");
     }
+    // Lines that come without a pause.
+    const FLOOD_LINES: usize = 200_000;
+    for number in 0..FLOOD_LINES {
+        log::warn!(event = "flood", number = number; "line");
+    }
     drop(writer);
-    while let Ok(more) = lines.recv() {
+    while let Ok(more) = lines.recv_timeout(WAIT_TIMEOUT) {
+        assert!(
+            more.len() <= MAX_WRITE_BYTES,
+            "a write has {} bytes",
+            more.len()
+        );
         text += &String::from_utf8(more).unwrap();
     }
     let dropped = text.lines().filter(|l| l.contains("lines-dropped"));
