--- a/crates/standins/src/platform/target.rs
+++ b/crates/standins/src/platform/target.rs
@@ -26,6 +26,8 @@
     Unsigned,
     /// Runs them and never responds.
     Hanging,
+    /// Runs them and responds with success and a body of this many bytes.
+    Large(usize),
 }
 
 /// Options of a target.
@@ -372,6 +374,9 @@
         );
     }
     set_load_header(&mut response.headers, options, &sender).await;
-    response.body = Bytes::from(format!("{} ran {attempt_id}", options.instance));
+    response.body = match mode {
+        TargetMode::Large(bytes) => Bytes::from(vec![b'x'; bytes]),
+        _ => Bytes::from(format!("{} ran {attempt_id}", options.instance)),
+    };
     response
 }
