Write responses from their own buffers, beside the running requests

A client that does not read a response also stopped the other requests of its connection, which held slots of the upstream for up to 10 s.

Cause: `Connection::output` was a copy of each response, head and body, in a buffer that stayed as large as the largest one. The response was written inside the event loop, and the futures of the running requests were not polled meanwhile.

Change: a queue of buffers, head and body as they are, which is written with vectored writes as one more event of the connection; a buffer is dropped when it is written. The events of a connection have a type.

Why it works: nothing of a response stays after its last byte, and running requests are polled while a response is written. The limit on requests of one connection now counts responses that wait, so a client that does not read still stops its own connection.

Evidence: requests_run_on_while_an_earlier_response_is_not_read fails on the old code ("the second request ends: Elapsed") and passes.

--- a/crates/http1/src/encode.rs
+++ b/crates/http1/src/encode.rs
@@ -1,4 +1,4 @@
-//! Encoding of request heads and of complete responses.
+//! Encoding of the heads of requests and responses.
 
 use std::io::Write;
 
@@ -51,25 +51,28 @@
     out
 }
 
-/// Appends an encoded response with its body to `out`.
+/// Returns the encoded head of a response whose body has `length` bytes.
 ///
 /// Framing and connection headers in `headers` are ignored.
-pub(crate) fn response(
-    out: &mut BytesMut,
+pub(crate) fn response_head(
     status: StatusCode,
     headers: &HeaderMap,
-    body: &[u8],
+    length: usize,
     keep_alive: bool,
-) {
-    out.reserve(HEAD_CAPACITY + body.len());
+) -> BytesMut {
+    let mut out = BytesMut::with_capacity(HEAD_CAPACITY);
     let reason = status.canonical_reason().unwrap_or("Unknown");
     // Writing to memory cannot fail.
-    let _ = write!(out.writer(), "HTTP/1.1 {} {reason}\r\n", status.as_u16());
-    put_headers(out, headers);
-    put_length(out, body.len());
+    let _ = write!(
+        (&mut out).writer(),
+        "HTTP/1.1 {} {reason}\r\n",
+        status.as_u16()
+    );
+    put_headers(&mut out, headers);
+    put_length(&mut out, length);
     if !keep_alive {
         out.put_slice(b"connection: close\r\n");
     }
     out.put_slice(b"\r\n");
-    out.put_slice(body);
+    out
 }
--- a/crates/http1/src/lib.rs
+++ b/crates/http1/src/lib.rs
@@ -17,6 +17,7 @@
 mod encode;
 mod error;
 mod message;
+mod output;
 mod server;
 mod socket;
 
--- a/crates/http1/src/server.rs
+++ b/crates/http1/src/server.rs
@@ -12,8 +12,9 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::sync::watch;
-use tokio::time::{Instant, sleep_until, timeout};
+use tokio::time::{Instant, sleep_until, timeout, timeout_at};
 
+use crate::output::OutputQueue;
 use crate::{DecodeLimits, Error, Request, RequestDecoder, encode};
 
 /// Boxed future that can be sent to other threads; returned by asynchronous trait methods.
@@ -117,11 +118,12 @@
     let mut connection = Connection {
         stream,
         input: BytesMut::new(),
-        output: BytesMut::new(),
         decoder: RequestDecoder::new(options.limits),
         running: FuturesOrdered::new(),
+        output: OutputQueue::default(),
         options,
         timeout_start: Instant::now(),
+        write_start: Instant::now(),
         closing: false,
     };
     while connection.handle_event(handler, &mut draining).await? {}
@@ -144,22 +146,41 @@
 struct Connection {
     stream: TcpStream,
     input: BytesMut,
-    output: BytesMut,
     decoder: RequestDecoder,
     /// Running requests, in the order in which they arrived.
     running: FuturesOrdered<BoxFuture<'static, OutgoingResponse>>,
+    /// Responses that wait to be written.
+    output: OutputQueue,
     options: ServerOptions,
     /// Time from which the idle timeout or the timeout of the request that is being read counts.
     ///
     /// Set when the first bytes of a request arrive, when a request starts to run, and when a
     /// response has been written.
     timeout_start: Instant,
+    /// Time from which the timeout of the response that is being written counts.
+    write_start: Instant,
     /// Whether the connection takes no further requests and closes after the running ones.
     closing: bool,
 }
 
+/// Event of a connection.
+enum Event {
+    /// The first running request has a response.
+    Finished(OutgoingResponse),
+    /// This many responses were written completely.
+    Written(usize),
+    /// This many bytes arrived; none if the client closed its side of the connection.
+    Received(usize),
+    /// The server ends and the connection is idle.
+    Ending,
+    /// The idle timeout or that of a request has expired.
+    ReadTimeout,
+    /// The client takes too long to read a response.
+    WriteTimeout,
+}
+
 impl Connection {
-    /// Starts buffered requests and handles one event: a response, received bytes or a timeout.
+    /// Starts buffered requests and handles one event.
     ///
     /// Returns whether the connection stays open.
     async fn handle_event(
@@ -170,45 +191,69 @@
         if let Err(e) = self.start_requests(handler).await? {
             return self.reject_and_close(handler, &e).await;
         }
-        let request_partial = self.decoder.is_reading_body() || !self.input.is_empty();
-        let wait = if request_partial {
+        let partial = self.is_request_partial();
+        match self.next_event(draining).await? {
+            Event::Finished(response) => self.queue(response, *draining.borrow()),
+            Event::Written(responses) => self.record_written(responses),
+            Event::Received(0) => return Ok(false),
+            Event::Received(_) if !partial => self.timeout_start = Instant::now(),
+            Event::Received(_) => {}
+            Event::Ending => return self.close().await,
+            Event::ReadTimeout if partial => {
+                let response = OutgoingResponse::empty(StatusCode::REQUEST_TIMEOUT);
+                self.push_response(response, false);
+                self.flush().await?;
+                return Ok(false);
+            }
+            Event::ReadTimeout => return Ok(false),
+            Event::WriteTimeout => return Err(io::ErrorKind::TimedOut.into()),
+        }
+        if self.closing && self.running.is_empty() && self.output.is_empty() {
+            return self.close().await;
+        }
+        Ok(true)
+    }
+
+    /// Returns whether a part of a request has arrived.
+    fn is_request_partial(&self) -> bool {
+        self.decoder.is_reading_body() || !self.input.is_empty()
+    }
+
+    /// Returns whether no request is running and no response waits to be written.
+    fn is_idle(&self) -> bool {
+        self.running.is_empty() && self.output.is_empty()
+    }
+
+    /// Waits for the next event. Requests continue to run while a response is written.
+    async fn next_event(&mut self, draining: &mut watch::Receiver<Draining>) -> io::Result<Event> {
+        let partial = self.is_request_partial();
+        let idle = self.is_idle();
+        let wait = if partial {
             self.options.request_timeout
         } else {
             self.options.idle_timeout
         };
-        let deadline = self.timeout_start + wait;
-        let none_running = self.running.is_empty();
-        let at_capacity = self.running.len() >= MAX_CONCURRENT_REQUESTS;
+        let read_end = self.timeout_start + wait;
+        let write_end = self.write_start + WRITE_TIMEOUT;
+        let waiting = self.output.messages();
+        let at_capacity = self.running.len() + waiting >= MAX_CONCURRENT_REQUESTS;
+        let (mut reader, mut writer) = self.stream.split();
         tokio::select! {
-            Some(response) = self.running.next(), if !none_running => {
-                // Requests that already run are answered before the connection closes.
-                self.closing |= response.close || *draining.borrow() != Draining::No;
-                let close = self.closing && self.running.is_empty();
-                self.write(&response, !close).await?;
-                self.timeout_start = Instant::now();
-                if close {
-                    self.close().await?;
-                }
-                Ok(!close)
+            Some(response) = self.running.next(), if !self.running.is_empty() => {
+                Ok(Event::Finished(response))
+            }
+            written = self.output.write_once(&mut writer), if waiting > 0 => {
+                written?;
+                Ok(Event::Written(waiting - self.output.messages()))
             }
-            read = self.stream.read_buf(&mut self.input), if !at_capacity => {
+            read = reader.read_buf(&mut self.input), if !at_capacity => {
                 let length = read?;
-                if !request_partial {
-                    self.timeout_start = Instant::now();
-                }
                 self.input.reserve(READ_RESERVE_BYTES);
-                Ok(length > 0)
-            }
-            () = wait_until_ending(draining), if none_running && !request_partial => {
-                self.close().await?;
-                Ok(false)
-            }
-            () = sleep_until(deadline), if none_running => {
-                if request_partial {
-                    self.write(&OutgoingResponse::empty(StatusCode::REQUEST_TIMEOUT), false).await?;
-                }
-                Ok(false)
+                Ok(Event::Received(length))
             }
+            () = wait_until_ending(draining), if idle && !partial => Ok(Event::Ending),
+            () = sleep_until(read_end), if idle => Ok(Event::ReadTimeout),
+            () = sleep_until(write_end), if waiting > 0 => Ok(Event::WriteTimeout),
         }
     }
 
@@ -217,13 +262,14 @@
     /// The outer result holds an error of the connection; the inner one, the error of a request
     /// that failed to decode.
     async fn start_requests(&mut self, handler: &dyn Handler) -> io::Result<Result<(), Error>> {
-        while !self.closing && self.running.len() < MAX_CONCURRENT_REQUESTS {
+        while !self.closing && self.running.len() + self.output.messages() < MAX_CONCURRENT_REQUESTS
+        {
             let request = match self.decoder.decode(&mut self.input) {
                 Ok(Some(request)) => request,
                 Ok(None) => {
                     // While other requests run, no `100 Continue` is sent, because it would
                     // precede their responses. Clients then send the body after a timeout.
-                    if self.decoder.take_expects_continue() && self.running.is_empty() {
+                    if self.decoder.take_expects_continue() && self.is_idle() {
                         self.stream
                             .write_all(b"HTTP/1.1 100 Continue\r\n\r\n")
                             .await?;
@@ -239,22 +285,56 @@
         Ok(Ok(()))
     }
 
+    /// Queues the response to the first running request, which has ended.
+    fn queue(&mut self, response: OutgoingResponse, draining: Draining) {
+        // Requests that already run are answered before the connection closes.
+        self.closing |= response.close || draining != Draining::No;
+        let keep_alive = !(self.closing && self.running.is_empty());
+        self.push_response(response, keep_alive);
+    }
+
+    /// Adds a response to the output.
+    fn push_response(&mut self, response: OutgoingResponse, keep_alive: bool) {
+        if self.output.is_empty() {
+            self.write_start = Instant::now();
+        }
+        let OutgoingResponse {
+            status,
+            headers,
+            body,
+            ..
+        } = response;
+        let head = encode::response_head(status, &headers, body.len(), keep_alive);
+        self.output.push(head.freeze(), [body]);
+    }
+
+    /// Records that responses were written completely.
+    fn record_written(&mut self, responses: usize) {
+        if responses > 0 {
+            self.timeout_start = Instant::now();
+            self.write_start = self.timeout_start;
+        }
+    }
+
     /// Waits for the running requests and writes their responses, then the response to the bytes
     /// that failed to decode with `error`, and closes the connection.
     ///
     /// Returns false, as the connection does not stay open.
     async fn reject_and_close(&mut self, handler: &dyn Handler, error: &Error) -> io::Result<bool> {
         while let Some(response) = self.running.next().await {
-            self.write(&response, true).await?;
+            self.push_response(response, true);
+            self.flush().await?;
         }
-        self.write(&handler.reject(error), false).await?;
-        self.close().await?;
-        Ok(false)
+        self.push_response(handler.reject(error), false);
+        self.flush().await?;
+        self.close().await
     }
 
     /// Closes the connection after the client has received the last response, or after
     /// [`LINGER_TIMEOUT`].
-    async fn close(&mut self) -> io::Result<()> {
+    ///
+    /// Returns false, as the connection does not stay open.
+    async fn close(&mut self) -> io::Result<bool> {
         self.stream.shutdown().await?;
         // Closing a socket with unread bytes resets the connection, and the client could lose the
         // response.
@@ -265,22 +345,18 @@
             }
         };
         let _ = timeout(LINGER_TIMEOUT, discard).await;
-        Ok(())
+        Ok(false)
     }
 
-    /// Writes a response.
-    async fn write(&mut self, response: &OutgoingResponse, keep_alive: bool) -> io::Result<()> {
-        self.output.clear();
-        encode::response(
-            &mut self.output,
-            response.status,
-            &response.headers,
-            &response.body,
-            keep_alive,
-        );
-        let write = self.stream.write_all(&self.output);
-        timeout(WRITE_TIMEOUT, write)
-            .await
-            .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))?
+    /// Writes all queued responses.
+    async fn flush(&mut self) -> io::Result<()> {
+        while !self.output.is_empty() {
+            let waiting = self.output.messages();
+            let end = self.write_start + WRITE_TIMEOUT;
+            let written = timeout_at(end, self.output.write_once(&mut self.stream)).await;
+            written.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
+            self.record_written(waiting - self.output.messages());
+        }
+        Ok(())
     }
 }
--- a/crates/http1/tests/all/main.rs
+++ b/crates/http1/tests/all/main.rs
@@ -4,3 +4,4 @@
 mod decode;
 mod endless;
 mod server;
+mod slow_clients;
