--- a/crates/http1/src/body.rs
+++ b/crates/http1/src/body.rs
@@ -1,10 +1,12 @@
 //! Body framing: decodes bodies with a length, chunked bodies, and bodies that end when the
 //! connection closes.
 
-use bytes::{Buf, Bytes, BytesMut};
+use bytes::buf::Limit;
+use bytes::{Buf, BytesMut};
 use http::header::{CONTENT_LENGTH, HeaderMap, TRANSFER_ENCODING};
 
-use crate::{Error, Result};
+use crate::buffer::BodyBuffer;
+use crate::{Body, Error, Result};
 
 /// Maximum size of a chunk size line with its extensions, in bytes. Only an incomplete line is
 /// checked, so a longer line that arrives at once is accepted.
@@ -77,86 +79,117 @@
     framing: Framing,
     /// Used with [`Framing::Chunked`] only.
     chunk_state: ChunkState,
-    body: BytesMut,
-    /// Maximum size of the body in bytes.
-    limit: usize,
+    body: BodyBuffer,
 }
 
 impl BodyDecoder {
-    /// Creates a decoder for a body of at most `limit` bytes.
+    /// Creates a decoder for a body of at most `limit` bytes, of which `allowance` need no
+    /// reservation.
     ///
     /// # Errors
     ///
     /// Returns [`Error::BodyTooLarge`] if the declared length exceeds the limit.
-    pub(crate) fn new(framing: Framing, limit: usize) -> Result<Self> {
-        if let Framing::Length(length) = framing
-            && usize::try_from(length).map_or(true, |l| l > limit)
-        {
-            return Err(Error::BodyTooLarge);
-        }
+    pub(crate) fn new(framing: Framing, limit: usize, allowance: usize) -> Result<Self> {
+        let limit = match framing {
+            Framing::Length(length) => usize::try_from(length)
+                .ok()
+                .filter(|l| *l <= limit)
+                .ok_or(Error::BodyTooLarge)?,
+            Framing::Chunked | Framing::UntilClose => limit,
+        };
         Ok(Self {
             framing,
             chunk_state: ChunkState::SizeLine,
-            body: BytesMut::new(),
-            limit,
+            body: BodyBuffer::new(limit, allowance),
         })
     }
 
+    /// Returns the declared length in bytes; zero if none is declared.
+    pub(crate) fn declared_length(&self) -> usize {
+        match self.framing {
+            Framing::Length(length) => usize::try_from(length).unwrap_or(usize::MAX),
+            Framing::Chunked | Framing::UntilClose => 0,
+        }
+    }
+
+    /// Returns the buffer for the body.
+    pub(crate) fn buffer(&self) -> &BodyBuffer {
+        &self.body
+    }
+
+    /// Returns the buffer for the body, to add memory.
+    pub(crate) fn buffer_mut(&mut self) -> &mut BodyBuffer {
+        &mut self.body
+    }
+
+    /// Returns room for bytes that certainly belong to the body, so that they can be read into it
+    /// directly.
+    pub(crate) fn space(&mut self) -> Limit<&mut BytesMut> {
+        let most = match (self.framing, self.chunk_state) {
+            (Framing::Length(_), _) => usize::MAX,
+            (Framing::Chunked, ChunkState::Data(missing)) => missing,
+            _ => 0,
+        };
+        let mut space = self.body.space();
+        space.set_limit(space.limit().min(most));
+        space
+    }
+
+    /// Records that bytes were read into [`Self::space`].
+    pub(crate) fn record_read(&mut self, read: usize) {
+        if let ChunkState::Data(missing) = &mut self.chunk_state {
+            *missing -= read;
+        }
+    }
+
     /// Consumes bytes from the buffer and returns the body once it is complete.
     ///
-    /// `at_eof` means that the sender has closed its side of the connection (FIN).
+    /// `at_eof` means that the sender has closed its side of the connection (FIN). Bytes for which
+    /// memory must be reserved first stay in the buffer.
     ///
     /// # Errors
     ///
     /// Returns [`Error`] if the body is malformed, too long, or incomplete at the end of the
     /// connection.
-    pub(crate) fn decode(&mut self, buffer: &mut BytesMut, at_eof: bool) -> Result<Option<Bytes>> {
-        match self.framing {
-            Framing::Length(length) => {
-                let missing = usize::try_from(length).map_err(|_| Error::BodyTooLarge)?;
-                if self.append_body(buffer, missing - self.body.len())? {
-                    return Ok(Some(self.take_body()));
-                }
+    pub(crate) fn decode(&mut self, buffer: &mut BytesMut, at_eof: bool) -> Result<Option<Body>> {
+        let complete = match self.framing {
+            Framing::Length(_) => {
+                self.append_body(buffer, usize::MAX);
+                self.body.missing() == 0
             }
             Framing::UntilClose => {
-                self.append_body(buffer, usize::MAX)?;
-                if at_eof {
-                    return Ok(Some(self.take_body()));
-                }
-            }
-            Framing::Chunked => {
-                if self.decode_chunks(buffer)? {
-                    return Ok(Some(self.take_body()));
+                self.append_body(buffer, usize::MAX);
+                if self.body.missing() == 0 && !buffer.is_empty() {
+                    return Err(Error::BodyTooLarge);
                 }
+                at_eof && buffer.is_empty()
             }
+            Framing::Chunked => self.decode_chunks(buffer)?,
+        };
+        if complete {
+            return Ok(Some(self.take_body()));
         }
-        if at_eof {
+        if at_eof && self.body.memory_needed() == 0 {
             return Err(Error::Truncated);
         }
         Ok(None)
     }
 
     /// Returns the decoded body.
-    fn take_body(&mut self) -> Bytes {
-        self.body.split().freeze()
+    fn take_body(&mut self) -> Body {
+        std::mem::replace(&mut self.body, BodyBuffer::new(0, 0)).finish()
     }
 
-    /// Moves up to `missing` bytes from the buffer to the end of the body; returns whether the
-    /// buffer held that many.
-    fn append_body(&mut self, buffer: &mut BytesMut, missing: usize) -> Result<bool> {
-        let taken = missing.min(buffer.len());
-        if self.body.len() + taken > self.limit {
-            return Err(Error::BodyTooLarge);
-        }
-        if self.body.is_empty() {
-            self.body = buffer.split_to(taken);
-        } else {
-            self.body.extend_from_slice(&buffer.split_to(taken));
-        }
-        Ok(taken == missing)
+    /// Moves up to `most` bytes from the buffer to the end of the body, as far as there is room;
+    /// returns their number.
+    fn append_body(&mut self, buffer: &mut BytesMut, most: usize) -> usize {
+        let taken = self.body.push(&buffer[..most.min(buffer.len())]);
+        buffer.advance(taken);
+        taken
     }
 
-    /// Decodes as much of a chunked body as the buffer holds; returns whether the body is complete.
+    /// Decodes as much of a chunked body as the buffer holds and there is room for; returns whether
+    /// the body is complete.
     fn decode_chunks(&mut self, buffer: &mut BytesMut) -> Result<bool> {
         loop {
             match self.chunk_state {
@@ -164,18 +197,21 @@
                     let Some(size) = parse_chunk_size(buffer)? else {
                         return Ok(false);
                     };
+                    if size > self.body.missing() {
+                        return Err(Error::BodyTooLarge);
+                    }
                     self.chunk_state = match size {
                         0 => ChunkState::Trailers(0),
                         size => ChunkState::Data(size),
                     };
                 }
+                ChunkState::Data(0) => self.chunk_state = ChunkState::DataEnd,
                 ChunkState::Data(missing) => {
-                    let before = self.body.len();
-                    if !self.append_body(buffer, missing)? {
-                        self.chunk_state = ChunkState::Data(missing - (self.body.len() - before));
+                    let taken = self.append_body(buffer, missing);
+                    if taken == 0 {
                         return Ok(false);
                     }
-                    self.chunk_state = ChunkState::DataEnd;
+                    self.chunk_state = ChunkState::Data(missing - taken);
                 }
                 ChunkState::DataEnd => {
                     if buffer.len() < 2 {
--- a/crates/http1/src/client.rs
+++ b/crates/http1/src/client.rs
@@ -2,24 +2,24 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::sync::Arc;
 
-use bytes::{Bytes, BytesMut};
-use derive_more::{Display, Error};
+use bytes::BytesMut;
+use derive_more::{Debug, Display, Error};
 use http::{HeaderMap, Method};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::net::tcp::WriteHalf;
 
 use crate::socket::{SocketTimeouts, connect};
-use crate::{DecodeLimits, Response, ResponseDecoder, encode};
+use crate::{
+    DecodeLimits, MemoryAccount, OutputQueue, Payload, PerMessageLimit, Reservations, Response,
+    ResponseDecoder, encode,
+};
 
 /// Maximum number of responses to other requests that are skipped in one exchange. A server that
 /// answers twice or late sends one or two.
 const MAX_SKIPPED_RESPONSES: usize = 8;
 
-/// Free space in bytes that is reserved in the read buffer after each read.
-const READ_RESERVE_BYTES: usize = 4096;
-
 /// Request to send; [`ClientConnection`] adds the framing headers.
 #[derive(Clone, Copy, Debug)]
 pub struct OutgoingRequest<'a> {
@@ -30,7 +30,8 @@
     /// Headers; framing and connection headers in it are ignored.
     pub headers: &'a HeaderMap,
     /// Body.
-    pub body: &'a Bytes,
+    #[debug("{} bytes", body.length())]
+    pub body: &'a dyn Payload,
 }
 
 /// Error of an exchange; the variants tell whether the server may have executed the request.
@@ -58,6 +59,9 @@
     stream: TcpStream,
     buffer: BytesMut,
     limits: DecodeLimits,
+    /// Account from which large responses take their memory.
+    #[debug(skip)]
+    memory: Arc<dyn MemoryAccount>,
 }
 
 impl ClientConnection {
@@ -76,6 +80,7 @@
             stream: connect(addr, timeouts).await?,
             buffer: BytesMut::new(),
             limits,
+            memory: Arc::new(PerMessageLimit::NONE),
         })
     }
 
@@ -84,6 +89,11 @@
         self.limits.body_bytes = bytes;
     }
 
+    /// Sets the account from which later responses take their memory; by default it is unlimited.
+    pub fn set_memory(&mut self, memory: Arc<dyn MemoryAccount>) {
+        self.memory = memory;
+    }
+
     /// Returns whether the connection can carry the next request: it is open and no unexpected
     /// bytes have arrived.
     #[must_use]
@@ -116,11 +126,13 @@
             headers,
             body,
         } = request;
-        let head = encode::request_head(method, target, headers, body.len());
+        let head = encode::request_head(method, target, headers, body.length());
+        let mut output = OutputQueue::default();
+        output.push(head.freeze(), body.segments(), Reservations::default());
         let (mut reader, mut writer) = self.stream.split();
         let mut decoder = ResponseDecoder::new(self.limits);
         let mut sent = 0;
-        let mut sending = Box::pin(send(&mut writer, &head, body, &mut sent));
+        let mut sending = Box::pin(send(&mut writer, &mut output, &mut sent));
         let mut send_done = false;
         let mut send_error = None;
         let mut skipped = 0;
@@ -132,7 +144,7 @@
                     // connection.
                     send_error = result.err();
                 }
-                read = reader.read_buf(&mut self.buffer) => {
+                read = decoder.receive(&mut reader, &mut self.buffer) => {
                     let at_eof = match read {
                         Ok(length) => length == 0,
                         Err(e) => {
@@ -144,7 +156,17 @@
                     loop {
                         let decoded = decoder.decode(&mut self.buffer, at_eof);
                         match decoded.map_err(ExchangeError::InvalidResponse) {
-                            Ok(None) => break,
+                            Ok(None) => {
+                                let need = decoder.memory_needed();
+                                if need.bytes == 0 {
+                                    break;
+                                }
+                                let reservation = self.memory.reserve(need.held, need.bytes).await;
+                                let reservation = reservation.ok_or(
+                                    ExchangeError::InvalidResponse(crate::Error::NoMemory),
+                                )?;
+                                decoder.grant(reservation);
+                            }
                             Ok(Some(response)) if !matches_request(&response) => {
                                 skipped += 1;
                                 if skipped > MAX_SKIPPED_RESPONSES {
@@ -174,7 +196,6 @@
                             Err(e) => return Err(e),
                         }
                     }
-                    self.buffer.reserve(READ_RESERVE_BYTES);
                 }
             }
         }
@@ -196,22 +217,14 @@
     }
 }
 
-/// Writes head and body; adds each byte that the operating system accepts to `sent`.
+/// Writes all output; adds each byte that the operating system accepts to `sent`.
 async fn send(
     writer: &mut WriteHalf<'_>,
-    head: &[u8],
-    body: &[u8],
+    output: &mut OutputQueue,
     sent: &mut usize,
 ) -> io::Result<()> {
-    for mut part in [head, body] {
-        while !part.is_empty() {
-            let written = writer.write(part).await?;
-            if written == 0 {
-                return Err(io::ErrorKind::WriteZero.into());
-            }
-            *sent += written;
-            part = part.get(written..).unwrap_or_default();
-        }
+    while !output.is_empty() {
+        *sent += output.write_once(writer).await?;
     }
     Ok(())
 }
--- a/crates/http1/src/error.rs
+++ b/crates/http1/src/error.rs
@@ -18,6 +18,9 @@
     /// The body exceeds the limit of the decoder.
     #[display("message body exceeds the size limit")]
     BodyTooLarge,
+    /// Other messages use up the memory that this one needs.
+    #[display("no memory is left for the message")]
+    NoMemory,
     /// The connection closed before the end of a message.
     #[display("connection closed before the end of a message")]
     Truncated,
@@ -31,6 +34,7 @@
             Self::Malformed(_) | Self::Truncated => StatusCode::BAD_REQUEST,
             Self::HeadTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::NoMemory => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
 }
--- a/crates/http1/src/lib.rs
+++ b/crates/http1/src/lib.rs
@@ -10,19 +10,30 @@
 //!   duplicate response to an earlier request on the same connection.
 //! - A failed exchange reports whether any byte of the request was sent.
 //!
-//! Messages are buffered in full: a response is returned only after its last byte has arrived.
+//! Messages are buffered in full: a response is returned only after its last byte has arrived. A
+//! [`MemoryAccount`] bounds the memory that all messages take together.
 
 mod body;
+mod buffer;
 mod client;
 mod encode;
 mod error;
+mod memory;
 mod message;
 mod output;
+mod payload;
 mod server;
 mod socket;
 
+pub use buffer::{BodyBuffer, SEGMENT_BYTES};
 pub use client::{ClientConnection, ExchangeError, OutgoingRequest};
 pub use error::{Error, Result};
-pub use message::{DecodeLimits, Request, RequestDecoder, Response, ResponseDecoder};
+pub use memory::{MemoryAccount, PerMessageLimit, Reservation, Reservations, Resource};
+pub use message::{
+    BODY_ALLOWANCE_BYTES, DecodeLimits, MemoryNeed, Request, RequestDecoder, Response,
+    ResponseDecoder,
+};
+pub use output::OutputQueue;
+pub use payload::{Body, Payload};
 pub use server::{BoxFuture, Draining, Handler, OutgoingResponse, ServerOptions, serve_connection};
 pub use socket::{SocketTimeouts, accept, bind, connect};
--- a/crates/http1/src/message.rs
+++ b/crates/http1/src/message.rs
@@ -1,16 +1,22 @@
 //! Types and incremental decoders for complete requests and responses.
 
-use bytes::{Buf, Bytes, BytesMut};
+use std::io;
+
+use bytes::{Buf, BufMut, BytesMut};
 use http::header::{CONNECTION, EXPECT, HeaderMap, HeaderName, HeaderValue};
 use http::{Method, StatusCode};
+use tokio::io::{AsyncRead, AsyncReadExt};
 
 use crate::body::{BodyDecoder, Framing, parse_framing};
-use crate::{Error, Result};
+use crate::{Body, Error, Reservation, Result};
 
 /// Maximum number of headers in a message; also the size of the array on the stack into which they
 /// are parsed.
 const MAX_HEADERS: usize = 96;
 
+/// Free space in bytes that is reserved in the read buffer before each read.
+pub(crate) const READ_RESERVE_BYTES: usize = 4096;
+
 /// Size limits for decoded messages; a larger message is an error.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct DecodeLimits {
@@ -20,6 +26,9 @@
     pub body_bytes: usize,
 }
 
+/// Number of bytes of a body for which no memory is reserved, as most bodies are smaller.
+pub const BODY_ALLOWANCE_BYTES: usize = 16 * 1024;
+
 /// Complete request as received.
 #[derive(Clone, Debug)]
 pub struct Request {
@@ -30,11 +39,21 @@
     /// All headers, including those that describe the framing and the connection.
     pub headers: HeaderMap,
     /// Body after removal of the transfer coding.
-    pub body: Bytes,
+    pub body: Body,
     /// Whether the connection may carry further requests.
     pub keep_alive: bool,
 }
 
+impl Request {
+    /// Returns the approximate size of the head in bytes.
+    #[must_use]
+    pub fn head_length(&self) -> usize {
+        let headers = self.headers.iter();
+        let lengths = headers.map(|(name, value)| name.as_str().len() + value.len());
+        self.target.len() + lengths.sum::<usize>()
+    }
+}
+
 /// Complete response as received.
 #[derive(Clone, Debug)]
 pub struct Response {
@@ -43,7 +62,7 @@
     /// All headers, including those that describe the framing and the connection.
     pub headers: HeaderMap,
     /// Body after removal of the transfer coding.
-    pub body: Bytes,
+    pub body: Body,
     /// Whether the connection may carry further requests.
     pub keep_alive: bool,
 }
@@ -56,6 +75,56 @@
     Body(M, BodyDecoder),
 }
 
+impl<M> DecodeState<M> {
+    /// Returns the decoder of the body that is being read.
+    fn decoder_mut(&mut self) -> Option<&mut BodyDecoder> {
+        match self {
+            Self::Head => None,
+            Self::Body(_, decoder) => Some(decoder),
+        }
+    }
+
+    /// Reads into the buffer of the body or into `input`; returns the number of bytes.
+    async fn receive(
+        &mut self,
+        reader: &mut (impl AsyncRead + Unpin),
+        input: &mut BytesMut,
+    ) -> io::Result<usize> {
+        if input.is_empty()
+            && let Some(decoder) = self.decoder_mut()
+        {
+            let mut space = decoder.space();
+            if space.has_remaining_mut() {
+                let read = reader.read_buf(&mut space).await?;
+                decoder.record_read(read);
+                return Ok(read);
+            }
+        }
+        input.reserve(READ_RESERVE_BYTES);
+        reader.read_buf(input).await
+    }
+
+    /// Returns the memory that the body needs next.
+    fn memory_needed(&self) -> MemoryNeed {
+        match self {
+            Self::Head => MemoryNeed::default(),
+            Self::Body(_, decoder) => MemoryNeed {
+                held: decoder.buffer().reserved(),
+                bytes: decoder.buffer().memory_needed(),
+            },
+        }
+    }
+}
+
+/// Memory that must be reserved before further bytes of a body can be decoded.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct MemoryNeed {
+    /// Number of bytes that are reserved for the body.
+    pub held: usize,
+    /// Number of further bytes to reserve; zero if no memory is needed now.
+    pub bytes: usize,
+}
+
 /// Decodes the requests that arrive on one connection.
 pub struct RequestDecoder {
     limits: DecodeLimits,
@@ -82,6 +151,38 @@
         matches!(self.state, DecodeState::Body(..))
     }
 
+    /// Returns the declared length in bytes of the body that is being read; zero if none is declared.
+    #[must_use]
+    pub fn declared_length(&self) -> usize {
+        match &self.state {
+            DecodeState::Body(_, decoder) => decoder.declared_length(),
+            DecodeState::Head => 0,
+        }
+    }
+
+    /// Returns the memory that must be reserved before further bytes of the body can be decoded.
+    #[must_use]
+    pub fn memory_needed(&self) -> MemoryNeed {
+        self.state.memory_needed()
+    }
+
+    /// Adds memory that was reserved for the body.
+    pub fn grant(&mut self, reservation: Box<dyn Reservation>) {
+        if let Some(decoder) = self.state.decoder_mut() {
+            decoder.buffer_mut().grant(reservation);
+        }
+    }
+
+    /// Reads into the buffer of the body, if what follows certainly belongs to it, or else into
+    /// `input`; returns the number of bytes. This is cancel safe.
+    pub(crate) async fn receive(
+        &mut self,
+        reader: &mut (impl AsyncRead + Unpin),
+        input: &mut BytesMut,
+    ) -> io::Result<usize> {
+        self.state.receive(reader, input).await
+    }
+
     /// Returns whether the client waits for a `100 Continue` response before it sends the body.
     ///
     /// Clears this state, so that it returns true at most once per request.
@@ -101,7 +202,7 @@
             else {
                 return Ok(None);
             };
-            let body = BodyDecoder::new(framing, self.limits.body_bytes)?;
+            let body = BodyDecoder::new(framing, self.limits.body_bytes, BODY_ALLOWANCE_BYTES)?;
             self.expects_continue = has_expect_continue(&request.headers);
             self.state = DecodeState::Body(request, body);
         }
@@ -141,6 +242,29 @@
         }
     }
 
+    /// Returns the memory that must be reserved before further bytes of the body can be decoded.
+    #[must_use]
+    pub fn memory_needed(&self) -> MemoryNeed {
+        self.state.memory_needed()
+    }
+
+    /// Adds memory that was reserved for the body.
+    pub fn grant(&mut self, reservation: Box<dyn Reservation>) {
+        if let Some(decoder) = self.state.decoder_mut() {
+            decoder.buffer_mut().grant(reservation);
+        }
+    }
+
+    /// Reads into the buffer of the body, if what follows certainly belongs to it, or else into
+    /// `input`; returns the number of bytes. This is cancel safe.
+    pub(crate) async fn receive(
+        &mut self,
+        reader: &mut (impl AsyncRead + Unpin),
+        input: &mut BytesMut,
+    ) -> io::Result<usize> {
+        self.state.receive(reader, input).await
+    }
+
     /// Consumes bytes from the buffer and returns the next response once it is complete.
     ///
     /// Interim (1xx) responses are skipped; together they may be as large as one head. `at_eof`
@@ -165,7 +289,7 @@
                 self.skipped_bytes += length - buffer.len();
                 check_head_length(self.skipped_bytes, self.limits.head_bytes)?;
             } else {
-                let body = BodyDecoder::new(framing, self.limits.body_bytes)?;
+                let body = BodyDecoder::new(framing, self.limits.body_bytes, BODY_ALLOWANCE_BYTES)?;
                 self.state = DecodeState::Body(response, body);
             }
         }
@@ -220,7 +344,7 @@
         method,
         target,
         headers,
-        body: Bytes::new(),
+        body: Body::default(),
         keep_alive,
     };
     Ok(Some((request, framing)))
@@ -250,7 +374,7 @@
     let response = Response {
         status,
         headers,
-        body: Bytes::new(),
+        body: Body::default(),
         keep_alive: keep_alive && framing != Framing::UntilClose,
     };
     Ok(Some((response, framing)))
--- a/crates/http1/src/output.rs
+++ b/crates/http1/src/output.rs
@@ -7,6 +7,8 @@
 use smallvec::SmallVec;
 use tokio::io::{AsyncWrite, AsyncWriteExt};
 
+use crate::Reservations;
+
 /// Maximum number of buffers that are written with one system call.
 const MAX_SLICES: usize = 16;
 
@@ -14,13 +16,13 @@
 #[derive(Debug)]
 struct Part {
     bytes: Bytes,
-    /// Whether a message ends with this buffer.
-    ends_message: bool,
+    /// Memory of the message that ends with this buffer; `None` if the message continues.
+    end: Option<Reservations>,
 }
 
 /// Messages that wait to be written, as the buffers in which their heads and bodies were created.
 #[derive(Debug, Default)]
-pub(crate) struct OutputQueue {
+pub struct OutputQueue {
     /// None of the buffers is empty.
     parts: VecDeque<Part>,
     /// Number of messages that are not written completely.
@@ -29,25 +31,26 @@
 
 impl OutputQueue {
     /// Returns whether nothing waits to be written.
-    pub(crate) fn is_empty(&self) -> bool {
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
         self.parts.is_empty()
     }
 
     /// Returns the number of messages that are not written completely.
-    pub(crate) fn messages(&self) -> usize {
+    #[must_use]
+    pub fn messages(&self) -> usize {
         self.messages
     }
 
-    /// Adds a message; its head must not be empty.
-    pub(crate) fn push(&mut self, head: Bytes, body: impl IntoIterator<Item = Bytes>) {
+    /// Adds a message, whose memory is reserved until it is written. Its head must not be empty.
+    pub fn push(&mut self, head: Bytes, body: &[Bytes], reservations: Reservations) {
         debug_assert!(!head.is_empty(), "a message has a head");
-        let parts = std::iter::once(head).chain(body.into_iter().filter(|b| !b.is_empty()));
-        self.parts.extend(parts.map(|bytes| Part {
-            bytes,
-            ends_message: false,
-        }));
+        let body = body.iter().filter(|b| !b.is_empty()).cloned();
+        let parts = std::iter::once(head).chain(body);
+        self.parts
+            .extend(parts.map(|bytes| Part { bytes, end: None }));
         if let Some(last) = self.parts.back_mut() {
-            last.ends_message = true;
+            last.end = Some(reservations);
         }
         self.messages += 1;
     }
@@ -59,7 +62,7 @@
     ///
     /// Returns the error of the writer, or an error of kind [`WriteZero`](io::ErrorKind::WriteZero)
     /// if it takes nothing.
-    pub(crate) async fn write_once(
+    pub async fn write_once(
         &mut self,
         writer: &mut (impl AsyncWrite + Unpin),
     ) -> io::Result<usize> {
@@ -85,7 +88,7 @@
             if !part.bytes.is_empty() {
                 return;
             }
-            self.messages -= usize::from(part.ends_message);
+            self.messages -= usize::from(part.end.is_some());
             self.parts.pop_front();
         }
     }
--- a/crates/http1/tests/all/server.rs
+++ b/crates/http1/tests/all/server.rs
@@ -7,8 +7,8 @@
 
 use bytes::Bytes;
 use cornelvalve_http1::{
-    BoxFuture, DecodeLimits, Draining, Handler, OutgoingResponse, Request, ServerOptions,
-    serve_connection,
+    BoxFuture, DecodeLimits, Draining, Handler, OutgoingResponse, PerMessageLimit, Request,
+    ServerOptions, serve_connection,
 };
 use http::StatusCode;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -42,7 +42,14 @@
     tokio::spawn(async move {
         let (stream, _) = listener.accept().await.expect("connection is accepted");
         // Some tests close the connection early, which is an error here.
-        let _ = serve_connection(stream, &handler, options(), draining).await;
+        let _ = serve_connection(
+            stream,
+            &handler,
+            options(),
+            &PerMessageLimit::NONE,
+            draining,
+        )
+        .await;
     });
     TcpStream::connect(addr).await.expect("connection opens")
 }
@@ -71,7 +78,7 @@
         Box::pin(async move {
             barrier.wait().await;
             let mut response = OutgoingResponse::empty(StatusCode::OK);
-            response.body = Bytes::from(request.target.to_string());
+            response.body = Bytes::from(request.target.to_string()).into();
             response
         })
     }
--- a/crates/http1/tests/all/slow_clients.rs
+++ b/crates/http1/tests/all/slow_clients.rs
@@ -5,8 +5,8 @@
 
 use bytes::Bytes;
 use cornelvalve_http1::{
-    BoxFuture, DecodeLimits, Draining, Handler, OutgoingResponse, Request, ServerOptions,
-    serve_connection,
+    BoxFuture, DecodeLimits, Draining, Handler, OutgoingResponse, PerMessageLimit, Request,
+    ServerOptions, serve_connection,
 };
 use http::StatusCode;
 use tokio::io::AsyncWriteExt;
@@ -37,7 +37,7 @@
         let (stream, _) = listener.accept().await.expect("connection is accepted");
         let (_sender, draining) = watch::channel(Draining::No);
         // A test may close the connection early, which is an error here.
-        let _ = serve_connection(stream, &handler, OPTIONS, draining).await;
+        let _ = serve_connection(stream, &handler, OPTIONS, &PerMessageLimit::NONE, draining).await;
     });
     TcpStream::connect(addr).await.expect("connection opens")
 }
@@ -51,7 +51,7 @@
         Box::pin(async move {
             let mut response = OutgoingResponse::empty(StatusCode::OK);
             if &*request.target == "/large" {
-                response.body = Bytes::from(vec![b'x'; LARGE_BYTES]);
+                response.body = Bytes::from(vec![b'x'; LARGE_BYTES]).into();
                 return response;
             }
             sleep(Duration::from_millis(50)).await;
--- a/crates/model/src/request.rs
+++ b/crates/model/src/request.rs
@@ -3,6 +3,7 @@
 
 use derive_more::{Debug, Display};
 use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::Xxh3Default;
 
 /// Idempotency key as sent by the caller.
 ///
@@ -28,15 +29,31 @@
     /// the hash.
     #[must_use]
     pub fn of(parts: &[&[u8]]) -> Self {
-        let mut hasher = xxhash_rust::xxh3::Xxh3Default::new();
-        for part in parts {
-            hasher.update(&(part.len() as u64).to_le_bytes());
-            hasher.update(part);
-        }
+        Self(hash(parts).digest())
+    }
+
+    /// Computes the hash of a sequence of byte strings, the last of which is in segments. The
+    /// segments do not change the hash.
+    #[must_use]
+    pub fn of_segmented<'a>(parts: &[&[u8]], last: impl Iterator<Item = &'a [u8]> + Clone) -> Self {
+        let mut hasher = hash(parts);
+        let length: usize = last.clone().map(<[u8]>::len).sum();
+        hasher.update(&(length as u64).to_le_bytes());
+        last.for_each(|segment| hasher.update(segment));
         Self(hasher.digest())
     }
 }
 
+/// Returns a hasher with the lengths and contents of these byte strings.
+fn hash(parts: &[&[u8]]) -> Xxh3Default {
+    let mut hasher = Xxh3Default::new();
+    for part in parts {
+        hasher.update(&(part.len() as u64).to_le_bytes());
+        hasher.update(part);
+    }
+    hasher
+}
+
 /// Trace id, shared by a request and all calls that are nested in it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct TraceId(pub u128);
--- a/crates/relay/src/check_ins.rs
+++ b/crates/relay/src/check_ins.rs
@@ -61,7 +61,7 @@
                     let mut reply = OutgoingResponse::empty(StatusCode::OK);
                     let json = HeaderValue::from_static("application/json");
                     reply.headers.insert(CONTENT_TYPE, json);
-                    reply.body = confirmation;
+                    reply.body = confirmation.into();
                     reply
                 }
                 Err(e) => {
--- a/crates/relay/src/connector.rs
+++ b/crates/relay/src/connector.rs
@@ -2,10 +2,12 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
-use cornelvalve_http1::{ClientConnection, DecodeLimits, SocketTimeouts};
+use cornelvalve_http1::{ClientConnection, DecodeLimits, MemoryAccount, SocketTimeouts};
 use cornelvalve_kernel::Mailbox;
+use derive_more::Debug;
 
 use crate::hop::FrameConnection;
 use crate::messages::PoolMessage;
@@ -23,7 +25,7 @@
 
 /// Opens connections to the upstream and to other daemons, or takes idle ones from the pools, and
 /// puts them back after use.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct Connector {
     /// Timeouts of connections to the upstream.
     pub(crate) upstream_timeouts: SocketTimeouts,
@@ -31,6 +33,9 @@
     pub(crate) peer_timeouts: SocketTimeouts,
     /// Size limits of the upstream's responses.
     pub(crate) response_limits: DecodeLimits,
+    /// Account from which responses take their memory.
+    #[debug(skip)]
+    pub(crate) memory: Arc<dyn MemoryAccount>,
 }
 
 impl Connector {
@@ -52,8 +57,9 @@
         if let Some(connection) = pooled.ok().flatten() {
             return Ok((connection, true));
         }
-        let connection =
+        let mut connection =
             ClientConnection::open(addr, self.upstream_timeouts, self.response_limits).await?;
+        connection.set_memory(Arc::clone(&self.memory));
         Ok((connection, false))
     }
 
@@ -94,7 +100,7 @@
             .await;
         match pooled.ok().flatten() {
             Some(connection) => Ok(connection),
-            None => FrameConnection::open(addr, self.peer_timeouts).await,
+            None => FrameConnection::open(addr, self.peer_timeouts, Arc::clone(&self.memory)).await,
         }
     }
 
--- a/crates/relay/src/control/transfer.rs
+++ b/crates/relay/src/control/transfer.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cornelvalve_http1::SocketTimeouts;
+use cornelvalve_http1::{PerMessageLimit, SocketTimeouts};
 use cornelvalve_kernel::Mailbox;
 use cornelvalve_model::LogPosition;
 use tokio::task::JoinHandle;
@@ -27,6 +27,9 @@
 /// Maximum size in bytes of an answer of the store.
 const MAX_READ_BYTES: usize = 16 * 1024 * 1024;
 
+/// Maximum size in bytes of what a peer sends of its configuration.
+const MAX_UPDATE_BYTES: usize = 16 * 1024 * 1024;
+
 /// Result of one read of the store.
 #[derive(Debug)]
 pub(crate) enum StoreRead {
@@ -136,9 +139,10 @@
     base: Option<StateId>,
     timeouts: SocketTimeouts,
 ) -> hop::Result<Box<ControlUpdate>> {
-    let mut connection = FrameConnection::open(addr, timeouts).await?;
+    let memory = Arc::new(PerMessageLimit(MAX_UPDATE_BYTES));
+    let mut connection = FrameConnection::open(addr, timeouts, memory).await?;
     connection
-        .send(&hop::encode(&HopCall::ControlSince(base))?)
+        .send(&hop::encode(HopCall::ControlSince(base))?)
         .await?;
     match connection.receive().await? {
         HopReply::ControlUpdate(update) => Ok(update),
--- a/crates/relay/src/entry.rs
+++ b/crates/relay/src/entry.rs
@@ -11,8 +11,8 @@
 use std::time::Duration;
 
 use cornelvalve_http1::{
-    BoxFuture, DecodeLimits, Draining, Error, Handler, OutgoingResponse, Request, ServerOptions,
-    SocketTimeouts, serve_connection,
+    BoxFuture, DecodeLimits, Draining, Error, Handler, MemoryAccount, OutgoingResponse, Request,
+    ServerOptions, SocketTimeouts, serve_connection,
 };
 use cornelvalve_kernel::{Clock, Context, Mailbox, ServiceResult};
 use cornelvalve_model::ServiceName;
@@ -44,6 +44,8 @@
     /// Service of the upstream beside this daemon.
     pub(crate) own_service: ServiceName,
     pub(crate) runner: Runner,
+    /// Account from which the bodies of callers take their memory.
+    pub(crate) memory: Arc<dyn MemoryAccount>,
 }
 
 /// Services and settings that forwarding a request needs; shared by all connections.
@@ -79,6 +81,7 @@
         stage: dependencies.stage,
     });
     let (limits, draining) = (dependencies.limits, dependencies.draining);
+    let memory = dependencies.memory;
     run_listener(
         context,
         &dependencies.listener,
@@ -87,6 +90,7 @@
         move |stream, from| {
             let handler = CallerHandler(Arc::clone(&entry));
             let (limits, draining) = (*limits.borrow(), draining.clone());
+            let memory = Arc::clone(&memory);
             async move {
                 let options = ServerOptions {
                     limits: DecodeLimits {
@@ -96,7 +100,9 @@
                     request_timeout: limits.request_timeout,
                     idle_timeout: limits.idle_timeout,
                 };
-                if let Err(e) = serve_connection(stream, &handler, options, draining).await {
+                if let Err(e) =
+                    serve_connection(stream, &handler, options, &*memory, draining).await
+                {
                     log_failure(from, &e);
                 }
             }
--- a/crates/relay/src/entry/attempt.rs
+++ b/crates/relay/src/entry/attempt.rs
@@ -12,7 +12,9 @@
 use tokio::time::timeout;
 
 use super::EntryContext;
-use crate::hop::{self, FrameConnection, HopCall, HopError, HopOutcome, HopReply, HopRequest};
+use crate::hop::{
+    self, Frame, FrameConnection, HopCall, HopError, HopOutcome, HopReply, HopRequest,
+};
 use crate::messages::{AttemptReport, CostSample, ResolvedRoute, SelectedUpstream};
 use crate::ports::Cause;
 use crate::runner::RunResult;
@@ -59,7 +61,7 @@
             }
         };
         let attempt_id = request.attempt_id.clone();
-        let frame = match hop::encode(&HopCall::Run(Box::new(request))) {
+        let frame = match hop::encode(HopCall::Run(Box::new(request))) {
             Ok(frame) => frame,
             Err(e) => {
                 log::error!(event = "request-not-encoded", request = attempt_id.as_deref(); "request for the peer was not encoded: {e}");
@@ -88,7 +90,7 @@
 /// Returns [`HopError`] if the connection failed or a reply cannot be decoded or is unexpected.
 async fn exchange(
     connection: &mut FrameConnection,
-    frame: &[u8],
+    frame: &Frame,
     selected: &mut SelectedUpstream,
 ) -> hop::Result<AttemptReply> {
     match send_and_await_ack(connection, frame, selected).await? {
@@ -117,7 +119,7 @@
 /// a saturated link. An attempt that is dropped after the timeout reports the VM as unresponsive.
 async fn send_and_await_ack(
     connection: &mut FrameConnection,
-    frame: &[u8],
+    frame: &Frame,
     selected: &mut SelectedUpstream,
 ) -> hop::Result<HopReply> {
     let mut reply = pin!(async {
--- a/crates/relay/src/entry/attempt/tests.rs
+++ b/crates/relay/src/entry/attempt/tests.rs
@@ -1,8 +1,9 @@
 //! Tests of attempts at another daemon that acknowledges the request late.
 
+use std::sync::Arc;
 use std::time::Duration;
 
-use cornelvalve_http1::SocketTimeouts;
+use cornelvalve_http1::{PerMessageLimit, SocketTimeouts};
 use cornelvalve_kernel::CompletionSender;
 use cornelvalve_model::VmName;
 use cornelvalve_policy::TargetOutcome;
@@ -39,7 +40,7 @@
     let addr = listener.local_addr().expect("listener has an address");
     tokio::spawn(async move {
         let (stream, _) = listener.accept().await.expect("caller connects");
-        let mut connection = FrameConnection::new(stream);
+        let mut connection = FrameConnection::new(stream, Arc::new(PerMessageLimit::NONE));
         let _call: HopCall = connection.receive().await.expect("call arrives");
         sleep(ACK_DELAY).await;
         let done = HopReply::Done {
@@ -49,15 +50,15 @@
             load: None,
         };
         for reply in [HopReply::Received, done] {
-            let frame = hop::encode(&reply).expect("reply is encoded");
+            let frame = hop::encode(reply).expect("reply is encoded");
             // Fails if the attempt was dropped, which closes the connection.
             let _ = connection.send(&frame).await;
         }
     });
-    let mut connection = FrameConnection::open(addr, TIMEOUTS)
+    let mut connection = FrameConnection::open(addr, TIMEOUTS, Arc::new(PerMessageLimit::NONE))
         .await
         .expect("connection opens");
-    let frame = hop::encode(&HopCall::Control).expect("call is encoded");
+    let frame = hop::encode(HopCall::Control).expect("call is encoded");
     exchange(&mut connection, &frame, &mut selected).await
 }
 
--- a/crates/relay/src/entry/forward.rs
+++ b/crates/relay/src/entry/forward.rs
@@ -4,7 +4,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use cornelvalve_http1::{OutgoingResponse, Request};
 use cornelvalve_model::{Moment, VmName};
 use cornelvalve_policy::{AttemptResult, Attempts};
@@ -375,7 +374,7 @@
             method: self.request.method.as_str().into(),
             target: self.request.target.clone(),
             headers: self.headers.clone(),
-            body: Bytes::clone(&self.request.body),
+            body: self.request.body.clone(),
         }
     }
 
--- a/crates/relay/src/hop.rs
+++ b/crates/relay/src/hop.rs
@@ -6,15 +6,17 @@
 //! daemon ask another one for its view of the configuration.
 //!
 //! A frame is the length of a message in four bytes, big-endian, followed by the message in the
-//! postcard format. An exchange is one [`HopCall`] and the [`HopReply`] messages that answer it. A
+//! postcard format. A large body in it is neither copied when it is sent nor when it is received. An exchange is one [`HopCall`] and the [`HopReply`] messages that answer it. A
 //! connection carries one exchange at a time; closing it cancels the exchange.
 
+mod connection;
+mod frame;
+
 use std::io;
-use std::net::SocketAddr;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
-use cornelvalve_http1::{SocketTimeouts, connect};
+use bytes::Bytes;
+use cornelvalve_http1::{Body, Payload};
 use cornelvalve_model::{ConfigRevision, Fingerprint, LogPosition, Region, ServiceName};
 use cornelvalve_policy::{LoadRateLimit, LoadReport};
 use derive_more::{Display, Error};
@@ -23,24 +25,18 @@
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
 
 use crate::control::KeptDomains;
 use crate::desired::changes::{DesiredUpdate, StateId};
 use crate::desired::{ControlView, DomainsOut, Version};
 use crate::ports::Cause;
 
+pub(crate) use connection::FrameConnection;
+pub(crate) use frame::{Frame, encode};
+
 /// Result alias of this module.
 pub(crate) type Result<T> = std::result::Result<T, HopError>;
 
-/// Maximum size of a received message in bytes. It exceeds the default limit on the request bodies
-/// of callers, so that a request with the largest body and its headers fits.
-const MAX_FRAME_BYTES: usize = 72 * 1024 * 1024;
-
-/// Minimum free space in bytes in the read buffer before each read.
-const READ_BYTES: usize = 4096;
-
 /// Error of an exchange with another daemon.
 #[derive(Debug, Display, Error)]
 pub(crate) enum HopError {
@@ -53,6 +49,15 @@
     /// A frame cannot be read.
     #[display("frame cannot be read: {_0}")]
     Malformed(#[error(not(source))] String),
+    /// There was no memory for a frame, which was discarded. The connection stays usable.
+    #[display("no memory is left for a frame of {_0} bytes")]
+    NoMemory(#[error(not(source))] usize),
+}
+
+impl From<postcard::Error> for HopError {
+    fn from(error: postcard::Error) -> Self {
+        Self::Malformed(error.to_string())
+    }
 }
 
 impl From<io::Error> for HopError {
@@ -123,20 +128,22 @@
     pub(crate) target: Box<str>,
     /// Headers to send to the upstream.
     pub(crate) headers: HopHeaders,
-    /// Request body.
-    pub(crate) body: Bytes,
+    /// Request body; the last field, so that it is sent without a copy.
+    #[serde(with = "body_bytes")]
+    pub(crate) body: Body,
 }
 
 impl HopRequest {
     /// Returns a hash of the calling service, method, target and body, by which a repeated request
     /// is recognized.
     pub(crate) fn fingerprint(&self) -> Fingerprint {
-        Fingerprint::of(&[
+        let parts = [
             self.caller.as_str().as_bytes(),
             self.method.as_bytes(),
             self.target.as_bytes(),
-            &self.body,
-        ])
+        ];
+        let body = self.body.segments().iter().map(Bytes::as_ref);
+        Fingerprint::of_segmented(&parts, body)
     }
 
     /// Returns the value of the `Host` header; empty if there is none.
@@ -165,7 +172,8 @@
     /// Response headers.
     pub(crate) headers: HopHeaders,
     /// Response body.
-    pub(crate) body: Bytes,
+    #[serde(with = "body_bytes")]
+    pub(crate) body: Body,
     /// Duration of such requests while the upstream is not slowed down, as estimated by the daemon
     /// beside it.
     pub(crate) baseline: Duration,
@@ -309,105 +317,68 @@
     }
 }
 
-/// Returns the frame of a message.
-///
-/// # Errors
-///
-/// Returns [`HopError::Malformed`] if the message cannot be encoded or is too long.
-pub(crate) fn encode<T: Serialize>(message: &T) -> Result<Vec<u8>> {
-    let malformed = |e: postcard::Error| HopError::Malformed(e.to_string());
-    let mut frame = postcard::to_extend(message, vec![0; 4]).map_err(malformed)?;
-    let length = u32::try_from(frame.len() - 4);
-    let length = length.map_err(|_| HopError::Malformed("frame is too long".to_owned()))?;
-    frame[..4].copy_from_slice(&length.to_be_bytes());
-    Ok(frame)
-}
+/// Message of the protocol.
+pub(crate) trait Message: Serialize + DeserializeOwned {
+    /// Returns the body that the message carries; `None` if it cannot carry one.
+    fn body_mut(&mut self) -> Option<&mut Body>;
 
-/// Connection to another daemon, on which frames are sent and received.
-#[derive(Debug)]
-pub(crate) struct FrameConnection {
-    stream: TcpStream,
-    buffer: BytesMut,
-}
-
-impl FrameConnection {
-    /// Creates a connection from a connected socket.
-    pub(crate) fn new(stream: TcpStream) -> Self {
-        Self {
-            stream,
-            buffer: BytesMut::new(),
-        }
-    }
-
-    /// Opens a connection to a daemon.
+    /// Returns the encoded fields that follow the body.
     ///
     /// # Errors
     ///
-    /// Returns the I/O error if the daemon cannot be reached within the timeout.
-    pub(crate) async fn open(addr: SocketAddr, timeouts: SocketTimeouts) -> io::Result<Self> {
-        Ok(Self::new(connect(addr, timeouts).await?))
-    }
+    /// Returns [`HopError::Malformed`] if they cannot be encoded.
+    fn encode_tail(&self) -> Result<Vec<u8>>;
+}
 
-    /// Returns whether the connection is open and has no unread data.
-    ///
-    /// A byte that is read here is lost, but a connection with unread data is not reusable anyway.
-    pub(crate) fn is_idle(&self) -> bool {
-        let mut probe = [0];
-        let read = self.stream.try_read(&mut probe);
-        self.buffer.is_empty() && read.is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock)
+impl Message for HopCall {
+    fn body_mut(&mut self) -> Option<&mut Body> {
+        match self {
+            Self::Run(request) => Some(&mut request.body),
+            Self::Control | Self::ControlSince(_) => None,
+        }
     }
 
-    /// Sends a frame as returned by [`encode`].
-    ///
-    /// # Errors
-    ///
-    /// Returns [`HopError::Io`] if the connection failed.
-    pub(crate) async fn send(&mut self, frame: &[u8]) -> Result<()> {
-        Ok(self.stream.write_all(frame).await?)
+    fn encode_tail(&self) -> Result<Vec<u8>> {
+        // The body is the last field of a request.
+        Ok(Vec::new())
     }
+}
 
-    /// Receives the next message. This is cancel safe: no data is lost if the future is dropped.
-    ///
-    /// # Errors
-    ///
-    /// Returns [`HopError`] if the connection failed or was closed, or if the message cannot be
-    /// decoded.
-    pub(crate) async fn receive<T: DeserializeOwned>(&mut self) -> Result<T> {
-        loop {
-            if let Some(frame) = self.take_frame()? {
-                return postcard::from_bytes(&frame)
-                    .map_err(|e| HopError::Malformed(e.to_string()));
-            }
-            self.buffer.reserve(READ_BYTES);
-            if self.stream.read_buf(&mut self.buffer).await? == 0 {
-                return Err(HopError::Closed);
-            }
+impl Message for HopReply {
+    fn body_mut(&mut self) -> Option<&mut Body> {
+        match self {
+            Self::Done {
+                outcome: HopOutcome::Answered(response),
+                ..
+            } => Some(&mut response.body),
+            _ => None,
         }
     }
 
-    /// Waits until the other side closes the connection, or violates the protocol by sending data
-    /// while an exchange is pending. Returns at once if such data is already buffered.
-    pub(crate) async fn wait_closed(&mut self) {
-        if self.buffer.is_empty() {
-            let _ = self.stream.read_buf(&mut self.buffer).await;
+    fn encode_tail(&self) -> Result<Vec<u8>> {
+        match self {
+            Self::Done {
+                outcome: HopOutcome::Answered(response),
+                load,
+            } => postcard::to_allocvec(&(response.baseline, load)).map_err(HopError::from),
+            _ => Ok(Vec::new()),
         }
     }
+}
 
-    /// Takes the message of a complete frame out of the buffer; `None` if the frame is incomplete.
-    fn take_frame(&mut self) -> Result<Option<Bytes>> {
-        let Some(length) = self.buffer.first_chunk::<4>() else {
-            return Ok(None);
-        };
-        let length = u32::from_be_bytes(*length) as usize;
-        if length > MAX_FRAME_BYTES {
-            return Err(HopError::Malformed(format!(
-                "frame of {length} bytes exceeds the limit of {MAX_FRAME_BYTES} bytes"
-            )));
-        }
-        if self.buffer.len() < 4 + length {
-            return Ok(None);
-        }
-        let mut frame = self.buffer.split_to(4 + length);
-        Ok(Some(frame.split_off(4).freeze()))
+/// Encoding of bodies in a message.
+mod body_bytes {
+    use bytes::Bytes;
+    use cornelvalve_http1::Body;
+    use serde::{Deserialize, Deserializer, Serializer};
+
+    pub(super) fn serialize<S: Serializer>(body: &Body, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.serialize_bytes(&body.to_bytes())
+    }
+
+    pub(super) fn deserialize<'de, D: Deserializer<'de>>(
+        deserializer: D,
+    ) -> Result<Body, D::Error> {
+        Bytes::deserialize(deserializer).map(Body::from)
     }
 }
--- a/crates/relay/src/listener.rs
+++ b/crates/relay/src/listener.rs
@@ -6,7 +6,8 @@
 use std::time::Duration;
 
 use cornelvalve_http1::{
-    DecodeLimits, Draining, Handler, ServerOptions, SocketTimeouts, accept, serve_connection,
+    DecodeLimits, Draining, Handler, PerMessageLimit, ServerOptions, SocketTimeouts, accept,
+    serve_connection,
 };
 use cornelvalve_kernel::{Context, ServiceResult};
 use tokio::net::{TcpListener, TcpStream};
@@ -49,8 +50,14 @@
             async move {
                 // These connections are not drained but closed when the service stops.
                 let (_sender, draining) = watch::channel(Draining::No);
-                let served =
-                    serve_connection(stream, &*handler, INTERNAL_HTTP_OPTIONS, draining).await;
+                let served = serve_connection(
+                    stream,
+                    &*handler,
+                    INTERNAL_HTTP_OPTIONS,
+                    &PerMessageLimit::NONE,
+                    draining,
+                )
+                .await;
                 if let Err(e) = served {
                     log::debug!("connection from {from} failed: {e}");
                 }
--- a/crates/relay/src/node/services.rs
+++ b/crates/relay/src/node/services.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cornelvalve_http1::{DecodeLimits, Draining, SocketTimeouts};
+use cornelvalve_http1::{DecodeLimits, Draining, PerMessageLimit, SocketTimeouts};
 use cornelvalve_kernel::{Clock, Kernel, KernelBuilder, OnFailure, ServiceOptions};
 use cornelvalve_model::{Incarnation, Member, MemberKey, MemberState};
 use smallvec::SmallVec;
@@ -35,6 +35,10 @@
 /// Maximum response head (status line and headers) in bytes.
 const MAX_RESPONSE_HEAD_BYTES: usize = 32 * 1024;
 
+/// Maximum size in bytes of a message of another daemon. It exceeds the default limit on the request
+/// bodies of callers, so that a request with the largest body and its headers fits.
+const MAX_MESSAGE_BYTES: usize = 72 * 1024 * 1024;
+
 /// Timeouts of connections to processes on the same VM.
 const LOCAL_TIMEOUTS: SocketTimeouts = SocketTimeouts {
     connect: Duration::from_millis(500),
@@ -82,6 +86,7 @@
 
     fn connector() -> Connector {
         Connector {
+            memory: Arc::new(PerMessageLimit(MAX_MESSAGE_BYTES)),
             upstream_timeouts: LOCAL_TIMEOUTS,
             peer_timeouts: PEER_TIMEOUTS,
             response_limits: DecodeLimits {
@@ -257,6 +262,7 @@
                         connector: Self::connector(),
                         own_service,
                         runner: runner.build(&context)?,
+                        memory: Arc::new(PerMessageLimit::NONE),
                     };
                     run_entry(context, dependencies).await
                 }
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -48,7 +48,8 @@
 impl PeerHandler {
     /// Serves exchanges until the connection is closed or fails.
     async fn serve(self, stream: TcpStream, from: SocketAddr) {
-        let mut connection = FrameConnection::new(stream);
+        let memory = Arc::clone(&self.runner.connector.memory);
+        let mut connection = FrameConnection::new(stream, memory);
         loop {
             match self.serve_one(&mut connection).await {
                 Ok(()) => {}
@@ -72,7 +73,7 @@
                     .await;
                 let view = view.map_err(|e| HopError::Malformed(e.to_string()))?;
                 let reply = HopReply::Control(Box::new(view.as_ref().clone()));
-                connection.send(&hop::encode(&reply)?).await
+                connection.send(&hop::encode(reply)?).await
             }
             HopCall::ControlSince(base) => {
                 let update = self
@@ -81,7 +82,7 @@
                     .await;
                 let update = update.map_err(|e| HopError::Malformed(e.to_string()))?;
                 let reply = HopReply::ControlUpdate(Box::new(update));
-                connection.send(&hop::encode(&reply)?).await
+                connection.send(&hop::encode(reply)?).await
             }
         }
     }
@@ -90,7 +91,7 @@
     ///
     /// The request is cancelled if the other daemon closes the connection before it has finished.
     async fn run(&self, connection: &mut FrameConnection, request: &HopRequest) -> hop::Result<()> {
-        connection.send(&hop::encode(&HopReply::Received)?).await?;
+        connection.send(&hop::encode(HopReply::Received)?).await?;
         let result = tokio::select! {
             result = self.runner.run(request) => result,
             () = connection.wait_closed() => {
@@ -102,6 +103,6 @@
             outcome: result.outcome,
             load: result.load.map(Into::into),
         };
-        connection.send(&hop::encode(&reply)?).await
+        connection.send(&hop::encode(reply)?).await
     }
 }
--- a/crates/relay/src/ready.rs
+++ b/crates/relay/src/ready.rs
@@ -40,7 +40,7 @@
             if &*request.target == METRICS_PATH {
                 let text = stats.ask(|reply| StatsMessage::Scrape { reply }).await;
                 let mut reply = OutgoingResponse::empty(StatusCode::OK);
-                reply.body = Bytes::from(text.unwrap_or_default());
+                reply.body = Bytes::from(text.unwrap_or_default()).into();
                 return reply;
             }
             let ready = stats.ask(|reply| StatsMessage::Ready { reply }).await;
--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -82,7 +82,7 @@
                 idempotent,
                 response: response.map(|r| {
                     let signed = has_target_signature(&r);
-                    (r.status.as_u16(), signed, r.body)
+                    (r.status.as_u16(), signed, r.body.to_bytes())
                 }),
                 sent_at,
                 latency: sent_at.elapsed(),
--- a/crates/soak/src/daemon.rs
+++ b/crates/soak/src/daemon.rs
@@ -308,7 +308,7 @@
         );
         let response = exchange.await;
         response.map_or(String::new(), |r| {
-            String::from_utf8_lossy(&r.body).into_owned()
+            String::from_utf8_lossy(&r.body.to_bytes()).into_owned()
         })
     }
 }
--- a/crates/standins/src/platform.rs
+++ b/crates/standins/src/platform.rs
@@ -11,7 +11,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cornelvalve_http1::{DecodeLimits, Draining, Handler, ServerOptions, serve_connection};
+use cornelvalve_http1::{
+    DecodeLimits, Draining, Handler, PerMessageLimit, ServerOptions, serve_connection,
+};
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::task::{JoinHandle, JoinSet};
@@ -54,7 +56,14 @@
                     // Draining never starts, because the sender stays alive and sends nothing.
                     let (_sender, draining) = watch::channel(Draining::No);
                     // Tests close connections on purpose, so errors are expected.
-                    let _ = serve_connection(stream, &*handler, SERVER_OPTIONS, draining).await;
+                    let _ = serve_connection(
+                        stream,
+                        &*handler,
+                        SERVER_OPTIONS,
+                        &PerMessageLimit::NONE,
+                        draining,
+                    )
+                    .await;
                 });
             }
         });
--- a/crates/standins/src/platform/store.rs
+++ b/crates/standins/src/platform/store.rs
@@ -354,7 +354,7 @@
             "/v1/log-append" if topic == OPERATOR_TOPIC => {
                 self.respond(reply, StatusCode::FORBIDDEN, "");
             }
-            "/v1/log-append" => self.append(&topic, &request.body, reply),
+            "/v1/log-append" => self.append(&topic, &request.body.to_bytes(), reply),
             "/v1/log-newest" => self.newest(&topic, parameter("after").as_deref(), reply),
             "/v1/log-read" => {
                 let max_wait = Duration::from_millis(number("waitMs").unwrap_or_default());
@@ -453,7 +453,7 @@
         // Fails only if the caller has closed its connection.
         let _ = reply.send(OutgoingResponse {
             headers,
-            body,
+            body: body.into(),
             ..OutgoingResponse::empty(status)
         });
     }
--- a/crates/standins/src/platform/target.rs
+++ b/crates/standins/src/platform/target.rs
@@ -4,7 +4,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use cornelvalve_http1::{BoxFuture, Handler, OutgoingResponse, Request};
 use http::header::{HeaderMap, HeaderName, HeaderValue};
 use http::{Method, StatusCode};
@@ -375,8 +374,8 @@
     }
     set_load_header(&mut response.headers, options, &sender).await;
     response.body = match mode {
-        TargetMode::Large(bytes) => Bytes::from(vec![b'x'; bytes]),
-        _ => Bytes::from(format!("{} ran {attempt_id}", options.instance)),
+        TargetMode::Large(bytes) => vec![b'x'; bytes].into(),
+        _ => format!("{} ran {attempt_id}", options.instance).into(),
     };
     response
 }
