Count the memory of all requests and responses in one account

What callers saw: many large bodies at once, whole, in pieces or chunked, most of them stopping just short of their end, took a daemon over its memory, which ended the process with all requests that it had passed on.

Cause: each body was bounded by itself, and nothing bounded them together. A body that never ends was held in its decoder alone, and nobody counted it. The time of a request did not run while an earlier one of the same connection did.

Change: `policy::MemoryBudget` decides, without I/O, how the memory that `limits.memoryMb` leaves is divided; the service `memory` owns it. Bodies above 16 KiB, frames of other daemons, responses, and pipelined requests claim memory before their bytes are read and give it back when their segments are dropped, also by error, cancellation or a client that leaves. A claim that finds no room waits, up to 1 s, then the message that holds least is refused; 3 s at most. While a claim waits, connections whose clients have made no progress for 1 s are closed. A request without memory gets 503 with a delay, a frame is discarded and answered as not run, a response without memory ends as unknown. A client that still sends gets its refusal: what it sends is discarded until it pauses. The time of a request runs behind another one too.

Why it works: large requests leave one part in 16 to small ones and one to the other origin, so ordinary callers and peers are served meanwhile; claims follow what arrives and not what is declared, so a lie costs the others nothing; no two messages wait for each other for good, as one is refused each time. One body of 64 MiB still fits at both daemons.

Ruled out: reserving a declared length at the head, which lets a few clients lock all others out; and a bound on bodies at once, which says nothing about their sizes. A connection that the health probe opened is used by the runner later, so both need the same account: before that, half of the answers were not counted (117 MB of 96 in one crowd).

--- a/crates/http1/src/buffer.rs
+++ b/crates/http1/src/buffer.rs
@@ -7,6 +7,7 @@
 use bytes::{BufMut, Bytes, BytesMut};
 use smallvec::SmallVec;
 
+use crate::memory::ReservationList;
 use crate::{Body, Reservation, Reservations};
 
 /// Size in bytes of a segment.
@@ -30,7 +31,7 @@
     allocated: usize,
     /// Number of bytes for which segments may be allocated.
     granted: usize,
-    reservations: SmallVec<[Box<dyn Reservation>; 2]>,
+    reservations: ReservationList,
 }
 
 impl BodyBuffer {
--- a/crates/http1/src/lib.rs
+++ b/crates/http1/src/lib.rs
@@ -28,7 +28,9 @@
 pub use buffer::{BodyBuffer, SEGMENT_BYTES};
 pub use client::{ClientConnection, ExchangeError, OutgoingRequest};
 pub use error::{Error, Result};
-pub use memory::{MemoryAccount, PerMessageLimit, Reservation, Reservations, Resource};
+pub use memory::{
+    MemoryAccount, PerMessageLimit, Reservation, ReservationList, Reservations, Resource,
+};
 pub use message::{
     BODY_ALLOWANCE_BYTES, DecodeLimits, MemoryNeed, Request, RequestDecoder, Response,
     ResponseDecoder,
--- a/crates/http1/src/memory.rs
+++ b/crates/http1/src/memory.rs
@@ -13,14 +13,17 @@
     fn bytes(&self) -> usize;
 }
 
+/// Short list of reservations.
+pub type ReservationList = SmallVec<[Box<dyn Reservation>; 2]>;
+
 /// Reservations that are held together, until the last clone is dropped.
 #[derive(Clone, Debug, Default)]
-pub struct Reservations(Option<Arc<SmallVec<[Box<dyn Reservation>; 2]>>>);
+pub struct Reservations(Option<Arc<ReservationList>>);
 
 impl Reservations {
     /// Holds reservations together.
     #[must_use]
-    pub fn new(reservations: SmallVec<[Box<dyn Reservation>; 2]>) -> Self {
+    pub fn new(reservations: ReservationList) -> Self {
         Self((!reservations.is_empty()).then(|| Arc::new(reservations)))
     }
 
--- a/crates/http1/tests/all/main.rs
+++ b/crates/http1/tests/all/main.rs
@@ -3,5 +3,6 @@
 mod client;
 mod decode;
 mod endless;
+mod memory;
 mod server;
 mod slow_clients;
--- a/crates/http1/tests/all/slow_clients.rs
+++ b/crates/http1/tests/all/slow_clients.rs
@@ -9,7 +9,7 @@
     ServerOptions, serve_connection,
 };
 use http::StatusCode;
-use tokio::io::AsyncWriteExt;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, watch};
 use tokio::time::{sleep, timeout};
@@ -25,10 +25,16 @@
         head_bytes: 1024,
         body_bytes: 1024,
     },
-    request_timeout: WAIT,
+    request_timeout: REQUEST_TIMEOUT,
     idle_timeout: WAIT,
 };
 
+/// Time within which a request must arrive.
+const REQUEST_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Time for which requests run, except those to `/large`.
+const RUN_TIME: Duration = Duration::from_secs(1);
+
 /// Serves one connection and returns the client's side of it.
 async fn serve_and_connect(handler: impl Handler + 'static) -> TcpStream {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("binds");
@@ -54,7 +60,7 @@
                 response.body = Bytes::from(vec![b'x'; LARGE_BYTES]).into();
                 return response;
             }
-            sleep(Duration::from_millis(50)).await;
+            sleep(RUN_TIME).await;
             finished.notify_one();
             response
         })
@@ -74,3 +80,24 @@
         .await
         .expect("the second request ends");
 }
+
+// Guards against a request that is held for ever because it arrives behind one that runs.
+#[tokio::test]
+async fn the_time_of_a_request_runs_while_an_earlier_one_does() {
+    let mut stream = serve_and_connect(LargeHandler(Arc::new(Notify::new()))).await;
+    let requests =
+        "GET /first HTTP/1.1\r\n\r\nPOST /second HTTP/1.1\r\ncontent-length: 9\r\n\r\npart";
+    let sent = stream.write_all(requests.as_bytes()).await;
+    sent.expect("requests are sent");
+    // The rest comes after the time of the second request, but before the first one has ended.
+    sleep(2 * REQUEST_TIMEOUT).await;
+    let _ = stream.write_all(b"-rest").await;
+    let mut text = String::new();
+    let read = timeout(WAIT, stream.read_to_string(&mut text)).await;
+    read.expect("connection closes").expect("no reset");
+    let statuses: Vec<&str> = text.lines().filter(|l| l.starts_with("HTTP/1.1")).collect();
+    assert_eq!(
+        statuses,
+        ["HTTP/1.1 200 OK", "HTTP/1.1 408 Request Timeout"]
+    );
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -21,7 +21,8 @@
 //! - `placement`: the entry chooses the upstream that is expected to answer first;
 //! - `attempts` and `retry_share`: the entry limits how often a request is sent again;
 //! - `gate`: the guard admits requests according to the current speed of the upstream;
-//! - `failures`: estimates the fraction of calls that fail.
+//! - `failures`: estimates the fraction of calls that fail;
+//! - `memory`: both divide the daemon's memory among the messages that they hold.
 //!
 //! Both use `named_limit` and `rate_limit` for upstreams that name a limit in their responses, and
 //! `crash` and `suspect`, with which the guard finds requests that crash upstreams. The
@@ -34,6 +35,7 @@
 mod crash;
 mod failures;
 mod gate;
+mod memory;
 mod named_limit;
 mod picker;
 mod placement;
@@ -59,6 +61,7 @@
     ColdRate, ColdTolerance, Gate, GateAction, GateActions, GateCall, GateCallId, GateLoad,
     GateRefusal, WorkKey,
 };
+pub use memory::{ClaimDecision, ClaimEnd, ClaimId, MemoryBudget, MemoryClaim, MemoryUse};
 pub use named_limit::{LimitChange, NamedLimit};
 pub use picker::{Candidate, LeastOutstanding, Picker, PowerOfTwo, RoundRobin};
 pub use placement::{
--- a/crates/policy/tests/all/main.rs
+++ b/crates/policy/tests/all/main.rs
@@ -7,6 +7,7 @@
 mod balancer_fuzz;
 mod breaker;
 mod gate;
+mod memory;
 mod placement;
 mod retry;
 mod retry_share;
--- a/crates/relay/src/entry.rs
+++ b/crates/relay/src/entry.rs
@@ -23,7 +23,8 @@
 use crate::hop::FrameConnection;
 use crate::listener::run_listener;
 use crate::messages::{
-    LimitsReceiver, ListenerMessage, PoolMessage, RouterMessage, ShutdownStage, StatsMessage,
+    DEFAULT_RETRY_AFTER, LimitsReceiver, ListenerMessage, PoolMessage, RouterMessage,
+    ShutdownStage, StatsMessage,
 };
 use crate::names::{PEER_POOL, ROUTER, STATS};
 use crate::ports::{Cause, Dialect, ErrorResponse};
@@ -125,6 +126,12 @@
     }
 
     fn reject(&self, error: &Error) -> OutgoingResponse {
+        if *error == Error::NoMemory {
+            return self.0.error_reply(&ErrorResponse {
+                retry_after: Some(DEFAULT_RETRY_AFTER),
+                ..refusal(Cause::Overloaded)
+            });
+        }
         log::info!(event = "request-rejected", status = error.status().as_u16(); "request rejected: {error}");
         OutgoingResponse::empty(error.status())
     }
--- a/crates/relay/src/entry/attempt.rs
+++ b/crates/relay/src/entry/attempt.rs
@@ -73,6 +73,11 @@
                 self.connector.return_peer(&self.pool, addr, connection);
                 result
             }
+            Err(HopError::NoMemory(bytes)) => {
+                log::info!(event = "response-discarded", peer:% = addr, request = attempt_id.as_deref(), bytes = bytes; "no memory for the response of the peer, outcome unknown");
+                self.connector.return_peer(&self.pool, addr, connection);
+                AttemptReply::discarded()
+            }
             Err(e) => {
                 log::info!(event = "peer-exchange-failed", peer:% = addr, request = attempt_id.as_deref(); "exchange with the peer failed, outcome unknown: {e}");
                 AttemptReply::connection_failed(HopOutcome::Unknown {
@@ -166,6 +171,17 @@
         }
     }
 
+    /// Returns the reply that stands for a response for which there was no memory.
+    fn discarded() -> Self {
+        Self {
+            outcome: HopOutcome::Unknown {
+                cause: Cause::Internal,
+            },
+            load: None,
+            connection_failed: false,
+        }
+    }
+
     /// Returns the reply that stands for a request that could not be encoded.
     fn not_encoded() -> Self {
         Self {
@@ -197,9 +213,10 @@
             } => TargetOutcome::Unresponsive,
             // Refused by the daemon, which says nothing about failures of the upstream.
             HopOutcome::NotRun { .. } => TargetOutcome::Inconclusive,
-            // The deadline may have been too short for the request.
+            // The deadline may have been too short for the request, or this daemon had no memory for
+            // the response.
             HopOutcome::Unknown {
-                cause: Cause::Deadline,
+                cause: Cause::Deadline | Cause::Internal,
             } => TargetOutcome::Inconclusive,
             HopOutcome::Unknown { .. } => TargetOutcome::Finished(CallResult::Failed),
         }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -34,9 +34,11 @@
 mod entry;
 mod guard;
 mod hop;
+mod limits;
 mod listener;
 pub mod logging;
 mod members;
+mod memory;
 mod messages;
 mod monitor;
 mod names;
@@ -53,4 +55,5 @@
 #[cfg(test)]
 mod testing;
 
+pub use limits::ProcessLimits;
 pub use node::{Listen, Node, NodeSettings, PlatformAdapters, Result, StartError};
--- a/crates/relay/src/messages.rs
+++ b/crates/relay/src/messages.rs
@@ -10,7 +10,9 @@
 use cornelvalve_model::{
     ConfigRevision, Fingerprint, Member, Moment, Region, ServiceName, StoreEra, Upstream, VmName,
 };
-use cornelvalve_policy::{LoadReport, SharedSuspect, TargetOutcome, WorkKey};
+use cornelvalve_policy::{
+    LoadReport, MemoryClaim, MemoryUse, SharedSuspect, TargetOutcome, WorkKey,
+};
 use smallvec::SmallVec;
 use tokio::sync::watch;
 use tokio::time::Instant;
@@ -18,6 +20,7 @@
 use crate::desired::changes::StateId;
 use crate::desired::{CallerLimits, ControlView, RouteSpec, Version};
 use crate::hop::ControlUpdate;
+use crate::memory::MemoryReservation;
 use crate::ports::{Cause, PeerAddrs};
 
 pub(crate) use guard::{
@@ -32,6 +35,18 @@
 #[derive(Debug)]
 pub(crate) enum ListenerMessage {}
 
+/// Messages to the memory service.
+#[derive(Debug)]
+pub(crate) enum MemoryMessage {
+    /// Claims memory for a message.
+    Claim {
+        /// The claim.
+        claim: MemoryClaim,
+        /// Receives the memory; `None` if there is no room.
+        reply: ReplySender<Option<MemoryReservation>>,
+    },
+}
+
 /// Messages to the control service, which follows the configuration in the store.
 ///
 /// A [`ControlView`] is the configuration known at one moment: the latest desired state (routes,
@@ -343,6 +358,8 @@
 pub(crate) enum StatsMessage {
     /// A request of a caller has finished.
     RequestFinished(RequestRecord),
+    /// There was no memory for a message.
+    MemoryRefused(MemoryUse),
     /// Asks for the metrics in the text format of Prometheus.
     Scrape {
         /// Receives the text.
--- a/crates/relay/src/names.rs
+++ b/crates/relay/src/names.rs
@@ -8,7 +8,7 @@
 
 use crate::hop::FrameConnection;
 use crate::messages::{
-    ControlMessage, DiscoveryMessage, GuardMessage, ListenerMessage, MembersMessage,
+    ControlMessage, DiscoveryMessage, GuardMessage, ListenerMessage, MembersMessage, MemoryMessage,
     MonitorMessage, NoticesMessage, PoolMessage, RouterMessage, StatsMessage,
 };
 
@@ -25,6 +25,8 @@
 pub(crate) const ROUTER: Name<RouterMessage> = Name::new("router");
 /// Admission control: queues, admits or refuses requests for the upstream beside the daemon.
 pub(crate) const GUARD: Name<GuardMessage> = Name::new("guard");
+/// Divides the memory of the daemon among requests and responses.
+pub(crate) const MEMORY: Name<MemoryMessage> = Name::new("memory");
 /// Probes the health of the upstream, which also reports its load.
 pub(crate) const MONITOR: Name<MonitorMessage> = Name::new("monitor");
 /// Holds idle connections to the upstream.
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -16,6 +16,7 @@
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
 
+use crate::limits::ProcessLimits;
 use crate::messages::{Activity, GuardMessage, MembersMessage, ShutdownStage, StatsMessage};
 use crate::names::{GUARD, MEMBERS, STATS};
 use crate::ports::{CheckInProtocol, ControlStore, Dialect};
@@ -101,6 +102,8 @@
     /// Whether the whole system starts for the first time. The daemon then waits before it looks
     /// for others in the store, because they announce themselves there at the same time.
     pub bootstrap: bool,
+    /// Limits of the process.
+    pub limits: ProcessLimits,
     /// Retry budget that all daemons share.
     pub retry_budget: RetryBudgetSettings,
     /// How far the number of requests started per second at a cold upstream, one that started a
--- a/crates/relay/src/node/services.rs
+++ b/crates/relay/src/node/services.rs
@@ -3,9 +3,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cornelvalve_http1::{DecodeLimits, Draining, PerMessageLimit, SocketTimeouts};
+use cornelvalve_http1::{DecodeLimits, Draining, MemoryAccount, SocketTimeouts};
 use cornelvalve_kernel::{Clock, Kernel, KernelBuilder, OnFailure, ServiceOptions};
 use cornelvalve_model::{Incarnation, Member, MemberKey, MemberState};
+use cornelvalve_policy::MemoryUse;
 use smallvec::SmallVec;
 use tokio::sync::watch;
 
@@ -18,12 +19,14 @@
 use crate::entry::{EntryDependencies, run_entry};
 use crate::guard::{GuardSettings, run_guard};
 use crate::members::run_members;
+use crate::memory::{MemoryHandle, run_memory};
 use crate::messages::ShutdownStage;
 use crate::names::{
-    CHECK_INS, CONTROL, DISCOVERY, ENTRY, GUARD, MEMBERS, METRICS, MONITOR, NOTICES, PEER_POOL,
-    PEERS, READY, ROUTER, STATS, UPSTREAM_POOL,
+    CHECK_INS, CONTROL, DISCOVERY, ENTRY, GUARD, MEMBERS, MEMORY, METRICS, MONITOR, NOTICES,
+    PEER_POOL, PEERS, READY, ROUTER, STATS, UPSTREAM_POOL,
 };
 use crate::notices::run_notices;
+use crate::peers::PeersDependencies;
 use crate::ports::{Dialect, PeerRecord};
 use crate::router::{LocalDaemon, run_router};
 use crate::runner::Runner;
@@ -35,10 +38,6 @@
 /// Maximum response head (status line and headers) in bytes.
 const MAX_RESPONSE_HEAD_BYTES: usize = 32 * 1024;
 
-/// Maximum size in bytes of a message of another daemon. It exceeds the default limit on the request
-/// bodies of callers, so that a request with the largest body and its headers fits.
-const MAX_MESSAGE_BYTES: usize = 72 * 1024 * 1024;
-
 /// Timeouts of connections to processes on the same VM.
 const LOCAL_TIMEOUTS: SocketTimeouts = SocketTimeouts {
     connect: Duration::from_millis(500),
@@ -77,16 +76,23 @@
     /// Returns a kernel builder with all services added.
     pub(super) fn build(&self) -> KernelBuilder {
         let limits = Arc::new(watch::channel(CallerLimits::default()).0);
+        let short = Arc::new(watch::channel(false).0);
+        let accounts = MemoryAccounts {
+            total: self.settings.limits.message_bytes(),
+            short: short.subscribe(),
+        };
         let builder = Kernel::builder(Arc::clone(&self.adapters.clock));
         let builder = self.add_stats_and_pools(builder, Arc::clone(&limits));
+        let builder = self.add_memory(builder, &accounts, short);
         let builder = self.add_control_plane(builder);
-        let builder = self.add_request_path(builder);
-        self.add_listeners(builder, &limits)
+        let builder = self.add_request_path(builder, &accounts);
+        self.add_listeners(builder, &limits, &accounts)
     }
 
-    fn connector() -> Connector {
+    /// Returns the connector of a service whose responses take their memory from `memory`.
+    fn connector(memory: Arc<dyn MemoryAccount>) -> Connector {
         Connector {
-            memory: Arc::new(PerMessageLimit(MAX_MESSAGE_BYTES)),
+            memory,
             upstream_timeouts: LOCAL_TIMEOUTS,
             peer_timeouts: PEER_TIMEOUTS,
             response_limits: DecodeLimits {
@@ -140,6 +146,25 @@
             })
     }
 
+    /// Adds the memory service.
+    fn add_memory(
+        &self,
+        builder: KernelBuilder,
+        accounts: &MemoryAccounts,
+        short: Arc<watch::Sender<bool>>,
+    ) -> KernelBuilder {
+        // A restarted service would not know how much memory the messages hold, so its failure
+        // stops the process.
+        let options = ServiceOptions {
+            on_failure: OnFailure::StopProcess,
+            ..request_options()
+        };
+        let total = accounts.total;
+        builder.add_service(MEMORY, options, move |context| {
+            run_memory(context, total, Arc::clone(&short))
+        })
+    }
+
     /// Adds the services for configuration, discovery of other daemons, membership and notices.
     fn add_control_plane(&self, builder: KernelBuilder) -> KernelBuilder {
         let options = ServiceOptions::default();
@@ -177,7 +202,12 @@
     }
 
     /// Adds the guard, the monitor and the router.
-    fn add_request_path(&self, builder: KernelBuilder) -> KernelBuilder {
+    fn add_request_path(
+        &self,
+        builder: KernelBuilder,
+        accounts: &MemoryAccounts,
+    ) -> KernelBuilder {
+        let accounts = accounts.clone();
         let settings = &self.settings;
         let guard = GuardSettings {
             region: settings.region.clone(),
@@ -204,7 +234,13 @@
                 run_guard(context, guard.clone())
             })
             .add_service(MONITOR, ServiceOptions::default(), move |context| {
-                monitor::run_monitor(context, Arc::clone(&dialect), Self::connector())
+                let memory = accounts.account(&context, MemoryUse::Response);
+                let dialect = Arc::clone(&dialect);
+                async move {
+                    // Its connections are shared with the runner through the pool.
+                    let connector = Self::connector(memory?);
+                    monitor::run_monitor(context, dialect, connector).await
+                }
             })
             .add_service(ROUTER, request_options(), move |context| {
                 run_router(context, local.clone(), retry_budget, seed)
@@ -216,6 +252,7 @@
         &self,
         builder: KernelBuilder,
         limits: &Arc<watch::Sender<CallerLimits>>,
+        accounts: &MemoryAccounts,
     ) -> KernelBuilder {
         let options = ServiceOptions::default();
         let sockets = &self.sockets;
@@ -223,7 +260,7 @@
         let check_ins = Arc::clone(&sockets.check_ins);
         let protocol = Arc::clone(&self.adapters.check_ins);
         let peers = Arc::clone(&sockets.peers);
-        let peer_runner = RunnerBuilder::new(&self.adapters);
+        let peer_runner = RunnerBuilder::new(&self.adapters, accounts.clone());
         let entry_runner = peer_runner.clone();
         let callers = Arc::clone(&sockets.callers);
         let (limits, draining) = (limits.subscribe(), self.draining.clone());
@@ -243,8 +280,13 @@
             .add_service(PEERS, options, move |context| {
                 let (listener, runner) = (Arc::clone(&peers), peer_runner.clone());
                 async move {
-                    let runner = runner.build(&context)?;
-                    peers::run_peers(context, listener, PEER_TIMEOUTS, runner).await
+                    let dependencies = PeersDependencies {
+                        listener,
+                        timeouts: PEER_TIMEOUTS,
+                        runner: runner.build(&context)?,
+                        memory: runner.accounts.account(&context, MemoryUse::Peer)?,
+                    };
+                    peers::run_peers(context, dependencies).await
                 }
             })
             .add_service(ENTRY, options, move |context| {
@@ -259,10 +301,12 @@
                         limits,
                         draining,
                         stage,
-                        connector: Self::connector(),
+                        connector: Self::connector(
+                            runner.accounts.account(&context, MemoryUse::Response)?,
+                        ),
                         own_service,
                         runner: runner.build(&context)?,
-                        memory: Arc::new(PerMessageLimit::NONE),
+                        memory: runner.accounts.account(&context, MemoryUse::Caller)?,
                     };
                     run_entry(context, dependencies).await
                 }
@@ -270,16 +314,46 @@
     }
 }
 
+/// Creates the accounts with which the connections of a service take memory.
+#[derive(Clone)]
+struct MemoryAccounts {
+    /// Memory in bytes that messages share.
+    total: usize,
+    /// Whether a claim waits.
+    short: watch::Receiver<bool>,
+}
+
+impl MemoryAccounts {
+    /// Returns the account for a use of memory by the service with this context.
+    ///
+    /// # Errors
+    ///
+    /// Returns the kernel's error if the memory service has no mailbox.
+    fn account<M>(
+        &self,
+        context: &cornelvalve_kernel::Context<M>,
+        purpose: MemoryUse,
+    ) -> cornelvalve_kernel::Result<Arc<dyn MemoryAccount>> {
+        let mailbox = context.registry.mailbox(MEMORY)?;
+        let short = self.short.clone();
+        Ok(Arc::new(MemoryHandle::new(
+            mailbox, purpose, self.total, short,
+        )))
+    }
+}
+
 /// Builds runners for the services that run requests at the upstream.
 #[derive(Clone)]
 struct RunnerBuilder {
     dialect: Arc<dyn Dialect>,
     clock: Arc<dyn Clock>,
+    accounts: MemoryAccounts,
 }
 
 impl RunnerBuilder {
-    fn new(adapters: &PlatformAdapters) -> Self {
+    fn new(adapters: &PlatformAdapters, accounts: MemoryAccounts) -> Self {
         Self {
+            accounts,
             dialect: Arc::clone(&adapters.dialect),
             clock: Arc::clone(&adapters.clock),
         }
@@ -289,7 +363,8 @@
     ///
     /// # Errors
     ///
-    /// Returns the kernel's error if the guard or the upstream pool has no mailbox.
+    /// Returns the kernel's error if the guard, the upstream pool or the memory service has no
+    /// mailbox.
     fn build<M>(
         &self,
         context: &cornelvalve_kernel::Context<M>,
@@ -299,7 +374,7 @@
             pool: context.registry.mailbox(UPSTREAM_POOL)?,
             dialect: Arc::clone(&self.dialect),
             clock: Arc::clone(&self.clock),
-            connector: NodeBuilder::connector(),
+            connector: NodeBuilder::connector(self.accounts.account(context, MemoryUse::Response)?),
         })
     }
 }
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -5,23 +5,37 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cornelvalve_http1::SocketTimeouts;
+use cornelvalve_http1::{MemoryAccount, SocketTimeouts};
 use cornelvalve_kernel::{Context, Mailbox, ServiceResult};
 use tokio::net::{TcpListener, TcpStream};
 
-use crate::hop::{self, FrameConnection, HopCall, HopError, HopReply, HopRequest};
+use crate::hop::{self, FrameConnection, HopCall, HopError, HopOutcome, HopReply, HopRequest};
 use crate::listener::run_listener;
-use crate::messages::{ControlMessage, ListenerMessage};
+use crate::messages::{ControlMessage, DEFAULT_RETRY_AFTER, ListenerMessage};
 use crate::names::CONTROL;
+use crate::ports::Cause;
 use crate::runner::Runner;
 
+/// Socket, settings and handles with which the peers service is started.
+pub(crate) struct PeersDependencies {
+    pub(crate) listener: Arc<TcpListener>,
+    pub(crate) timeouts: SocketTimeouts,
+    pub(crate) runner: Runner,
+    /// Account from which the requests of other daemons take their memory.
+    pub(crate) memory: Arc<dyn MemoryAccount>,
+}
+
 /// Runs the peers service until it is asked to stop.
 pub(crate) async fn run_peers(
     context: Context<ListenerMessage>,
-    listener: Arc<TcpListener>,
-    timeouts: SocketTimeouts,
-    runner: Runner,
+    dependencies: PeersDependencies,
 ) -> ServiceResult {
+    let PeersDependencies {
+        listener,
+        timeouts,
+        runner,
+        memory,
+    } = dependencies;
     let control = context.registry.mailbox(CONTROL)?;
     run_listener(
         context,
@@ -32,6 +46,7 @@
             let handler = PeerHandler {
                 runner: runner.clone(),
                 control: control.clone(),
+                memory: Arc::clone(&memory),
             };
             handler.serve(stream, from)
         },
@@ -43,13 +58,13 @@
 struct PeerHandler {
     runner: Runner,
     control: Mailbox<ControlMessage>,
+    memory: Arc<dyn MemoryAccount>,
 }
 
 impl PeerHandler {
     /// Serves exchanges until the connection is closed or fails.
     async fn serve(self, stream: TcpStream, from: SocketAddr) {
-        let memory = Arc::clone(&self.runner.connector.memory);
-        let mut connection = FrameConnection::new(stream, memory);
+        let mut connection = FrameConnection::new(stream, Arc::clone(&self.memory));
         loop {
             match self.serve_one(&mut connection).await {
                 Ok(()) => {}
@@ -64,7 +79,11 @@
 
     /// Serves one exchange.
     async fn serve_one(&self, connection: &mut FrameConnection) -> hop::Result<()> {
-        match connection.receive().await? {
+        let call = match connection.receive().await {
+            Err(HopError::NoMemory(bytes)) => return refuse(connection, bytes).await,
+            call => call?,
+        };
+        match call {
             HopCall::Run(request) => self.run(connection, &request).await,
             HopCall::Control => {
                 let view = self
@@ -106,3 +125,18 @@
         connection.send(&hop::encode(reply)?).await
     }
 }
+
+/// Refuses a request of `bytes` that was discarded because there was no memory for it.
+async fn refuse(connection: &mut FrameConnection, bytes: usize) -> hop::Result<()> {
+    log::debug!("request of {bytes} bytes refused: no memory");
+    connection.send(&hop::encode(HopReply::Received)?).await?;
+    let reply = HopReply::Done {
+        outcome: HopOutcome::NotRun {
+            cause: Cause::Overloaded,
+            reached_upstream: false,
+            retry_after: DEFAULT_RETRY_AFTER,
+        },
+        load: None,
+    };
+    connection.send(&hop::encode(reply)?).await
+}
--- a/crates/relay/src/runner.rs
+++ b/crates/relay/src/runner.rs
@@ -357,6 +357,9 @@
         ExchangeError::Lost(_) => {
             ExchangeResult::unknown(Cause::ConnectionLost, PermitOutcome::Lost)
         }
+        ExchangeError::InvalidResponse(cornelvalve_http1::Error::NoMemory) => {
+            ExchangeResult::unknown(Cause::Internal, PermitOutcome::Cancelled)
+        }
         ExchangeError::InvalidResponse(_) => {
             ExchangeResult::unknown(Cause::SpoiledAnswer, PermitOutcome::Lost)
         }
--- a/crates/relay/src/stats.rs
+++ b/crates/relay/src/stats.rs
@@ -48,6 +48,8 @@
     cold_starts: IntCounterVec,
     /// Requests per second that the upstream accepts; infinite if it names no limit.
     upstream_limit: Gauge,
+    /// Messages for which there was no memory, by what the memory is used for.
+    memory_refused: IntCounterVec,
     /// Version of the desired state in force.
     version: IntGauge,
     domains_out: IntGauge,
@@ -88,6 +90,10 @@
                 "upstream_limit",
                 "Requests per second that the upstream accepts",
             ))?,
+            memory_refused: IntCounterVec::new(
+                opts("memory_refused_total", "Messages without memory"),
+                &["use"],
+            )?,
             version: IntGauge::with_opts(opts("version", "Version of the desired state"))?,
             domains_out: IntGauge::with_opts(opts(
                 "domains_out",
@@ -109,6 +115,7 @@
         registry.register(Box::new(metrics.latency.clone()))?;
         registry.register(Box::new(metrics.cold_starts.clone()))?;
         registry.register(Box::new(metrics.upstream_limit.clone()))?;
+        registry.register(Box::new(metrics.memory_refused.clone()))?;
         registry.register(Box::new(metrics.version.clone()))?;
         registry.register(Box::new(metrics.domains_out.clone()))?;
         registry.register(Box::new(metrics.control_reads.clone()))?;
@@ -210,6 +217,11 @@
                 self.running = self.running.saturating_sub(1);
                 self.metrics.record(&record);
             }
+            StatsMessage::MemoryRefused(purpose) => {
+                let purpose = purpose.to_string();
+                let counter = self.metrics.memory_refused.with_label_values(&[&purpose]);
+                counter.inc();
+            }
             StatsMessage::ColdStart { rate_known } => {
                 let rate = if rate_known { "known" } else { "unknown" };
                 self.metrics.cold_starts.with_label_values(&[rate]).inc();
