Bound the connections of each kind by the descriptors of the process

What callers saw: a crowd of connections with half a head each, or of pipelined requests that are forwarded, took the descriptors that the daemon needs for its upstream, for other daemons and for check-ins.

Cause: the listeners accepted without a bound, and each attempt at another daemon opened a connection if none was idle.

Change: `limits.maxFds` less 200 is divided among callers, other daemons in both directions and the upstream; callers are bounded by the memory that a connection takes, too. A listener closes a connection above its bound at once, before anything is read.

Why it works: no kind of connection can take the descriptors of another, and clients that only hold connections make room for others.

--- a/crates/relay/src/connector.rs
+++ b/crates/relay/src/connector.rs
@@ -7,10 +7,11 @@
 
 use cornelvalve_http1::{ClientConnection, DecodeLimits, MemoryAccount, SocketTimeouts};
 use cornelvalve_kernel::Mailbox;
-use derive_more::Debug;
+use derive_more::{Debug, Display, Error, From};
 
 use crate::hop::FrameConnection;
 use crate::messages::PoolMessage;
+use crate::pool::{Checkout, Lease};
 
 /// Time for which an idle connection to the upstream is kept if the upstream announced no
 /// keep-alive time.
@@ -23,6 +24,32 @@
 /// Time for which an idle connection to another daemon is kept.
 const PEER_IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Result alias of this module.
+pub(crate) type Result<T> = std::result::Result<T, ConnectError>;
+
+/// Error of getting a connection.
+#[derive(Debug, Display, Error, From)]
+pub(crate) enum ConnectError {
+    /// As many connections as may be open are in use, or the pool does not answer.
+    #[display("too many connections are open")]
+    TooMany,
+    /// The connection cannot be opened.
+    #[display("{_0}")]
+    Io(#[error(not(source))] io::Error),
+}
+
+/// Asks a pool for a connection.
+async fn checkout<C: Send + 'static>(
+    pool: &Mailbox<PoolMessage<C>>,
+    addr: SocketAddr,
+) -> Checkout<C> {
+    let answer = pool.ask(|reply| PoolMessage::Checkout { addr, reply });
+    answer.await.unwrap_or_else(|e| {
+        log::warn!(event = "pool-unavailable"; "no connection to {addr}: {e}");
+        Checkout::Full
+    })
+}
+
 /// Opens connections to the upstream and to other daemons, or takes idle ones from the pools, and
 /// puts them back after use.
 #[derive(Clone, Debug)]
@@ -44,23 +71,21 @@
     ///
     /// # Errors
     ///
-    /// Returns the I/O error if no connection can be opened.
+    /// Returns [`ConnectError`] if no connection can be opened.
     pub(crate) async fn connect_upstream(
         &self,
         pool: &Mailbox<PoolMessage<ClientConnection>>,
         addr: SocketAddr,
-    ) -> io::Result<(ClientConnection, bool)> {
-        let pooled = pool
-            .ask(|reply| PoolMessage::Checkout { addr, reply })
-            .await;
-        // If the pool is overloaded or restarting, a new connection is opened.
-        if let Some(connection) = pooled.ok().flatten() {
-            return Ok((connection, true));
-        }
+    ) -> Result<(Lease<ClientConnection>, bool)> {
+        let slot = match checkout(pool, addr).await {
+            Checkout::Idle(connection) => return Ok((connection, true)),
+            Checkout::Open(slot) => slot,
+            Checkout::Full => return Err(ConnectError::TooMany),
+        };
         let mut connection =
             ClientConnection::open(addr, self.upstream_timeouts, self.response_limits).await?;
         connection.set_memory(Arc::clone(&self.memory));
-        Ok((connection, false))
+        Ok((Lease::new(connection, slot), false))
     }
 
     /// Puts a connection to the upstream back into the pool.
@@ -70,7 +95,7 @@
         &self,
         pool: &Mailbox<PoolMessage<ClientConnection>>,
         addr: SocketAddr,
-        connection: ClientConnection,
+        connection: Lease<ClientConnection>,
         keep_alive: Option<Duration>,
     ) {
         let keep_alive = keep_alive.map(|k| k.saturating_sub(KEEP_ALIVE_MARGIN));
@@ -89,19 +114,20 @@
     ///
     /// # Errors
     ///
-    /// Returns the I/O error if no connection can be opened.
+    /// Returns [`ConnectError`] if no connection can be opened.
     pub(crate) async fn connect_peer(
         &self,
         pool: &Mailbox<PoolMessage<FrameConnection>>,
         addr: SocketAddr,
-    ) -> io::Result<FrameConnection> {
-        let pooled = pool
-            .ask(|reply| PoolMessage::Checkout { addr, reply })
-            .await;
-        match pooled.ok().flatten() {
-            Some(connection) => Ok(connection),
-            None => FrameConnection::open(addr, self.peer_timeouts, Arc::clone(&self.memory)).await,
-        }
+    ) -> Result<Lease<FrameConnection>> {
+        let slot = match checkout(pool, addr).await {
+            Checkout::Idle(connection) => return Ok(connection),
+            Checkout::Open(slot) => slot,
+            Checkout::Full => return Err(ConnectError::TooMany),
+        };
+        let memory = Arc::clone(&self.memory);
+        let connection = FrameConnection::open(addr, self.peer_timeouts, memory).await?;
+        Ok(Lease::new(connection, slot))
     }
 
     /// Puts a connection to another daemon back into the pool.
@@ -109,7 +135,7 @@
         &self,
         pool: &Mailbox<PoolMessage<FrameConnection>>,
         addr: SocketAddr,
-        connection: FrameConnection,
+        connection: Lease<FrameConnection>,
     ) {
         let message = PoolMessage::Return {
             addr,
--- a/crates/relay/src/entry.rs
+++ b/crates/relay/src/entry.rs
@@ -21,7 +21,7 @@
 
 use crate::connector::Connector;
 use crate::hop::FrameConnection;
-use crate::listener::run_listener;
+use crate::listener::{ConnectionBound, run_listener};
 use crate::messages::{
     DEFAULT_RETRY_AFTER, LimitsReceiver, ListenerMessage, PoolMessage, RouterMessage,
     ShutdownStage, StatsMessage,
@@ -31,7 +31,6 @@
 use crate::runner::Runner;
 
 /// Sockets, settings and handles with which the entry service is started.
-#[derive(Clone)]
 pub(crate) struct EntryDependencies {
     pub(crate) listener: Arc<TcpListener>,
     pub(crate) timeouts: SocketTimeouts,
@@ -45,6 +44,10 @@
     /// Service of the upstream beside this daemon.
     pub(crate) own_service: ServiceName,
     pub(crate) runner: Runner,
+    /// Maximum number of open connections.
+    pub(crate) max_connections: usize,
+    /// Tells the connections whether there are many of them.
+    pub(crate) crowded: watch::Sender<bool>,
     /// Account from which the bodies of callers take their memory.
     pub(crate) memory: Arc<dyn MemoryAccount>,
 }
@@ -87,6 +90,7 @@
         context,
         &dependencies.listener,
         dependencies.timeouts,
+        ConnectionBound::new(dependencies.max_connections, dependencies.crowded),
         CLOSE_TIMEOUT,
         move |stream, from| {
             let handler = CallerHandler(Arc::clone(&entry));
--- a/crates/relay/src/entry/attempt.rs
+++ b/crates/relay/src/entry/attempt.rs
@@ -12,10 +12,13 @@
 use tokio::time::timeout;
 
 use super::EntryContext;
+use crate::connector::ConnectError;
 use crate::hop::{
     self, Frame, FrameConnection, HopCall, HopError, HopOutcome, HopReply, HopRequest,
 };
-use crate::messages::{AttemptReport, CostSample, ResolvedRoute, SelectedUpstream};
+use crate::messages::{
+    AttemptReport, CostSample, DEFAULT_RETRY_AFTER, ResolvedRoute, SelectedUpstream,
+};
 use crate::ports::Cause;
 use crate::runner::RunResult;
 
@@ -51,6 +54,10 @@
         let connection = self.connector.connect_peer(&self.pool, addr).await;
         let mut connection = match connection {
             Ok(connection) => connection,
+            Err(ConnectError::TooMany) => {
+                log::debug!("no connection to {addr}: too many are open");
+                return AttemptReply::not_run(Cause::Overloaded);
+            }
             Err(e) => {
                 log::info!(event = "peer-unreachable", peer:% = addr, request = request.attempt_id.as_deref(); "cannot connect to the peer: {e}");
                 return AttemptReply::connection_failed(HopOutcome::NotRun {
@@ -65,7 +72,7 @@
             Ok(frame) => frame,
             Err(e) => {
                 log::error!(event = "request-not-encoded", request = attempt_id.as_deref(); "request for the peer was not encoded: {e}");
-                return AttemptReply::not_encoded();
+                return AttemptReply::not_run(Cause::Internal);
             }
         };
         match exchange(&mut connection, &frame, selected).await {
@@ -182,13 +189,13 @@
         }
     }
 
-    /// Returns the reply that stands for a request that could not be encoded.
-    fn not_encoded() -> Self {
+    /// Returns the reply that stands for a request that was not sent.
+    fn not_run(cause: Cause) -> Self {
         Self {
             outcome: HopOutcome::NotRun {
-                cause: Cause::Internal,
+                cause,
                 reached_upstream: false,
-                retry_after: Duration::ZERO,
+                retry_after: DEFAULT_RETRY_AFTER,
             },
             load: None,
             connection_failed: false,
--- a/crates/relay/src/limits.rs
+++ b/crates/relay/src/limits.rs
@@ -11,6 +11,31 @@
 /// Least memory for messages in bytes, with which small requests are served.
 const MIN_MESSAGE_BYTES: usize = 4 * 1024 * 1024;
 
+/// Share of the rest, in percent, for the connections of callers.
+const CONNECTION_PERCENT: usize = 20;
+
+/// Memory in bytes that a connection of a caller takes at most without a claim: its task, a request
+/// head, the first part of a body and the state of one running request.
+const CONNECTION_BYTES: usize = 52 * 1024;
+
+/// Descriptors that are not for connections: files, listeners and datagrams.
+const RESERVED_DESCRIPTORS: usize = 200;
+
+/// Share of the other descriptors, in percent, for connections of callers.
+const CALLER_PERCENT: usize = 40;
+
+/// Share of the descriptors, in percent, for connections that other daemons have opened.
+const INCOMING_PERCENT: usize = 25;
+
+/// Share of the descriptors, in percent, for connections to other daemons.
+const OUTGOING_PERCENT: usize = 20;
+
+/// Share of the descriptors, in percent, for connections to the upstream.
+const UPSTREAM_PERCENT: usize = 10;
+
+/// Least number of connections of each kind.
+const MIN_CONNECTIONS: usize = 16;
+
 /// Limits of the daemon's process, which the platform sets.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ProcessLimits {
@@ -36,4 +61,31 @@
         let rest = self.memory_bytes.saturating_sub(BASE_BYTES);
         (rest / 100 * MESSAGE_PERCENT).max(MIN_MESSAGE_BYTES)
     }
+
+    /// Returns the largest number of connections of each kind.
+    pub(crate) fn connections(&self) -> ConnectionLimits {
+        let sockets = self.descriptors.saturating_sub(RESERVED_DESCRIPTORS);
+        let share = |percent: usize| (sockets * percent / 100).max(MIN_CONNECTIONS);
+        let rest = self.memory_bytes.saturating_sub(BASE_BYTES);
+        let in_memory = rest / 100 * CONNECTION_PERCENT / CONNECTION_BYTES;
+        ConnectionLimits {
+            callers: share(CALLER_PERCENT).min(in_memory.max(MIN_CONNECTIONS)),
+            incoming: share(INCOMING_PERCENT),
+            outgoing: share(OUTGOING_PERCENT),
+            upstream: share(UPSTREAM_PERCENT),
+        }
+    }
+}
+
+/// Largest numbers of open connections by kind.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct ConnectionLimits {
+    /// From callers.
+    pub(crate) callers: usize,
+    /// From other daemons.
+    pub(crate) incoming: usize,
+    /// To other daemons.
+    pub(crate) outgoing: usize,
+    /// To the upstream.
+    pub(crate) upstream: usize,
 }
--- a/crates/relay/src/listener.rs
+++ b/crates/relay/src/listener.rs
@@ -6,20 +6,80 @@
 use std::time::Duration;
 
 use cornelvalve_http1::{
-    DecodeLimits, Draining, Handler, PerMessageLimit, ServerOptions, SocketTimeouts, accept,
-    serve_connection,
+    BoxFuture, DecodeLimits, Draining, Handler, MemoryAccount, PerMessageLimit, Reservation,
+    Resource, ServerOptions, SocketTimeouts, accept, serve_connection,
 };
 use cornelvalve_kernel::{Context, ServiceResult};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::JoinSet;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
+use crate::memory::wait_until_true;
 use crate::messages::ListenerMessage;
 
 /// Pause after a failed accept, so that a lack of file descriptors does not cause a busy loop.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
+/// Maximum number of open connections of a listener that does not carry callers' requests.
+const MAX_INTERNAL_CONNECTIONS: usize = 32;
+
+/// Share of the connections of a listener, in percent, above which those without progress close.
+const CROWDED_PERCENT: usize = 75;
+
+/// Least time between two log lines about refused connections of a listener.
+const LOG_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Bound on the open connections of a listener.
+pub(crate) struct ConnectionBound {
+    /// Maximum number of open connections; further ones are closed at once.
+    max: usize,
+    /// Tells the connections whether there are so many that those without progress should close.
+    crowded: watch::Sender<bool>,
+    /// Number of connections that were closed at once since the last log line about them.
+    refused: u64,
+    /// Time of that line.
+    logged: Option<Instant>,
+}
+
+impl ConnectionBound {
+    /// Creates a bound that tells `crowded` whether there are many connections.
+    pub(crate) fn new(max: usize, crowded: watch::Sender<bool>) -> Self {
+        Self {
+            max,
+            crowded,
+            refused: 0,
+            logged: None,
+        }
+    }
+
+    /// Creates a bound whose connections do not learn whether there are many of them.
+    pub(crate) fn silent(max: usize) -> Self {
+        Self::new(max, watch::channel(false).0)
+    }
+
+    /// Returns whether a further connection beside `open` ones may be served; logs if not.
+    fn admits(&mut self, open: usize) -> bool {
+        if open < self.max {
+            return true;
+        }
+        self.refused += 1;
+        if self.logged.is_none_or(|l| l.elapsed() >= LOG_INTERVAL) {
+            log::warn!(event = "connections-refused", open = open, count = self.refused; "too many connections; further ones are closed at once");
+            self.refused = 0;
+            self.logged = Some(Instant::now());
+        }
+        false
+    }
+
+    /// Tells the connections how many are open.
+    fn update(&self, open: usize) {
+        let crowded = open * 100 >= self.max * CROWDED_PERCENT;
+        self.crowded
+            .send_if_modified(|c| std::mem::replace(c, crowded) != crowded);
+    }
+}
+
 /// Limits for HTTP connections that do not carry callers' requests: check-ins, readiness and
 /// metrics.
 const INTERNAL_HTTP_OPTIONS: ServerOptions = ServerOptions {
@@ -31,6 +91,34 @@
     idle_timeout: Duration::from_secs(30),
 };
 
+/// Account of connections that do not carry callers' requests: their messages are small, and idle
+/// ones close when there are many.
+struct InternalAccount {
+    /// Whether there are many connections.
+    crowded: watch::Receiver<bool>,
+}
+
+impl MemoryAccount for InternalAccount {
+    fn reserve(
+        &self,
+        held: usize,
+        bytes: usize,
+    ) -> BoxFuture<'static, Option<Box<dyn Reservation>>> {
+        PerMessageLimit::NONE.reserve(held, bytes)
+    }
+
+    fn largest_message(&self) -> usize {
+        PerMessageLimit::NONE.largest_message()
+    }
+
+    fn shortage(&self, resource: Resource) -> BoxFuture<'static, ()> {
+        match resource {
+            Resource::Memory => PerMessageLimit::NONE.shortage(resource),
+            Resource::Connections => Box::pin(wait_until_true(self.crowded.clone())),
+        }
+    }
+}
+
 /// Accepts HTTP connections for check-ins, readiness or metrics until the service is asked to stop.
 ///
 /// Never returns an error: a failed accept is logged and retried after a pause.
@@ -40,13 +128,16 @@
     timeouts: SocketTimeouts,
     handler: Arc<dyn Handler>,
 ) -> ServiceResult {
+    let (crowded, receiver) = watch::channel(false);
+    let account = Arc::new(InternalAccount { crowded: receiver });
     run_listener(
         context,
         listener,
         timeouts,
+        ConnectionBound::new(MAX_INTERNAL_CONNECTIONS, crowded),
         Duration::ZERO,
         move |stream, from| {
-            let handler = Arc::clone(&handler);
+            let (handler, account) = (Arc::clone(&handler), Arc::clone(&account));
             async move {
                 // These connections are not drained but closed when the service stops.
                 let (_sender, draining) = watch::channel(Draining::No);
@@ -54,7 +145,7 @@
                     stream,
                     &*handler,
                     INTERNAL_HTTP_OPTIONS,
-                    &PerMessageLimit::NONE,
+                    &*account,
                     draining,
                 )
                 .await;
@@ -67,7 +158,7 @@
     .await
 }
 
-/// Accepts connections until the service is asked to stop, then waits for at most `close_timeout`
+/// Accepts connections, as many as `bound` allows, until the service is asked to stop, then waits for at most `close_timeout`
 /// until they have ended, and closes the others.
 ///
 /// Never returns an error: a failed accept is logged and retried after a pause.
@@ -75,6 +166,7 @@
     mut context: Context<ListenerMessage>,
     listener: &TcpListener,
     timeouts: SocketTimeouts,
+    mut bound: ConnectionBound,
     close_timeout: Duration,
     serve: F,
 ) -> ServiceResult
@@ -84,6 +176,7 @@
 {
     let mut connections = JoinSet::new();
     loop {
+        bound.update(connections.len());
         tokio::select! {
             () = context.stop.requested() => {
                 let closed = async { while connections.join_next().await.is_some() {} };
@@ -93,9 +186,10 @@
                 return Ok(());
             }
             accepted = accept(listener, timeouts) => match accepted {
-                Ok((stream, from)) => {
+                Ok((stream, from)) if bound.admits(connections.len()) => {
                     connections.spawn(serve(stream, from));
                 }
+                Ok(_) => {}
                 Err(e) => {
                     log::warn!(event = "accept-failed"; "accepting a connection failed: {e}");
                     sleep(ACCEPT_PAUSE).await;
--- a/crates/relay/src/listener/tests.rs
+++ b/crates/relay/src/listener/tests.rs
@@ -35,7 +35,8 @@
                         stream.write_u8(request).await.expect("response is sent");
                     }
                 };
-                run_listener(context, &listener, TIMEOUTS, CLOSE_TIMEOUT, serve).await
+                let bound = ConnectionBound::silent(1);
+                run_listener(context, &listener, TIMEOUTS, bound, CLOSE_TIMEOUT, serve).await
             }
         })
         .start();
--- a/crates/relay/src/memory.rs
+++ b/crates/relay/src/memory.rs
@@ -53,6 +53,8 @@
     largest: usize,
     /// Whether a claim waits.
     short: watch::Receiver<bool>,
+    /// Whether there are too many connections.
+    crowded: watch::Receiver<bool>,
 }
 
 impl MemoryHandle {
@@ -62,12 +64,14 @@
         purpose: MemoryUse,
         total: usize,
         short: watch::Receiver<bool>,
+        crowded: watch::Receiver<bool>,
     ) -> Self {
         Self {
             mailbox,
             purpose,
             largest: MemoryBudget::new(total).largest_message(purpose),
             short,
+            crowded,
         }
     }
 }
@@ -101,13 +105,19 @@
     }
 
     fn shortage(&self, resource: Resource) -> BoxFuture<'static, ()> {
-        let mut state = self.short.clone();
-        Box::pin(async move {
-            if resource != Resource::Memory || state.wait_for(|short| *short).await.is_err() {
-                // Without a sender, the state does not change any more.
-                std::future::pending().await
-            }
-        })
+        let state = match resource {
+            Resource::Memory => &self.short,
+            Resource::Connections => &self.crowded,
+        };
+        Box::pin(wait_until_true(state.clone()))
+    }
+}
+
+/// Waits until a state is true.
+pub(crate) async fn wait_until_true(mut state: watch::Receiver<bool>) {
+    if state.wait_for(|s| *s).await.is_err() {
+        // Without a sender, the state does not change any more.
+        std::future::pending().await
     }
 }
 
--- a/crates/relay/src/messages.rs
+++ b/crates/relay/src/messages.rs
@@ -21,6 +21,7 @@
 use crate::desired::{CallerLimits, ControlView, RouteSpec, Version};
 use crate::hop::ControlUpdate;
 use crate::memory::MemoryReservation;
+use crate::pool::{Checkout, Lease};
 use crate::ports::{Cause, PeerAddrs};
 
 pub(crate) use guard::{
@@ -319,22 +320,22 @@
     },
 }
 
-/// Messages to a pool of idle connections.
+/// Messages to a pool of connections.
 #[derive(Debug)]
 pub(crate) enum PoolMessage<C> {
-    /// Takes an idle connection out of the pool.
+    /// Takes an idle connection out of the pool, or asks to open one.
     Checkout {
         /// Remote address.
         addr: SocketAddr,
-        /// Receives the connection; `None` if the pool has none for this address.
-        reply: ReplySender<Option<C>>,
+        /// Receives the answer.
+        reply: ReplySender<Checkout<C>>,
     },
     /// Returns a connection to the pool after a complete exchange.
     Return {
         /// Remote address.
         addr: SocketAddr,
         /// The connection.
-        connection: C,
+        connection: Lease<C>,
         /// Time for which the connection may stay idle.
         idle_for: Duration,
     },
--- a/crates/relay/src/node/services.rs
+++ b/crates/relay/src/node/services.rs
@@ -134,15 +134,16 @@
         limits: Arc<watch::Sender<CallerLimits>>,
     ) -> KernelBuilder {
         let options = request_options();
+        let connections = self.settings.limits.connections();
         builder
             .add_service(STATS, options, move |context| {
                 stats::run_stats(context, Arc::clone(&limits))
             })
-            .add_service(UPSTREAM_POOL, options, |context| {
-                pool::run_pool(context, UPSTREAM_POOL)
+            .add_service(UPSTREAM_POOL, options, move |context| {
+                pool::run_pool(context, UPSTREAM_POOL, connections.upstream)
             })
-            .add_service(PEER_POOL, options, |context| {
-                pool::run_pool(context, PEER_POOL)
+            .add_service(PEER_POOL, options, move |context| {
+                pool::run_pool(context, PEER_POOL, connections.outgoing)
             })
     }
 
@@ -202,11 +203,7 @@
     }
 
     /// Adds the guard, the monitor and the router.
-    fn add_request_path(
-        &self,
-        builder: KernelBuilder,
-        accounts: &MemoryAccounts,
-    ) -> KernelBuilder {
+    fn add_request_path(&self, builder: KernelBuilder, accounts: &MemoryAccounts) -> KernelBuilder {
         let accounts = accounts.clone();
         let settings = &self.settings;
         let guard = GuardSettings {
@@ -266,6 +263,7 @@
         let (limits, draining) = (limits.subscribe(), self.draining.clone());
         let stage = self.stage.clone();
         let own_service = self.settings.service.clone();
+        let connections = self.settings.limits.connections();
         builder
             .add_service(READY, options, move |context| {
                 ready::run_ready(context, Arc::clone(&ready_socket), LOCAL_TIMEOUTS)
@@ -284,6 +282,7 @@
                         listener,
                         timeouts: PEER_TIMEOUTS,
                         runner: runner.build(&context)?,
+                        max_connections: connections.incoming,
                         memory: runner.accounts.account(&context, MemoryUse::Peer)?,
                     };
                     peers::run_peers(context, dependencies).await
@@ -295,6 +294,8 @@
                 let stage = stage.clone();
                 let own_service = own_service.clone();
                 async move {
+                    let crowded = watch::channel(false).0;
+                    let accounts = &runner.accounts;
                     let dependencies = EntryDependencies {
                         listener,
                         timeouts: LOCAL_TIMEOUTS,
@@ -302,11 +303,13 @@
                         draining,
                         stage,
                         connector: Self::connector(
-                            runner.accounts.account(&context, MemoryUse::Response)?,
+                            accounts.account(&context, MemoryUse::Response)?,
                         ),
                         own_service,
                         runner: runner.build(&context)?,
-                        memory: runner.accounts.account(&context, MemoryUse::Caller)?,
+                        max_connections: connections.callers,
+                        memory: accounts.caller_account(&context, crowded.subscribe())?,
+                        crowded,
                     };
                     run_entry(context, dependencies).await
                 }
@@ -334,11 +337,39 @@
         context: &cornelvalve_kernel::Context<M>,
         purpose: MemoryUse,
     ) -> cornelvalve_kernel::Result<Arc<dyn MemoryAccount>> {
+        let crowded = watch::channel(false).1;
+        Ok(Arc::new(self.handle(context, purpose, crowded)?))
+    }
+
+    /// Returns the account for the requests of callers. `crowded` tells whether there are too many
+    /// connections of callers.
+    ///
+    /// # Errors
+    ///
+    /// Returns the kernel's error if the memory service has no mailbox.
+    fn caller_account<M>(
+        &self,
+        context: &cornelvalve_kernel::Context<M>,
+        crowded: watch::Receiver<bool>,
+    ) -> cornelvalve_kernel::Result<Arc<dyn MemoryAccount>> {
+        Ok(Arc::new(self.handle(
+            context,
+            MemoryUse::Caller,
+            crowded,
+        )?))
+    }
+
+    fn handle<M>(
+        &self,
+        context: &cornelvalve_kernel::Context<M>,
+        purpose: MemoryUse,
+        crowded: watch::Receiver<bool>,
+    ) -> cornelvalve_kernel::Result<MemoryHandle> {
         let mailbox = context.registry.mailbox(MEMORY)?;
         let short = self.short.clone();
-        Ok(Arc::new(MemoryHandle::new(
-            mailbox, purpose, self.total, short,
-        )))
+        Ok(MemoryHandle::new(
+            mailbox, purpose, self.total, short, crowded,
+        ))
     }
 }
 
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -10,7 +10,7 @@
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::hop::{self, FrameConnection, HopCall, HopError, HopOutcome, HopReply, HopRequest};
-use crate::listener::run_listener;
+use crate::listener::{ConnectionBound, run_listener};
 use crate::messages::{ControlMessage, DEFAULT_RETRY_AFTER, ListenerMessage};
 use crate::names::CONTROL;
 use crate::ports::Cause;
@@ -21,6 +21,8 @@
     pub(crate) listener: Arc<TcpListener>,
     pub(crate) timeouts: SocketTimeouts,
     pub(crate) runner: Runner,
+    /// Maximum number of open connections.
+    pub(crate) max_connections: usize,
     /// Account from which the requests of other daemons take their memory.
     pub(crate) memory: Arc<dyn MemoryAccount>,
 }
@@ -34,6 +36,7 @@
         listener,
         timeouts,
         runner,
+        max_connections,
         memory,
     } = dependencies;
     let control = context.registry.mailbox(CONTROL)?;
@@ -41,6 +44,7 @@
         context,
         &listener,
         timeouts,
+        ConnectionBound::silent(max_connections),
         Duration::ZERO,
         move |stream, from| {
             let handler = PeerHandler {
--- a/crates/relay/src/runner.rs
+++ b/crates/relay/src/runner.rs
@@ -10,12 +10,13 @@
 use http::HeaderMap;
 use tokio::time::{Instant, timeout_at};
 
-use crate::connector::Connector;
+use crate::connector::{ConnectError, Connector};
 use crate::hop::{HopHeaders, HopOutcome, HopRequest, HopResponse};
 use crate::messages::{
     AdmissionDecision, AdmissionRequest, DEFAULT_RETRY_AFTER, GuardMessage, Permit, PermitOutcome,
     PermitReport, PoolMessage, work_key,
 };
+use crate::pool::Lease;
 use crate::ports::{Cause, Dialect, ResponseOutcome, UpstreamLoad, UpstreamMetadata};
 
 /// Requests with less time left until their deadline are not sent to the upstream.
@@ -208,6 +209,13 @@
             .await;
             let (connection, reused) = match opened {
                 Ok(Ok(opened)) => opened,
+                Ok(Err(ConnectError::TooMany)) => {
+                    return ExchangeResult::not_run(
+                        Cause::Overloaded,
+                        PermitOutcome::Cancelled,
+                        false,
+                    );
+                }
                 Ok(Err(e)) => {
                     log::info!(event = "upstream-unreachable", request = request.attempt_id.as_deref(); "cannot connect to the upstream: {e}");
                     return ExchangeResult::not_run(
@@ -254,7 +262,7 @@
         &self,
         request: &HopRequest,
         permit: &Permit,
-        mut connection: ClientConnection,
+        mut connection: Lease<ClientConnection>,
         end: Instant,
     ) -> Result<ExchangeResult, ExchangeError> {
         connection.limit_body(permit.response_bytes);
