--- a/crates/http1/src/client.rs
+++ b/crates/http1/src/client.rs
@@ -144,7 +144,7 @@
                     // connection.
                     send_error = result.err();
                 }
-                read = decoder.receive(&mut reader, &mut self.buffer) => {
+                read = decoder.state.receive(&mut reader, &mut self.buffer) => {
                     let at_eof = match read {
                         Ok(length) => length == 0,
                         Err(e) => {
@@ -153,20 +153,14 @@
                             return Err(connection_error(send_error.unwrap_or(e), sent));
                         }
                     };
+                    let is_sent = send_done && send_error.is_none();
                     loop {
                         let decoded = decoder.decode(&mut self.buffer, at_eof);
                         match decoded.map_err(ExchangeError::InvalidResponse) {
-                            Ok(None) => {
-                                let need = decoder.memory_needed();
-                                if need.bytes == 0 {
-                                    break;
-                                }
-                                let reservation = self.memory.reserve(need.held, need.bytes).await;
-                                let reservation = reservation.ok_or(
-                                    ExchangeError::InvalidResponse(crate::Error::NoMemory),
-                                )?;
-                                decoder.grant(reservation);
+                            Ok(None) if decoder.state.memory_needed().bytes > 0 => {
+                                reserve(&*self.memory, &mut decoder).await?;
                             }
+                            Ok(None) => break,
                             Ok(Some(response)) if !matches_request(&response) => {
                                 skipped += 1;
                                 if skipped > MAX_SKIPPED_RESPONSES {
@@ -178,14 +172,12 @@
                             Ok(Some(mut response)) => {
                                 // If the body was not sent in full, the server still expects the
                                 // rest of it, so no other request can follow.
-                                response.keep_alive &= send_done
-                                    && send_error.is_none()
-                                    && !at_eof
-                                    && self.buffer.is_empty();
+                                response.keep_alive &=
+                                    is_sent && !at_eof && self.buffer.is_empty();
                                 return Ok(response);
                             }
                             // The server closed the connection before the request was sent in full.
-                            Err(_) if at_eof && is_unsent(send_done, send_error.as_ref()) => {
+                            Err(_) if at_eof && !is_sent => {
                                 // Ends the borrow of `sent`.
                                 drop(sending);
                                 return Err(connection_error(
@@ -202,9 +194,20 @@
     }
 }
 
-/// Returns whether the request, or a part of it, was not sent.
-fn is_unsent(send_done: bool, send_error: Option<&io::Error>) -> bool {
-    !send_done || send_error.is_some()
+/// Reserves the memory that a response needs next.
+///
+/// # Errors
+///
+/// Returns [`ExchangeError::InvalidResponse`] if there is none.
+async fn reserve(
+    memory: &dyn MemoryAccount,
+    decoder: &mut ResponseDecoder,
+) -> Result<(), ExchangeError> {
+    let need = decoder.state.memory_needed();
+    let reservation = memory.reserve(need.held, need.bytes).await;
+    let reservation = reservation.ok_or(ExchangeError::InvalidResponse(crate::Error::NoMemory))?;
+    decoder.state.grant(reservation);
+    Ok(())
 }
 
 /// Returns the error of an exchange whose connection failed after `sent` bytes of the request were
--- a/crates/http1/src/lib.rs
+++ b/crates/http1/src/lib.rs
@@ -24,6 +24,7 @@
 mod payload;
 mod server;
 mod socket;
+mod state;
 
 pub use buffer::{BodyBuffer, SEGMENT_BYTES};
 pub use client::{ClientConnection, ExchangeError, OutgoingRequest};
@@ -32,8 +33,7 @@
     MemoryAccount, PerMessageLimit, Reservation, ReservationList, Reservations, Resource,
 };
 pub use message::{
-    BODY_ALLOWANCE_BYTES, DecodeLimits, MemoryNeed, Request, RequestDecoder, Response,
-    ResponseDecoder,
+    BODY_ALLOWANCE_BYTES, DecodeLimits, Request, RequestDecoder, Response, ResponseDecoder,
 };
 pub use output::OutputQueue;
 pub use payload::{Body, Payload};
--- a/crates/http1/src/message.rs
+++ b/crates/http1/src/message.rs
@@ -1,22 +1,17 @@
 //! Types and incremental decoders for complete requests and responses.
 
-use std::io;
-
-use bytes::{Buf, BufMut, BytesMut};
+use bytes::{Buf, BytesMut};
 use http::header::{CONNECTION, EXPECT, HeaderMap, HeaderName, HeaderValue};
 use http::{Method, StatusCode};
-use tokio::io::{AsyncRead, AsyncReadExt};
 
 use crate::body::{BodyDecoder, Framing, parse_framing};
-use crate::{Body, Error, Reservation, Result};
+use crate::state::DecodeState;
+use crate::{Body, Error, Result};
 
 /// Maximum number of headers in a message; also the size of the array on the stack into which they
 /// are parsed.
 const MAX_HEADERS: usize = 96;
 
-/// Free space in bytes that is reserved in the read buffer before each read.
-pub(crate) const READ_RESERVE_BYTES: usize = 4096;
-
 /// Size limits for decoded messages; a larger message is an error.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct DecodeLimits {
@@ -67,68 +62,11 @@
     pub keep_alive: bool,
 }
 
-/// Part of a message that a decoder reads next; `M` is the type of the message.
-enum DecodeState<M> {
-    /// The head.
-    Head,
-    /// The body of a message whose head has been decoded.
-    Body(M, BodyDecoder),
-}
-
-impl<M> DecodeState<M> {
-    /// Returns the decoder of the body that is being read.
-    fn decoder_mut(&mut self) -> Option<&mut BodyDecoder> {
-        match self {
-            Self::Head => None,
-            Self::Body(_, decoder) => Some(decoder),
-        }
-    }
-
-    /// Reads into the buffer of the body or into `input`; returns the number of bytes.
-    async fn receive(
-        &mut self,
-        reader: &mut (impl AsyncRead + Unpin),
-        input: &mut BytesMut,
-    ) -> io::Result<usize> {
-        if input.is_empty()
-            && let Some(decoder) = self.decoder_mut()
-        {
-            let mut space = decoder.space();
-            if space.has_remaining_mut() {
-                let read = reader.read_buf(&mut space).await?;
-                decoder.record_read(read);
-                return Ok(read);
-            }
-        }
-        input.reserve(READ_RESERVE_BYTES);
-        reader.read_buf(input).await
-    }
-
-    /// Returns the memory that the body needs next.
-    fn memory_needed(&self) -> MemoryNeed {
-        match self {
-            Self::Head => MemoryNeed::default(),
-            Self::Body(_, decoder) => MemoryNeed {
-                held: decoder.buffer().reserved(),
-                bytes: decoder.buffer().memory_needed(),
-            },
-        }
-    }
-}
-
-/// Memory that must be reserved before further bytes of a body can be decoded.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct MemoryNeed {
-    /// Number of bytes that are reserved for the body.
-    pub held: usize,
-    /// Number of further bytes to reserve; zero if no memory is needed now.
-    pub bytes: usize,
-}
-
 /// Decodes the requests that arrive on one connection.
 pub struct RequestDecoder {
     limits: DecodeLimits,
-    state: DecodeState<Request>,
+    /// Part of a request that is read next.
+    pub(crate) state: DecodeState<Request>,
     /// Whether the client expects a `100 Continue` response and `take_expects_continue` has not
     /// reported it yet.
     expects_continue: bool,
@@ -145,44 +83,6 @@
         }
     }
 
-    /// Returns whether the head of a request has been decoded and its body is incomplete.
-    #[must_use]
-    pub fn is_reading_body(&self) -> bool {
-        matches!(self.state, DecodeState::Body(..))
-    }
-
-    /// Returns the declared length in bytes of the body that is being read; zero if none is declared.
-    #[must_use]
-    pub fn declared_length(&self) -> usize {
-        match &self.state {
-            DecodeState::Body(_, decoder) => decoder.declared_length(),
-            DecodeState::Head => 0,
-        }
-    }
-
-    /// Returns the memory that must be reserved before further bytes of the body can be decoded.
-    #[must_use]
-    pub fn memory_needed(&self) -> MemoryNeed {
-        self.state.memory_needed()
-    }
-
-    /// Adds memory that was reserved for the body.
-    pub fn grant(&mut self, reservation: Box<dyn Reservation>) {
-        if let Some(decoder) = self.state.decoder_mut() {
-            decoder.buffer_mut().grant(reservation);
-        }
-    }
-
-    /// Reads into the buffer of the body, if what follows certainly belongs to it, or else into
-    /// `input`; returns the number of bytes. This is cancel safe.
-    pub(crate) async fn receive(
-        &mut self,
-        reader: &mut (impl AsyncRead + Unpin),
-        input: &mut BytesMut,
-    ) -> io::Result<usize> {
-        self.state.receive(reader, input).await
-    }
-
     /// Returns whether the client waits for a `100 Continue` response before it sends the body.
     ///
     /// Clears this state, so that it returns true at most once per request.
@@ -226,7 +126,8 @@
 /// which may declare a length but have no body.
 pub struct ResponseDecoder {
     limits: DecodeLimits,
-    state: DecodeState<Response>,
+    /// Part of a response that is read next.
+    pub(crate) state: DecodeState<Response>,
     /// Size in bytes of the interim responses that were skipped.
     skipped_bytes: usize,
 }
@@ -242,29 +143,6 @@
         }
     }
 
-    /// Returns the memory that must be reserved before further bytes of the body can be decoded.
-    #[must_use]
-    pub fn memory_needed(&self) -> MemoryNeed {
-        self.state.memory_needed()
-    }
-
-    /// Adds memory that was reserved for the body.
-    pub fn grant(&mut self, reservation: Box<dyn Reservation>) {
-        if let Some(decoder) = self.state.decoder_mut() {
-            decoder.buffer_mut().grant(reservation);
-        }
-    }
-
-    /// Reads into the buffer of the body, if what follows certainly belongs to it, or else into
-    /// `input`; returns the number of bytes. This is cancel safe.
-    pub(crate) async fn receive(
-        &mut self,
-        reader: &mut (impl AsyncRead + Unpin),
-        input: &mut BytesMut,
-    ) -> io::Result<usize> {
-        self.state.receive(reader, input).await
-    }
-
     /// Consumes bytes from the buffer and returns the next response once it is complete.
     ///
     /// Interim (1xx) responses are skipped; together they may be as large as one head. `at_eof`
--- a/crates/http1/src/server/connection.rs
+++ b/crates/http1/src/server/connection.rs
@@ -11,10 +11,10 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::sync::watch;
-use tokio::time::{Instant, sleep_until, timeout, timeout_at};
+use tokio::time::{Instant, sleep_until, timeout};
 
 use super::{BoxFuture, Draining, Handler, OutgoingResponse, ServerOptions};
-use crate::message::READ_RESERVE_BYTES;
+use crate::state::READ_RESERVE_BYTES;
 use crate::{
     Error, MemoryAccount, OutputQueue, Payload, Request, RequestDecoder, Reservation, Reservations,
     Resource, encode,
@@ -173,7 +173,7 @@
 
     /// Returns whether a part of a request has arrived.
     fn is_request_partial(&self) -> bool {
-        self.decoder.is_reading_body() || !self.input.is_empty()
+        self.decoder.state.is_reading_body() || !self.input.is_empty()
     }
 
     /// Returns whether no request is running and no response waits to be written.
@@ -211,7 +211,7 @@
                 written?;
                 Ok(Event::Written(unwritten - self.output.messages()))
             }
-            read = self.decoder.receive(&mut reader, &mut self.input), if may_read => {
+            read = self.decoder.state.receive(&mut reader, &mut self.input), if may_read => {
                 Ok(Event::Received(read?))
             }
             decision = decide(&mut self.waiting), if self.waiting.is_some() => {
@@ -253,7 +253,7 @@
 
     /// Prepares for the rest of a request that is incomplete.
     async fn continue_reading(&mut self) -> io::Result<Result<(), Error>> {
-        if self.decoder.declared_length() > self.memory.largest_message() {
+        if self.decoder.state.declared_length() > self.memory.largest_message() {
             return Ok(Err(Error::NoMemory));
         }
         // While other requests run, no `100 Continue` is sent, because it would precede their
@@ -263,7 +263,7 @@
                 .write_all(b"HTTP/1.1 100 Continue\r\n\r\n")
                 .await?;
         }
-        let need = self.decoder.memory_needed();
+        let need = self.decoder.state.memory_needed();
         if need.bytes > 0 {
             self.waiting = Some(Waiting::Body(self.memory.reserve(need.held, need.bytes)));
         } else if self.input.is_empty() && self.input.capacity() > MAX_IDLE_INPUT_BYTES {
@@ -286,7 +286,7 @@
         // The wait was not the client's.
         self.progress = Instant::now();
         match self.waiting.take() {
-            Some(Waiting::Body(_)) => self.decoder.grant(reservation),
+            Some(Waiting::Body(_)) => self.decoder.state.grant(reservation),
             Some(Waiting::Request(request, _)) => {
                 self.start(handler, *request, Reservations::new(smallvec![reservation]));
             }
@@ -343,17 +343,17 @@
     ///
     /// Returns false, as the connection does not stay open.
     async fn reject_and_close(&mut self, handler: &dyn Handler, error: &Error) -> io::Result<bool> {
-        // Gives back the memory of what is rejected.
-        self.waiting = None;
-        self.decoder = RequestDecoder::new(self.options.limits);
         self.answer_and_close(handler.reject(error)).await
     }
 
-    /// Waits for the running requests, writes their responses and then `response`, and closes the
-    /// connection.
+    /// Waits for the running requests, writes their responses and then `response` to the request
+    /// that is being read, and closes the connection.
     ///
     /// Returns false, as the connection does not stay open.
     async fn answer_and_close(&mut self, response: OutgoingResponse) -> io::Result<bool> {
+        // Gives back the memory of the request that is being read.
+        self.waiting = None;
+        self.decoder = RequestDecoder::new(self.options.limits);
         while let Some(finished) = self.running.next().await {
             self.push_response(finished, true);
             self.flush().await?;
@@ -388,12 +388,23 @@
     }
 
     /// Writes all queued responses.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the connection, or one of kind [`TimedOut`](io::ErrorKind::TimedOut) if
+    /// the client takes too long or makes no progress while a resource is short.
     async fn flush(&mut self) -> io::Result<()> {
         while !self.output.is_empty() {
             let unwritten = self.output.messages();
             let end = self.write_start + WRITE_TIMEOUT;
-            let written = timeout_at(end, self.output.write_once(&mut self.stream)).await;
-            written.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
+            let stall_end = self.progress + STALL_TIMEOUT;
+            tokio::select! {
+                written = self.output.write_once(&mut self.stream) => written?,
+                () = sleep_until(end) => return Err(io::ErrorKind::TimedOut.into()),
+                () = stall(self.memory, stall_end, true) => {
+                    return Err(io::ErrorKind::TimedOut.into());
+                }
+            };
             self.record_written(unwritten - self.output.messages());
         }
         Ok(())
--- a/crates/relay/src/entry.rs
+++ b/crates/relay/src/entry.rs
@@ -21,6 +21,7 @@
 
 use crate::connector::Connector;
 use crate::hop::FrameConnection;
+use crate::limits::ConnectionKind;
 use crate::listener::{ConnectionBound, run_listener};
 use crate::messages::{
     DEFAULT_RETRY_AFTER, LimitsReceiver, ListenerMessage, PoolMessage, RouterMessage,
@@ -90,7 +91,11 @@
         context,
         &dependencies.listener,
         dependencies.timeouts,
-        ConnectionBound::new(dependencies.max_connections, dependencies.crowded),
+        ConnectionBound::new(
+            ConnectionKind::Caller,
+            dependencies.max_connections,
+            dependencies.crowded,
+        ),
         CLOSE_TIMEOUT,
         move |stream, from| {
             let handler = CallerHandler(Arc::clone(&entry));
--- a/crates/relay/src/limits.rs
+++ b/crates/relay/src/limits.rs
@@ -77,6 +77,26 @@
     }
 }
 
+/// Kind of connections with a bound on their number.
+#[derive(Clone, Copy, Debug, derive_more::Display, PartialEq, Eq)]
+pub(crate) enum ConnectionKind {
+    /// From callers.
+    #[display("caller")]
+    Caller,
+    /// From other daemons.
+    #[display("incoming")]
+    Incoming,
+    /// To other daemons.
+    #[display("outgoing")]
+    Outgoing,
+    /// To the upstream.
+    #[display("upstream")]
+    Upstream,
+    /// For check-ins, readiness checks or metrics.
+    #[display("internal")]
+    Internal,
+}
+
 /// Largest numbers of open connections by kind.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct ConnectionLimits {
--- a/crates/relay/src/listener.rs
+++ b/crates/relay/src/listener.rs
@@ -9,14 +9,16 @@
     BoxFuture, DecodeLimits, Draining, Handler, MemoryAccount, PerMessageLimit, Reservation,
     Resource, ServerOptions, SocketTimeouts, accept, serve_connection,
 };
-use cornelvalve_kernel::{Context, ServiceResult};
+use cornelvalve_kernel::{Context, Mailbox, ServiceResult};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep, timeout};
 
+use crate::limits::ConnectionKind;
 use crate::memory::wait_until_true;
-use crate::messages::ListenerMessage;
+use crate::messages::{ListenerMessage, StatsMessage};
+use crate::names::STATS;
 
 /// Pause after a failed accept, so that a lack of file descriptors does not cause a busy loop.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
@@ -32,6 +34,7 @@
 
 /// Bound on the open connections of a listener.
 pub(crate) struct ConnectionBound {
+    kind: ConnectionKind,
     /// Maximum number of open connections; further ones are closed at once.
     max: usize,
     /// Tells the connections whether there are so many that those without progress should close.
@@ -44,8 +47,9 @@
 
 impl ConnectionBound {
     /// Creates a bound that tells `crowded` whether there are many connections.
-    pub(crate) fn new(max: usize, crowded: watch::Sender<bool>) -> Self {
+    pub(crate) fn new(kind: ConnectionKind, max: usize, crowded: watch::Sender<bool>) -> Self {
         Self {
+            kind,
             max,
             crowded,
             refused: 0,
@@ -54,18 +58,21 @@
     }
 
     /// Creates a bound whose connections do not learn whether there are many of them.
-    pub(crate) fn silent(max: usize) -> Self {
-        Self::new(max, watch::channel(false).0)
+    pub(crate) fn silent(kind: ConnectionKind, max: usize) -> Self {
+        Self::new(kind, max, watch::channel(false).0)
     }
 
-    /// Returns whether a further connection beside `open` ones may be served; logs if not.
-    fn admits(&mut self, open: usize) -> bool {
+    /// Returns whether a further connection beside `open` ones may be served; counts and logs if not.
+    fn admits(&mut self, open: usize, stats: &Mailbox<StatsMessage>) -> bool {
         if open < self.max {
             return true;
         }
         self.refused += 1;
+        if let Err(e) = stats.try_send(StatsMessage::ConnectionRefused(self.kind)) {
+            log::debug!("refused connection was not counted: {e}");
+        }
         if self.logged.is_none_or(|l| l.elapsed() >= LOG_INTERVAL) {
-            log::warn!(event = "connections-refused", open = open, count = self.refused; "too many connections; further ones are closed at once");
+            log::warn!(event = "connections-refused", kind:% = self.kind, open = open, count = self.refused; "too many connections; further ones are closed at once");
             self.refused = 0;
             self.logged = Some(Instant::now());
         }
@@ -121,7 +128,11 @@
 
 /// Accepts HTTP connections for check-ins, readiness or metrics until the service is asked to stop.
 ///
-/// Never returns an error: a failed accept is logged and retried after a pause.
+/// A failed accept is logged and retried after a pause.
+///
+/// # Errors
+///
+/// Returns an error if the stats service does not exist.
 pub(crate) async fn run_http_listener(
     context: Context<ListenerMessage>,
     listener: &TcpListener,
@@ -134,7 +145,7 @@
         context,
         listener,
         timeouts,
-        ConnectionBound::new(MAX_INTERNAL_CONNECTIONS, crowded),
+        ConnectionBound::new(ConnectionKind::Internal, MAX_INTERNAL_CONNECTIONS, crowded),
         Duration::ZERO,
         move |stream, from| {
             let (handler, account) = (Arc::clone(&handler), Arc::clone(&account));
@@ -161,7 +172,11 @@
 /// Accepts connections, as many as `bound` allows, until the service is asked to stop, then waits for at most `close_timeout`
 /// until they have ended, and closes the others.
 ///
-/// Never returns an error: a failed accept is logged and retried after a pause.
+/// A failed accept is logged and retried after a pause.
+///
+/// # Errors
+///
+/// Returns an error if the stats service does not exist.
 pub(crate) async fn run_listener<F, R>(
     mut context: Context<ListenerMessage>,
     listener: &TcpListener,
@@ -174,6 +189,7 @@
     F: Fn(TcpStream, SocketAddr) -> R,
     R: Future<Output = ()> + Send + 'static,
 {
+    let stats = context.registry.mailbox(STATS)?;
     let mut connections = JoinSet::new();
     loop {
         bound.update(connections.len());
@@ -186,7 +202,7 @@
                 return Ok(());
             }
             accepted = accept(listener, timeouts) => match accepted {
-                Ok((stream, from)) if bound.admits(connections.len()) => {
+                Ok((stream, from)) if bound.admits(connections.len(), &stats) => {
                     connections.spawn(serve(stream, from));
                 }
                 Ok(_) => {}
--- a/crates/relay/src/listener/tests.rs
+++ b/crates/relay/src/listener/tests.rs
@@ -23,6 +23,10 @@
     let listener = Arc::new(listener);
     let (started, mut requests) = mpsc::unbounded_channel();
     let kernel = Kernel::builder(Arc::new(SystemClock::new()))
+        .add_service(STATS, ServiceOptions::default(), |mut context| async move {
+            context.stop.requested().await;
+            Ok(())
+        })
         .add_service(ENTRY, ServiceOptions::default(), move |context| {
             let (listener, started) = (Arc::clone(&listener), started.clone());
             async move {
@@ -35,7 +39,7 @@
                         stream.write_u8(request).await.expect("response is sent");
                     }
                 };
-                let bound = ConnectionBound::silent(1);
+                let bound = ConnectionBound::silent(ConnectionKind::Caller, 1);
                 run_listener(context, &listener, TIMEOUTS, bound, CLOSE_TIMEOUT, serve).await
             }
         })
--- a/crates/relay/src/messages.rs
+++ b/crates/relay/src/messages.rs
@@ -20,6 +20,7 @@
 use crate::desired::changes::StateId;
 use crate::desired::{CallerLimits, ControlView, RouteSpec, Version};
 use crate::hop::ControlUpdate;
+use crate::limits::ConnectionKind;
 use crate::memory::MemoryReservation;
 use crate::pool::{Checkout, Lease};
 use crate::ports::{Cause, PeerAddrs};
@@ -361,6 +362,8 @@
     RequestFinished(RequestRecord),
     /// There was no memory for a message.
     MemoryRefused(MemoryUse),
+    /// There were too many connections of this kind for a further one.
+    ConnectionRefused(ConnectionKind),
     /// Asks for the metrics in the text format of Prometheus.
     Scrape {
         /// Receives the text.
--- a/crates/relay/src/node/services.rs
+++ b/crates/relay/src/node/services.rs
@@ -18,6 +18,7 @@
 use crate::discovery::run_discovery;
 use crate::entry::{EntryDependencies, run_entry};
 use crate::guard::{GuardSettings, run_guard};
+use crate::limits::ConnectionKind;
 use crate::members::run_members;
 use crate::memory::{MemoryHandle, run_memory};
 use crate::messages::ShutdownStage;
@@ -140,10 +141,12 @@
                 stats::run_stats(context, Arc::clone(&limits))
             })
             .add_service(UPSTREAM_POOL, options, move |context| {
-                pool::run_pool(context, UPSTREAM_POOL, connections.upstream)
+                let kind = ConnectionKind::Upstream;
+                pool::run_pool(context, UPSTREAM_POOL, kind, connections.upstream)
             })
             .add_service(PEER_POOL, options, move |context| {
-                pool::run_pool(context, PEER_POOL, connections.outgoing)
+                let kind = ConnectionKind::Outgoing;
+                pool::run_pool(context, PEER_POOL, kind, connections.outgoing)
             })
     }
 
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -10,6 +10,7 @@
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::hop::{self, FrameConnection, HopCall, HopError, HopOutcome, HopReply, HopRequest};
+use crate::limits::ConnectionKind;
 use crate::listener::{ConnectionBound, run_listener};
 use crate::messages::{ControlMessage, DEFAULT_RETRY_AFTER, ListenerMessage};
 use crate::names::CONTROL;
@@ -44,7 +45,7 @@
         context,
         &listener,
         timeouts,
-        ConnectionBound::silent(max_connections),
+        ConnectionBound::silent(ConnectionKind::Incoming, max_connections),
         Duration::ZERO,
         move |stream, from| {
             let handler = PeerHandler {
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -14,7 +14,9 @@
 use tokio::sync::mpsc;
 
 use crate::hop::FrameConnection;
-use crate::messages::PoolMessage;
+use crate::limits::ConnectionKind;
+use crate::messages::{PoolMessage, StatsMessage};
+use crate::names::STATS;
 
 /// Maximum number of idle connections kept for one address; further ones are closed when returned.
 const MAX_IDLE_PER_ADDRESS: usize = 32;
@@ -100,8 +102,10 @@
 pub(crate) async fn run_pool<C: Pooled>(
     mut context: Context<PoolMessage<C>>,
     name: Name<PoolMessage<C>>,
+    kind: ConnectionKind,
     max_open: usize,
 ) -> ServiceResult {
+    let stats = context.registry.mailbox(STATS)?;
     context
         .subscribe_to_ticks(name, SWEEP_PERIOD, PoolMessage::Tick)
         .await?;
@@ -123,7 +127,15 @@
         };
         let now = context.clock.now();
         match message {
-            Some(PoolMessage::Checkout { addr, reply }) => reply.send(pool.checkout(addr, now)),
+            Some(PoolMessage::Checkout { addr, reply }) => {
+                let answer = pool.checkout(addr, now);
+                if matches!(answer, Checkout::Full)
+                    && let Err(e) = stats.try_send(StatsMessage::ConnectionRefused(kind))
+                {
+                    log::debug!("refused connection was not counted: {e}");
+                }
+                reply.send(answer);
+            }
             Some(PoolMessage::Return {
                 addr,
                 connection,
--- a/crates/relay/src/stats.rs
+++ b/crates/relay/src/stats.rs
@@ -50,6 +50,8 @@
     upstream_limit: Gauge,
     /// Messages for which there was no memory, by what the memory is used for.
     memory_refused: IntCounterVec,
+    /// Connections that were closed or not opened because there were too many, by kind.
+    connections_refused: IntCounterVec,
     /// Version of the desired state in force.
     version: IntGauge,
     domains_out: IntGauge,
@@ -94,6 +96,10 @@
                 opts("memory_refused_total", "Messages without memory"),
                 &["use"],
             )?,
+            connections_refused: IntCounterVec::new(
+                opts("connections_refused_total", "Connections above their bound"),
+                &["kind"],
+            )?,
             version: IntGauge::with_opts(opts("version", "Version of the desired state"))?,
             domains_out: IntGauge::with_opts(opts(
                 "domains_out",
@@ -116,6 +122,7 @@
         registry.register(Box::new(metrics.cold_starts.clone()))?;
         registry.register(Box::new(metrics.upstream_limit.clone()))?;
         registry.register(Box::new(metrics.memory_refused.clone()))?;
+        registry.register(Box::new(metrics.connections_refused.clone()))?;
         registry.register(Box::new(metrics.version.clone()))?;
         registry.register(Box::new(metrics.domains_out.clone()))?;
         registry.register(Box::new(metrics.control_reads.clone()))?;
@@ -222,6 +229,10 @@
                 let counter = self.metrics.memory_refused.with_label_values(&[&purpose]);
                 counter.inc();
             }
+            StatsMessage::ConnectionRefused(kind) => {
+                let refused = &self.metrics.connections_refused;
+                refused.with_label_values(&[&kind.to_string()]).inc();
+            }
             StatsMessage::ColdStart { rate_known } => {
                 let rate = if rate_known { "known" } else { "unknown" };
                 self.metrics.cold_starts.with_label_values(&[rate]).inc();
