Apply the limits in force to the requests of kept connections

Cause: a connection copied the limits when it was accepted.

Change: a handler may tell the options in force; a connection asks before it decodes a request. The entry tells the limits of the desired state in force.

Why it works: each request is decoded with the limits that are in force when its head is complete; one that is being read keeps those with which it began.

--- a/crates/http1/src/message.rs
+++ b/crates/http1/src/message.rs
@@ -83,6 +83,11 @@
         }
     }
 
+    /// Sets the limits of requests whose heads have not been decoded.
+    pub(crate) fn set_limits(&mut self, limits: DecodeLimits) {
+        self.limits = limits;
+    }
+
     /// Returns whether the client waits for a `100 Continue` response before it sends the body.
     ///
     /// Clears this state, so that it returns true at most once per request.
--- a/crates/http1/src/server.rs
+++ b/crates/http1/src/server.rs
@@ -64,6 +64,12 @@
     /// Returns the response to a request.
     fn handle(&self, request: Request) -> BoxFuture<'static, OutgoingResponse>;
 
+    /// Returns the options that are in force now. They apply to a connection from its next request
+    /// on; `None` if those with which it was accepted stay in force.
+    fn options(&self) -> Option<ServerOptions> {
+        None
+    }
+
     /// Returns the response to bytes that failed to decode as a request; the connection closes
     /// after it.
     fn reject(&self, error: &Error) -> OutgoingResponse {
--- a/crates/http1/src/server/connection.rs
+++ b/crates/http1/src/server/connection.rs
@@ -234,6 +234,10 @@
     /// that failed to decode.
     async fn start_requests(&mut self, handler: &dyn Handler) -> io::Result<Result<(), Error>> {
         while !self.closing && !self.is_at_capacity() && self.waiting.is_none() {
+            if let Some(options) = handler.options() {
+                self.options = options;
+                self.decoder.set_limits(options.limits);
+            }
             let request = match self.decoder.decode(&mut self.input) {
                 Ok(Some(request)) => request,
                 Ok(None) => return self.continue_reading().await,
--- a/crates/relay/src/entry.rs
+++ b/crates/relay/src/entry.rs
@@ -35,7 +35,7 @@
 pub(crate) struct EntryDependencies {
     pub(crate) listener: Arc<TcpListener>,
     pub(crate) timeouts: SocketTimeouts,
-    /// Limits on callers in force; they apply to new connections.
+    /// Limits on callers in force; they apply to requests that begin later.
     pub(crate) limits: LimitsReceiver,
     /// Set when the daemon starts to shut down; each connection then closes after its next
     /// response.
@@ -98,18 +98,14 @@
         ),
         CLOSE_TIMEOUT,
         move |stream, from| {
-            let handler = CallerHandler(Arc::clone(&entry));
-            let (limits, draining) = (*limits.borrow(), draining.clone());
+            let handler = CallerHandler {
+                entry: Arc::clone(&entry),
+                limits: limits.clone(),
+            };
+            let draining = draining.clone();
             let memory = Arc::clone(&memory);
             async move {
-                let options = ServerOptions {
-                    limits: DecodeLimits {
-                        head_bytes: limits.head_bytes,
-                        body_bytes: limits.body_bytes,
-                    },
-                    request_timeout: limits.request_timeout,
-                    idle_timeout: limits.idle_timeout,
-                };
+                let options = handler.server_options();
                 if let Err(e) =
                     serve_connection(stream, &handler, options, &*memory, draining).await
                 {
@@ -126,17 +122,39 @@
 }
 
 /// Handles the requests of one caller connection.
-struct CallerHandler(Arc<EntryContext>);
+struct CallerHandler {
+    entry: Arc<EntryContext>,
+    limits: LimitsReceiver,
+}
+
+impl CallerHandler {
+    /// Returns the options that follow from the limits in force.
+    fn server_options(&self) -> ServerOptions {
+        let limits = *self.limits.borrow();
+        ServerOptions {
+            limits: DecodeLimits {
+                head_bytes: limits.head_bytes,
+                body_bytes: limits.body_bytes,
+            },
+            request_timeout: limits.request_timeout,
+            idle_timeout: limits.idle_timeout,
+        }
+    }
+}
 
 impl Handler for CallerHandler {
     fn handle(&self, request: Request) -> BoxFuture<'static, OutgoingResponse> {
-        let entry = Arc::clone(&self.0);
+        let entry = Arc::clone(&self.entry);
         Box::pin(async move { forward::serve(&entry, request).await })
     }
 
+    fn options(&self) -> Option<ServerOptions> {
+        Some(self.server_options())
+    }
+
     fn reject(&self, error: &Error) -> OutgoingResponse {
         if *error == Error::NoMemory {
-            return self.0.error_reply(&ErrorResponse {
+            return self.entry.error_reply(&ErrorResponse {
                 retry_after: Some(DEFAULT_RETRY_AFTER),
                 ..refusal(Cause::Overloaded)
             });
