Lower what connections take without a claim

By reading: with 975 connections of other daemons, each with a small request, what is not claimed could add up to 41 MB beside the shares of messages and callers, more than a VM of 160 MB has left. Nothing of this was seen.

Change: bodies and responses claim memory from 8 KiB on (16 before), frames from 4 KiB on, and a pipelined request also claims the part of its body that was free. Requests without a body are below that, so they claim nothing, as before.

--- a/crates/http1/src/message.rs
+++ b/crates/http1/src/message.rs
@@ -22,7 +22,7 @@
 }
 
 /// Number of bytes of a body for which no memory is reserved, as most bodies are smaller.
-pub const BODY_ALLOWANCE_BYTES: usize = 16 * 1024;
+pub const BODY_ALLOWANCE_BYTES: usize = 8 * 1024;
 
 /// Complete request as received.
 #[derive(Clone, Debug)]
--- a/crates/http1/src/server/connection.rs
+++ b/crates/http1/src/server/connection.rs
@@ -16,8 +16,8 @@
 use super::{BoxFuture, Draining, Handler, OutgoingResponse, ServerOptions};
 use crate::state::READ_RESERVE_BYTES;
 use crate::{
-    Error, MemoryAccount, OutputQueue, Payload, Request, RequestDecoder, Reservation, Reservations,
-    Resource, encode,
+    BODY_ALLOWANCE_BYTES, Error, MemoryAccount, OutputQueue, Payload, Request, RequestDecoder,
+    Reservation, Reservations, Resource, encode,
 };
 
 /// Maximum number of requests of one connection that run or whose responses are not written; while
@@ -27,7 +27,8 @@
 /// Capacity in bytes above which the read buffer of an idle connection is released.
 const MAX_IDLE_INPUT_BYTES: usize = 2 * READ_RESERVE_BYTES;
 
-/// Memory in bytes that a running request takes besides its head and its body.
+/// Memory in bytes that a running request takes besides its head and its body: its state and the part
+/// of a response for which no memory is reserved.
 const REQUEST_BYTES: usize = 16 * 1024;
 
 /// Number of copies of the head that exist while a request runs.
@@ -247,8 +248,9 @@
             if self.running.is_empty() {
                 self.start(handler, request, Reservations::default());
             } else {
-                let bytes = REQUEST_BYTES + HEAD_COPIES * request.head_length();
-                let reservation = self.memory.reserve(0, bytes);
+                let unreserved = request.body.len().min(BODY_ALLOWANCE_BYTES);
+                let head = HEAD_COPIES * request.head_length();
+                let reservation = self.memory.reserve(0, REQUEST_BYTES + head + unreserved);
                 self.waiting = Some(Waiting::Request(Box::new(request), reservation));
             }
         }
--- a/crates/relay/src/hop/connection.rs
+++ b/crates/relay/src/hop/connection.rs
@@ -6,9 +6,7 @@
 use std::sync::Arc;
 
 use bytes::{Buf, BufMut, BytesMut};
-use cornelvalve_http1::{
-    BODY_ALLOWANCE_BYTES, BodyBuffer, MemoryAccount, OutputQueue, SocketTimeouts, connect,
-};
+use cornelvalve_http1::{BodyBuffer, MemoryAccount, OutputQueue, SocketTimeouts, connect};
 use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
 
@@ -18,6 +16,10 @@
 /// Free space in bytes in the read buffer before each read of what precedes a frame.
 const READ_BYTES: usize = 4096;
 
+/// Number of bytes of a message for which no memory is reserved; most requests without a body are
+/// smaller.
+const ALLOWANCE_BYTES: usize = 4096;
+
 /// Frame that is being received.
 #[derive(Debug)]
 enum Incoming {
@@ -168,7 +170,7 @@
     fn take_message<T: Message>(&mut self) -> Result<Option<Result<T>>> {
         if matches!(self.incoming, Incoming::Length) && self.input.len() >= LENGTH_BYTES {
             let length = self.input.get_u32() as usize;
-            let buffer = BodyBuffer::new(length, BODY_ALLOWANCE_BYTES);
+            let buffer = BodyBuffer::new(length, ALLOWANCE_BYTES);
             self.incoming = Incoming::Message(buffer);
         }
         let complete = match &mut self.incoming {
--- a/crates/relay/src/limits.rs
+++ b/crates/relay/src/limits.rs
@@ -15,7 +15,8 @@
 const CONNECTION_PERCENT: usize = 20;
 
 /// Memory in bytes that a connection of a caller takes at most without a claim: its task, a request
-/// head, the first part of a body and the state of one running request.
+/// head and its copies, the first part of a body, and one running request with the first part of its
+/// response.
 const CONNECTION_BYTES: usize = 52 * 1024;
 
 /// Descriptors that are not for connections: files, listeners and datagrams.
