Take an answer without length for complete only after the whole request

A target's answer with status 000 gave 502, but 600 and 999 were passed on as answers.

Cause: if the write side meets the reset first, it takes the error of the socket. The read that follows then returns no bytes and no error, and the end of the connection completed the body. `StatusCode` accepts codes up to 999.

Change: the end of the connection completes a body without length only if the request was sent in full and without an error; otherwise the exchange is lost. A status above 599 is invalid, as one below 100 was. Frames between daemons and requests of callers always have a length or chunks, so an end of file never completes those.

Why it works: an error can be taken only by a write, and after the whole request there is none. A target that ends its side before it has read the request loses such an answer; it cannot be told from a reset.

--- a/crates/http1/src/client.rs
+++ b/crates/http1/src/client.rs
@@ -153,13 +153,24 @@
                             return Err(connection_error(send_error.unwrap_or(e), sent));
                         }
                     };
+                    // The write side may have met a reset and taken its error from the socket, so
+                    // that the read ends without one. The end of the connection therefore completes
+                    // a body without a length only if the request was sent in full.
                     let is_sent = send_done && send_error.is_none();
                     loop {
-                        let decoded = decoder.decode(&mut self.buffer, at_eof);
+                        let decoded = decoder.decode(&mut self.buffer, at_eof && is_sent);
                         match decoded.map_err(ExchangeError::InvalidResponse) {
                             Ok(None) if decoder.state.memory_needed().bytes > 0 => {
                                 reserve(&*self.memory, &mut decoder).await?;
                             }
+                            Ok(None) if at_eof => {
+                                // Ends the borrow of `sent`.
+                                drop(sending);
+                                return Err(connection_error(
+                                    io::ErrorKind::UnexpectedEof.into(),
+                                    sent,
+                                ));
+                            }
                             Ok(None) => break,
                             Ok(Some(response)) if !matches_request(&response) => {
                                 skipped += 1;
@@ -176,15 +187,6 @@
                                     is_sent && !at_eof && self.buffer.is_empty();
                                 return Ok(response);
                             }
-                            // The server closed the connection before the request was sent in full.
-                            Err(_) if at_eof && !is_sent => {
-                                // Ends the borrow of `sent`.
-                                drop(sending);
-                                return Err(connection_error(
-                                    io::ErrorKind::UnexpectedEof.into(),
-                                    sent,
-                                ));
-                            }
                             Err(e) => return Err(e),
                         }
                     }
--- a/crates/http1/src/message.rs
+++ b/crates/http1/src/message.rs
@@ -12,6 +12,9 @@
 /// are parsed.
 const MAX_HEADERS: usize = 96;
 
+/// Largest status code of HTTP; [`StatusCode`] accepts larger ones.
+const MAX_STATUS: u16 = 599;
+
 /// Size limits for decoded messages; a larger message is an error.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct DecodeLimits {
@@ -244,7 +247,8 @@
         httparse::Status::Complete(length) => length,
     };
     check_head_length(length, limit)?;
-    let status = StatusCode::from_u16(parsed.code.unwrap_or_default());
+    let status = parsed.code.filter(|code| *code <= MAX_STATUS);
+    let status = StatusCode::from_u16(status.unwrap_or_default());
     let status = status.map_err(|_| Error::Malformed("invalid status"))?;
     let headers = header_map(parsed.headers)?;
     let keep_alive = is_keep_alive(parsed.version, &headers);
--- a/crates/http1/tests/all/client.rs
+++ b/crates/http1/tests/all/client.rs
@@ -201,3 +201,55 @@
         }
     }
 }
+
+/// Number of times that a test repeats an exchange whose course depends on timing.
+const REPEATS: u64 = 50;
+
+/// Accepts a connection, responds without a length as soon as the first bytes of the request have
+/// arrived, and resets the connection `pause` later.
+async fn answer_early_and_reset(mut stream: TcpStream, pause: Duration) {
+    read_some(&mut stream).await;
+    let sent = stream.write_all(b"HTTP/1.1 200 OK\r\n\r\npart").await;
+    sent.expect("response is sent");
+    tokio::time::sleep(pause).await;
+    // Closing a socket with unread bytes resets the connection.
+    drop(stream);
+}
+
+// Guards against a part of a response that is taken for all of it: if the write side meets the reset
+// first, the read that follows ends without an error.
+#[tokio::test]
+async fn a_response_without_length_that_is_reset_during_the_request_is_not_complete() {
+    let body = Bytes::from(vec![b'u'; 16 << 20]);
+    for repeat in 0..REPEATS {
+        let pause = Duration::from_millis(2 * repeat);
+        let addr = spawn_server(move |stream| answer_early_and_reset(stream, pause)).await;
+        let result = post(&mut open(addr).await, &body, |_| true).await;
+        assert!(
+            matches!(result, Err(ExchangeError::Lost(_))),
+            "{pause:?}: {result:?}"
+        );
+    }
+}
+
+// Guards against a status that HTTP does not have and that is passed on as one.
+#[tokio::test]
+async fn a_response_with_an_impossible_status_is_invalid() {
+    for status in [
+        "000", "001", "099", "600", "601", "999", "1000", "20", "-200",
+    ] {
+        let response = format!("HTTP/1.1 {status} Odd\r\ncontent-length: 2\r\n\r\nok");
+        let addr = spawn_server(move |mut stream| async move {
+            read_some(&mut stream).await;
+            let sent = stream.write_all(response.as_bytes()).await;
+            sent.expect("response is sent");
+            let _ = stream.read(&mut [0]).await;
+        })
+        .await;
+        let result = post(&mut open(addr).await, &Bytes::new(), |_| true).await;
+        assert!(
+            matches!(result, Err(ExchangeError::InvalidResponse(_))),
+            "{status}: {result:?}"
+        );
+    }
+}
