Count the memory of check-ins, readiness checks and metrics too

By reading: the listeners for check-ins, readiness and metrics had an account without a bound. 32 connections of each, with 32 pipelined requests of 64 KiB, could hold 200 MB. Nothing of this was seen; nobody but the platform and the target calls them.

Change: they take their memory from the account of requests from outside, in place of an account of their own. The accounts are created in the module of the memory service.

Evidence: by the type checker and the tests of relay; no test plays such a crowd.

--- a/crates/relay/src/check_ins.rs
+++ b/crates/relay/src/check_ins.rs
@@ -3,13 +3,12 @@
 
 use std::sync::Arc;
 
-use cornelvalve_http1::{BoxFuture, Handler, OutgoingResponse, Request, SocketTimeouts};
+use cornelvalve_http1::{BoxFuture, Handler, OutgoingResponse, Request};
 use cornelvalve_kernel::{Context, Mailbox, ServiceResult};
 use http::StatusCode;
 use http::header::{CONTENT_TYPE, HeaderValue};
-use tokio::net::TcpListener;
 
-use crate::listener::run_http_listener;
+use crate::listener::{InternalListener, run_http_listener};
 use crate::messages::{GuardMessage, ListenerMessage};
 use crate::names::GUARD;
 use crate::ports::CheckInProtocol;
@@ -18,18 +17,17 @@
 ///
 /// # Errors
 ///
-/// Returns an error if the guard service does not exist.
+/// Returns an error if the guard service or the memory service does not exist.
 pub(crate) async fn run_check_ins(
     context: Context<ListenerMessage>,
-    listener: Arc<TcpListener>,
-    timeouts: SocketTimeouts,
+    listener: InternalListener,
     protocol: Arc<dyn CheckInProtocol>,
 ) -> ServiceResult {
     let handler = Arc::new(CheckInHandler {
         guard: context.registry.mailbox(GUARD)?,
         protocol,
     });
-    run_http_listener(context, &listener, timeouts, handler).await
+    run_http_listener(context, listener, handler).await
 }
 
 /// Handler of check-in requests.
--- a/crates/relay/src/listener.rs
+++ b/crates/relay/src/listener.rs
@@ -6,8 +6,7 @@
 use std::time::Duration;
 
 use cornelvalve_http1::{
-    BoxFuture, DecodeLimits, Draining, Handler, MemoryAccount, PerMessageLimit, Reservation,
-    Resource, ServerOptions, SocketTimeouts, accept, serve_connection,
+    DecodeLimits, Draining, Handler, ServerOptions, SocketTimeouts, accept, serve_connection,
 };
 use cornelvalve_kernel::{Context, Mailbox, ServiceResult};
 use tokio::net::{TcpListener, TcpStream};
@@ -16,7 +15,7 @@
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::limits::ConnectionKind;
-use crate::memory::wait_until_true;
+use crate::memory::MemoryAccounts;
 use crate::messages::{ListenerMessage, StatsMessage};
 use crate::names::STATS;
 
@@ -98,32 +97,13 @@
     idle_timeout: Duration::from_secs(30),
 };
 
-/// Account of connections that do not carry callers' requests: their messages are small, and idle
-/// ones close when there are many.
-struct InternalAccount {
-    /// Whether there are many connections.
-    crowded: watch::Receiver<bool>,
-}
-
-impl MemoryAccount for InternalAccount {
-    fn reserve(
-        &self,
-        held: usize,
-        bytes: usize,
-    ) -> BoxFuture<'static, Option<Box<dyn Reservation>>> {
-        PerMessageLimit::NONE.reserve(held, bytes)
-    }
-
-    fn largest_message(&self) -> usize {
-        PerMessageLimit::NONE.largest_message()
-    }
-
-    fn shortage(&self, resource: Resource) -> BoxFuture<'static, ()> {
-        match resource {
-            Resource::Memory => PerMessageLimit::NONE.shortage(resource),
-            Resource::Connections => Box::pin(wait_until_true(self.crowded.clone())),
-        }
-    }
+/// Listener for check-ins, readiness or metrics, with what its service needs.
+#[derive(Clone)]
+pub(crate) struct InternalListener {
+    pub(crate) listener: Arc<TcpListener>,
+    pub(crate) timeouts: SocketTimeouts,
+    /// Source of the account from which its requests take their memory.
+    pub(crate) accounts: MemoryAccounts,
 }
 
 /// Accepts HTTP connections for check-ins, readiness or metrics until the service is asked to stop.
@@ -132,19 +112,18 @@
 ///
 /// # Errors
 ///
-/// Returns an error if the stats service does not exist.
+/// Returns an error if the stats service or the memory service does not exist.
 pub(crate) async fn run_http_listener(
     context: Context<ListenerMessage>,
-    listener: &TcpListener,
-    timeouts: SocketTimeouts,
+    internal: InternalListener,
     handler: Arc<dyn Handler>,
 ) -> ServiceResult {
     let (crowded, receiver) = watch::channel(false);
-    let account = Arc::new(InternalAccount { crowded: receiver });
+    let account = internal.accounts.caller_account(&context, receiver)?;
     run_listener(
         context,
-        listener,
-        timeouts,
+        &internal.listener,
+        internal.timeouts,
         ConnectionBound::new(ConnectionKind::Internal, MAX_INTERNAL_CONNECTIONS, crowded),
         Duration::ZERO,
         move |stream, from| {
--- a/crates/relay/src/memory.rs
+++ b/crates/relay/src/memory.rs
@@ -17,7 +17,7 @@
 use tokio::time::sleep;
 
 use crate::messages::{MemoryMessage, StatsMessage};
-use crate::names::STATS;
+use crate::names::{MEMORY, STATS};
 
 /// Least time between two log lines about refused claims.
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
@@ -46,7 +46,7 @@
 
 /// Account of the connections for one use of memory.
 #[derive(Clone, Debug)]
-pub(crate) struct MemoryHandle {
+struct MemoryHandle {
     mailbox: Mailbox<MemoryMessage>,
     purpose: MemoryUse,
     /// Size in bytes of the largest message for which there ever is room.
@@ -57,22 +57,69 @@
     crowded: watch::Receiver<bool>,
 }
 
-impl MemoryHandle {
-    /// Creates the account for one use of a daemon's memory of `total` bytes.
-    pub(crate) fn new(
-        mailbox: Mailbox<MemoryMessage>,
+/// Creates the accounts with which the connections of a service take memory.
+#[derive(Clone, Debug)]
+pub(crate) struct MemoryAccounts {
+    /// Memory in bytes that messages share.
+    total: usize,
+    /// Whether a claim waits.
+    short: watch::Receiver<bool>,
+}
+
+impl MemoryAccounts {
+    /// Creates the accounts of a daemon whose messages share `total` bytes. `short` tells whether a
+    /// claim waits.
+    pub(crate) fn new(total: usize, short: watch::Receiver<bool>) -> Self {
+        Self { total, short }
+    }
+
+    /// Returns the account for a use of memory by the service with this context.
+    ///
+    /// # Errors
+    ///
+    /// Returns the kernel's error if the memory service has no mailbox.
+    pub(crate) fn account<M>(
+        &self,
+        context: &Context<M>,
+        purpose: MemoryUse,
+    ) -> cornelvalve_kernel::Result<Arc<dyn MemoryAccount>> {
+        let crowded = watch::channel(false).1;
+        Ok(Arc::new(self.handle(context, purpose, crowded)?))
+    }
+
+    /// Returns the account for requests from outside. `crowded` tells whether there are too many
+    /// connections of the same listener.
+    ///
+    /// # Errors
+    ///
+    /// Returns the kernel's error if the memory service has no mailbox.
+    pub(crate) fn caller_account<M>(
+        &self,
+        context: &Context<M>,
+        crowded: watch::Receiver<bool>,
+    ) -> cornelvalve_kernel::Result<Arc<dyn MemoryAccount>> {
+        Ok(Arc::new(self.handle(
+            context,
+            MemoryUse::Caller,
+            crowded,
+        )?))
+    }
+
+    fn handle<M>(
+        &self,
+        context: &Context<M>,
         purpose: MemoryUse,
-        total: usize,
-        short: watch::Receiver<bool>,
         crowded: watch::Receiver<bool>,
-    ) -> Self {
-        Self {
+    ) -> cornelvalve_kernel::Result<MemoryHandle> {
+        let mailbox = context.registry.mailbox(MEMORY)?;
+        let short = self.short.clone();
+        Ok(MemoryHandle {
             mailbox,
             purpose,
-            largest: MemoryBudget::new(total).largest_message(purpose),
+            largest: MemoryBudget::new(self.total).largest_message(purpose),
             short,
             crowded,
-        }
+        })
     }
 }
 
@@ -114,7 +161,7 @@
 }
 
 /// Waits until a state is true.
-pub(crate) async fn wait_until_true(mut state: watch::Receiver<bool>) {
+async fn wait_until_true(mut state: watch::Receiver<bool>) {
     if state.wait_for(|s| *s).await.is_err() {
         // Without a sender, the state does not change any more.
         std::future::pending().await
--- a/crates/relay/src/node/services.rs
+++ b/crates/relay/src/node/services.rs
@@ -8,6 +8,7 @@
 use cornelvalve_model::{Incarnation, Member, MemberKey, MemberState};
 use cornelvalve_policy::MemoryUse;
 use smallvec::SmallVec;
+use tokio::net::TcpListener;
 use tokio::sync::watch;
 
 use super::sockets::Sockets;
@@ -19,8 +20,9 @@
 use crate::entry::{EntryDependencies, run_entry};
 use crate::guard::{GuardSettings, run_guard};
 use crate::limits::ConnectionKind;
+use crate::listener::InternalListener;
 use crate::members::run_members;
-use crate::memory::{MemoryHandle, run_memory};
+use crate::memory::{MemoryAccounts, run_memory};
 use crate::messages::ShutdownStage;
 use crate::names::{
     CHECK_INS, CONTROL, DISCOVERY, ENTRY, GUARD, MEMBERS, MEMORY, METRICS, MONITOR, NOTICES,
@@ -78,13 +80,11 @@
     pub(super) fn build(&self) -> KernelBuilder {
         let limits = Arc::new(watch::channel(CallerLimits::default()).0);
         let short = Arc::new(watch::channel(false).0);
-        let accounts = MemoryAccounts {
-            total: self.settings.limits.message_bytes(),
-            short: short.subscribe(),
-        };
+        let total = self.settings.limits.message_bytes();
+        let accounts = MemoryAccounts::new(total, short.subscribe());
         let builder = Kernel::builder(Arc::clone(&self.adapters.clock));
         let builder = self.add_stats_and_pools(builder, Arc::clone(&limits));
-        let builder = self.add_memory(builder, &accounts, short);
+        let builder = self.add_memory(builder, total, short);
         let builder = self.add_control_plane(builder);
         let builder = self.add_request_path(builder, &accounts);
         self.add_listeners(builder, &limits, &accounts)
@@ -154,7 +154,7 @@
     fn add_memory(
         &self,
         builder: KernelBuilder,
-        accounts: &MemoryAccounts,
+        total: usize,
         short: Arc<watch::Sender<bool>>,
     ) -> KernelBuilder {
         // A restarted service would not know how much memory the messages hold, so its failure
@@ -163,7 +163,6 @@
             on_failure: OnFailure::StopProcess,
             ..request_options()
         };
-        let total = accounts.total;
         builder.add_service(MEMORY, options, move |context| {
             run_memory(context, total, Arc::clone(&short))
         })
@@ -256,8 +255,13 @@
     ) -> KernelBuilder {
         let options = ServiceOptions::default();
         let sockets = &self.sockets;
-        let (ready_socket, metrics) = (Arc::clone(&sockets.ready), Arc::clone(&sockets.metrics));
-        let check_ins = Arc::clone(&sockets.check_ins);
+        let internal = |socket: &Arc<TcpListener>| InternalListener {
+            listener: Arc::clone(socket),
+            timeouts: LOCAL_TIMEOUTS,
+            accounts: accounts.clone(),
+        };
+        let (ready_socket, metrics) = (internal(&sockets.ready), internal(&sockets.metrics));
+        let check_ins = internal(&sockets.check_ins);
         let protocol = Arc::clone(&self.adapters.check_ins);
         let peers = Arc::clone(&sockets.peers);
         let peer_runner = RunnerBuilder::new(&self.adapters, accounts.clone());
@@ -269,14 +273,13 @@
         let connections = self.settings.limits.connections();
         builder
             .add_service(READY, options, move |context| {
-                ready::run_ready(context, Arc::clone(&ready_socket), LOCAL_TIMEOUTS)
+                ready::run_ready(context, ready_socket.clone())
             })
             .add_service(METRICS, options, move |context| {
-                ready::run_ready(context, Arc::clone(&metrics), LOCAL_TIMEOUTS)
+                ready::run_ready(context, metrics.clone())
             })
             .add_service(CHECK_INS, options, move |context| {
-                let (listener, protocol) = (Arc::clone(&check_ins), Arc::clone(&protocol));
-                check_ins::run_check_ins(context, listener, LOCAL_TIMEOUTS, protocol)
+                check_ins::run_check_ins(context, check_ins.clone(), Arc::clone(&protocol))
             })
             .add_service(PEERS, options, move |context| {
                 let (listener, runner) = (Arc::clone(&peers), peer_runner.clone());
@@ -320,62 +323,6 @@
     }
 }
 
-/// Creates the accounts with which the connections of a service take memory.
-#[derive(Clone)]
-struct MemoryAccounts {
-    /// Memory in bytes that messages share.
-    total: usize,
-    /// Whether a claim waits.
-    short: watch::Receiver<bool>,
-}
-
-impl MemoryAccounts {
-    /// Returns the account for a use of memory by the service with this context.
-    ///
-    /// # Errors
-    ///
-    /// Returns the kernel's error if the memory service has no mailbox.
-    fn account<M>(
-        &self,
-        context: &cornelvalve_kernel::Context<M>,
-        purpose: MemoryUse,
-    ) -> cornelvalve_kernel::Result<Arc<dyn MemoryAccount>> {
-        let crowded = watch::channel(false).1;
-        Ok(Arc::new(self.handle(context, purpose, crowded)?))
-    }
-
-    /// Returns the account for the requests of callers. `crowded` tells whether there are too many
-    /// connections of callers.
-    ///
-    /// # Errors
-    ///
-    /// Returns the kernel's error if the memory service has no mailbox.
-    fn caller_account<M>(
-        &self,
-        context: &cornelvalve_kernel::Context<M>,
-        crowded: watch::Receiver<bool>,
-    ) -> cornelvalve_kernel::Result<Arc<dyn MemoryAccount>> {
-        Ok(Arc::new(self.handle(
-            context,
-            MemoryUse::Caller,
-            crowded,
-        )?))
-    }
-
-    fn handle<M>(
-        &self,
-        context: &cornelvalve_kernel::Context<M>,
-        purpose: MemoryUse,
-        crowded: watch::Receiver<bool>,
-    ) -> cornelvalve_kernel::Result<MemoryHandle> {
-        let mailbox = context.registry.mailbox(MEMORY)?;
-        let short = self.short.clone();
-        Ok(MemoryHandle::new(
-            mailbox, purpose, self.total, short, crowded,
-        ))
-    }
-}
-
 /// Builds runners for the services that run requests at the upstream.
 #[derive(Clone)]
 struct RunnerBuilder {
--- a/crates/relay/src/ready.rs
+++ b/crates/relay/src/ready.rs
@@ -4,12 +4,11 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use cornelvalve_http1::{BoxFuture, Handler, OutgoingResponse, Request, SocketTimeouts};
+use cornelvalve_http1::{BoxFuture, Handler, OutgoingResponse, Request};
 use cornelvalve_kernel::{Context, Mailbox, ServiceResult};
 use http::StatusCode;
-use tokio::net::TcpListener;
 
-use crate::listener::run_http_listener;
+use crate::listener::{InternalListener, run_http_listener};
 use crate::messages::{ListenerMessage, StatsMessage};
 use crate::names::STATS;
 
@@ -20,14 +19,13 @@
 ///
 /// # Errors
 ///
-/// Returns an error if the stats service does not exist.
+/// Returns an error if the stats service or the memory service does not exist.
 pub(crate) async fn run_ready(
     context: Context<ListenerMessage>,
-    listener: Arc<TcpListener>,
-    timeouts: SocketTimeouts,
+    listener: InternalListener,
 ) -> ServiceResult {
     let handler = Arc::new(StatusHandler(context.registry.mailbox(STATS)?));
-    run_http_listener(context, &listener, timeouts, handler).await
+    run_http_listener(context, listener, handler).await
 }
 
 /// Answers requests for the readiness and the metrics from the stats service.
