Send nothing to a process that checks in for another service

Cause: the check-in of the other service was passed over, but the guard took any process that answers the health path at the address for one of its own service; the health path does not tell the service.

Change: the guard remembers the latest four instances that checked in at its address for another service and takes none of them for its upstream, neither by the health path nor by what it knew before. A late check-in of an earlier process of another service does not end the process that is there now; requests name that one, so the other refuses them.

Not covered: between the start of such a process and its first check-in, the health path may still report it (at most one probe interval); and a daemon that is not restarted keeps the service of its settings, also in what it tells targets of the caller's service.

--- a/crates/relay/src/guard/reports.rs
+++ b/crates/relay/src/guard/reports.rs
@@ -4,6 +4,7 @@
 
 use cornelvalve_model::{AnswerSignals, Moment};
 use cornelvalve_policy::LimitChange;
+use smallvec::SmallVec;
 
 use super::state::GuardState;
 use super::upstream::{CheckInEffect, UpstreamProcess};
@@ -19,10 +20,14 @@
             .service
             .as_ref()
             .is_some_and(|s| *s != self.settings.service);
+        if other_service && !other_addr {
+            self.exclude(instance, now);
+        }
         if other_addr || other_service || self.replaced_instances.iter().any(|i| **i == *instance) {
             log::info!(event = "check-in-passed-over", instance = instance; "check-in ignored: other address, other service or replaced instance");
             return;
         }
+        self.foreign_instances.retain(|i| **i != *instance);
         let old = self.process.clone();
         let effect = match &mut self.process {
             Some(process) => process.apply_check_in(&check_in, now),
@@ -48,6 +53,38 @@
         self.update_rate_limit(now);
     }
 
+    /// Excludes a process that belongs to another service.
+    ///
+    /// The check-in may be late, so another process that is known stays. Requests name that one, so
+    /// the excluded process does not run them.
+    fn exclude(&mut self, instance: &str, now: Moment) {
+        if !self.is_foreign(instance) {
+            remember(&mut self.foreign_instances, Arc::from(instance));
+        }
+        if self
+            .process
+            .as_ref()
+            .is_some_and(|p| *p.instance == *instance)
+        {
+            self.end_process(now);
+        }
+    }
+
+    /// Returns whether a process said that it belongs to another service.
+    fn is_foreign(&self, instance: &str) -> bool {
+        self.foreign_instances.iter().any(|i| **i == *instance)
+    }
+
+    /// Records that the known process has ended, if there is one.
+    fn end_process(&mut self, now: Moment) {
+        let Some(old) = self.process.take() else {
+            return;
+        };
+        log::info!(event = "upstream-changed", instance = old.instance.as_ref(), state = "gone"; "a process of another service uses the address of the upstream");
+        self.detect_replacement(Some(old), now);
+        self.on_upstream_changed(now);
+    }
+
     /// Compares the current process with the previous one. If it is another one, reports the
     /// replacement to the crash tracker and makes the guard ignore late check-ins of `old`.
     fn detect_replacement(&mut self, old: Option<UpstreamProcess>, now: Moment) {
@@ -57,10 +94,7 @@
             .filter(|i| Some(i) != current.as_ref());
         if let Some(instance) = old {
             self.crashes.record_replacement(now);
-            if self.replaced_instances.len() == self.replaced_instances.inline_size() {
-                self.replaced_instances.remove(0);
-            }
-            self.replaced_instances.push(instance);
+            remember(&mut self.replaced_instances, instance);
         }
     }
 
@@ -105,6 +139,10 @@
         requested: Moment,
         now: Moment,
     ) {
+        if self.is_foreign(instance) {
+            self.end_process(now);
+            return;
+        }
         match &mut self.process {
             Some(process) if *process.instance == *instance => {
                 process.apply_health(report, requested, now);
@@ -199,3 +237,11 @@
         self.publish_load(now);
     }
 }
+
+/// Adds an instance to a list of the latest ones; the oldest makes way.
+fn remember(list: &mut SmallVec<[Arc<str>; 4]>, instance: Arc<str>) {
+    if list.len() == list.inline_size() {
+        list.remove(0);
+    }
+    list.push(instance);
+}
--- a/crates/relay/src/guard/state.rs
+++ b/crates/relay/src/guard/state.rs
@@ -69,6 +69,9 @@
     /// The latest four instances that were replaced by another process; late check-ins of theirs
     /// are ignored.
     pub(super) replaced_instances: SmallVec<[Arc<str>; 4]>,
+    /// The latest four instances at the upstream's address that said that they belong to another
+    /// service. Their health path does not tell that.
+    pub(super) foreign_instances: SmallVec<[Arc<str>; 4]>,
     /// Whether the last attempt to connect to the upstream failed.
     pub(super) unreachable: bool,
     /// Whether the upstream was cold when that was last logged.
@@ -101,6 +104,7 @@
             failures: FailureRate::default(),
             process: None,
             replaced_instances: SmallVec::new(),
+            foreign_instances: SmallVec::new(),
             unreachable: false,
             logged_cold: false,
             calls: Calls::default(),
--- a/crates/relay/src/guard/tests.rs
+++ b/crates/relay/src/guard/tests.rs
@@ -1,6 +1,7 @@
 //! Tests of the guard service with stand-ins for the other services, under Tokio's paused time.
 
 mod cold;
+mod reused;
 mod versions;
 
 use std::net::{Ipv4Addr, SocketAddr};
