--- a/tests/all/answers/cut.rs
+++ b/tests/all/answers/cut.rs
@@ -74,3 +74,37 @@
         assert_eq!(faulty.run_counts().await.get(&id), Some(&1), "{id}");
     }
 }
+
+/// Guards against a part of a response that looks complete to the caller: it has no length, and the
+/// upstream resets the connection while the request is still being written.
+#[tokio::test]
+async fn a_reset_response_without_length_is_an_error_for_the_caller() {
+    let FlotteMesh {
+        mesh,
+        entry,
+        upstream_daemon: _upstream_daemon,
+        mut upstream,
+        upstream_addr: _upstream_addr,
+    } = start_mesh("answers-unframed").await;
+    upstream.kill();
+    let second = mesh.start_daemon(SECOND_UPSTREAM_VM, &[entry.peers]);
+    let faulty = FaultyUpstream::start(&second, "flotte", FailurePoint::Unframed).await;
+    for size in [60_000, 8_000_000] {
+        for repeat in 0..15 {
+            let id = format!("{size}-{repeat}");
+            eventually("reset response", || async {
+                let mut client = Client::http1(entry.callers).await;
+                let body = vec![b'u'; size];
+                let post = request("POST", HOST, "/", &[("x-request-id", &id)], body);
+                let response = client.send(post).await;
+                if faulty.run_counts().await.contains_key(&id) {
+                    let complete = response.as_ref().is_ok_and(|r| r.outcome().is_none());
+                    assert!(!complete, "{id}: looks complete: {response:?}");
+                    return Ok(());
+                }
+                Err(format!("{response:?}"))
+            })
+            .await;
+        }
+    }
+}
--- a/tests/all/support/faulty_upstream.rs
+++ b/tests/all/support/faulty_upstream.rs
@@ -25,6 +25,9 @@
     InBody,
     /// Closes the connection within a chunked body.
     InChunks,
+    /// Closes the connection within a body that has neither a length nor chunks, while it has not
+    /// read all of the request.
+    Unframed,
     /// Does not fail; names a limit of [`LIMIT_PER_SECOND`] in each response.
     Limited,
     /// Does not fail; says in each response that it is leaving.
@@ -65,6 +68,7 @@
             Self::InHeaders => "HTTP/1.1 200 OK\r\ncontent-le",
             Self::InBody => "HTTP/1.1 200 OK\r\ncontent-length: 100\r\n\r\nhalf",
             Self::InChunks => "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\nhalf\r\n",
+            Self::Unframed => "HTTP/1.1 200 OK\r\n\r\npart",
             Self::Limited => LIMITED_RESPONSE,
             Self::Leaving => LEAVING_RESPONSE,
             Self::RelayedRefusal => RELAYED_RESPONSE,
