Claim memory for requests behind responses that wait

Found by reading the change again: a request claimed memory only beside running ones. A client that sends requests one at a time and reads nothing leaves up to 32 responses, each with the part for which no memory is reserved, 256 KiB a connection that nobody counted.

Change: only a request on a connection without running requests and waiting responses claims nothing.

--- a/crates/http1/src/server/connection.rs
+++ b/crates/http1/src/server/connection.rs
@@ -55,7 +55,7 @@
 enum Waiting {
     /// The body of the request that is being read.
     Body(PendingReservation),
-    /// A complete request that follows others which are running.
+    /// A complete request that follows others which run or whose responses wait.
     Request(Box<Request>, PendingReservation),
 }
 
@@ -245,7 +245,7 @@
                 Err(e) => return Ok(Err(e)),
             };
             self.request_start = Instant::now();
-            if self.running.is_empty() {
+            if self.is_idle() {
                 self.start(handler, request, Reservations::default());
             } else {
                 let unreserved = request.body.len().min(BODY_ALLOWANCE_BYTES);
--- a/crates/http1/tests/all/memory.rs
+++ b/crates/http1/tests/all/memory.rs
@@ -72,7 +72,7 @@
     }
 }
 
-/// Responds with the size of the body; never to `/hang`.
+/// Responds with the size of the body, to `/large` with a large body, and never to `/hang`.
 struct SizeHandler;
 
 impl Handler for SizeHandler {
@@ -82,6 +82,10 @@
                 return std::future::pending().await;
             }
             let mut response = OutgoingResponse::empty(StatusCode::OK);
+            if &*request.target == "/large" {
+                response.body = vec![b'x'; TOTAL].into();
+                return response;
+            }
             response.body = request.body.len().to_string().into();
             response
         })
@@ -232,3 +236,18 @@
     server.client.shutdown().await.expect("client leaves");
     server.wait_for_used(|used| used == 0).await;
 }
+
+// Guards against requests that are not counted because each begins after the one before has ended,
+// while the responses wait for a client that does not read.
+#[tokio::test]
+async fn requests_behind_unread_responses_take_memory() {
+    let mut server = Server::start().await;
+    // More than the sockets buffer.
+    for _ in 0..20 {
+        server.send(b"GET /large HTTP/1.1\r\n\r\n").await;
+        sleep(Duration::from_millis(20)).await;
+    }
+    server.wait_for_used(|used| used >= 16 * 1024).await;
+    server.client.shutdown().await.expect("client leaves");
+    server.wait_for_used(|used| used == 0).await;
+}
